--- /dev/null
+++ b/include/chestnuthead/chestnuthead.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/// The one header that a program includes to drive the decision cores and the
+/// ports by itself, without any daemon.
+
+#include "chestnuthead/agent_core.h"
+#include "chestnuthead/answer.h"
+#include "chestnuthead/clock.h"
+#include "chestnuthead/configuration.h"
+#include "chestnuthead/error_kind.h"
+#include "chestnuthead/gossip.h"
+#include "chestnuthead/ids.h"
+#include "chestnuthead/memory_table.h"
+#include "chestnuthead/object_store.h"
+#include "chestnuthead/random_source.h"
+#include "chestnuthead/request.h"
+#include "chestnuthead/router_core.h"
+#include "chestnuthead/seeded_random.h"
+#include "chestnuthead/table_service.h"
+#include "chestnuthead/timeline.h"
+#include "chestnuthead/vm_list.h"
