Carry attempts, probes and gossip between nodes over HTTP/2

peer_codec turns the messages into msgpack arrays, http2_link wraps nghttp2 over a non-blocking socket, peer_client and peer_server run one poll loop each.

--- /dev/null
+++ b/Source/Net/hybrid_clock.cxx
@@ -0,0 +1,43 @@
+#include "Net/hybrid_clock.h"
+
+#include <chrono>
+
+namespace chestnuthead {
+
+namespace {
+
+/// Readings further ahead than this are taken as a fault of the sender's clock.
+constexpr std::chrono::minutes largest_lead{5};
+
+std::chrono::milliseconds wall_of(const clock& source) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      source.wall_now().time_since_epoch());
+}
+
+}  // namespace
+
+hybrid_clock::hybrid_clock(const clock& source) : source(source) {
+}
+
+hybrid_time hybrid_clock::tick() {
+  const std::lock_guard guard(this->lock);
+  const std::chrono::milliseconds wall = wall_of(this->source);
+  if (wall > this->last.wall) {
+    this->last = {wall, 0};
+  } else {
+    ++this->last.counter;
+  }
+  return this->last;
+}
+
+void hybrid_clock::merge(const hybrid_time& heard) {
+  const std::lock_guard guard(this->lock);
+  if (heard.wall > wall_of(this->source) + largest_lead) {
+    return;
+  }
+  if (heard > this->last) {
+    this->last = heard;
+  }
+}
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Net/io_loop.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "chestnuthead/clock.h"
+
+namespace chestnuthead {
+
+/// What an `io_loop` serves: one file descriptor and its reactions. All calls
+/// come from the loop's thread.
+class io_handler {
+ public:
+  virtual ~io_handler() = default;
+
+  [[nodiscard]] virtual int descriptor() const = 0;
+  [[nodiscard]] virtual bool wants_read() const = 0;
+  [[nodiscard]] virtual bool wants_write() const = 0;
+  /// The descriptor is ready. False removes the handler.
+  virtual bool ready(bool readable, bool writable, steady_time now) = 0;
+  /// Called about every `io_tick_interval`. False removes the handler.
+  virtual bool tick(steady_time now) = 0;
+  /// The handler is being removed.
+  virtual void removed() = 0;
+};
+
+inline constexpr std::chrono::milliseconds io_tick_interval{100};
+
+/// One thread that serves descriptors with poll() and runs tasks that other
+/// threads post.
+class io_loop {
+ public:
+  io_loop();
+  ~io_loop();
+  io_loop(const io_loop&) = delete;
+  io_loop& operator=(const io_loop&) = delete;
+
+  void start();
+  /// Ends the thread and removes all handlers; no task runs afterwards.
+  void stop();
+
+  /// Runs `task` on the loop's thread soon. May be called from any thread.
+  void post(std::function<void()> task);
+
+  /// Adds a handler. Only from the loop's thread, or before `start`.
+  void add(const std::shared_ptr<io_handler>& handler);
+
+ private:
+  void run();
+  void run_tasks();
+  void poll_once();
+  void tick_all(steady_time now);
+  void drop_if(bool drop, const std::shared_ptr<io_handler>& handler);
+  void drain_wake() const;
+
+  std::atomic<bool> stopping{false};
+  std::mutex lock;
+  std::vector<std::function<void()>> tasks;
+  std::vector<std::shared_ptr<io_handler>> handlers;
+  steady_time next_tick{};
+  int wake_descriptor = -1;
+  std::thread thread;
+};
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Net/msgpack_fields.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+#include <msgpack.hpp>
+
+#include "chestnuthead/ids.h"
+
+/// Reading and writing of msgpack arrays, field by field. Only for codecs: the
+/// reader throws `msgpack::type_error`, which the codec turns into a fault.
+namespace chestnuthead {
+
+/// Writes the fields of arrays.
+class field_writer {
+ public:
+  field_writer() : packer(this->buffer) {
+  }
+
+  void array(std::size_t fields) {
+    this->packer.pack_array(static_cast<std::uint32_t>(fields));
+  }
+  template <class Value>
+  void put(const Value& value) {
+    if constexpr (std::is_enum_v<Value>) {
+      this->packer.pack(static_cast<std::uint8_t>(value));
+    } else {
+      this->packer.pack(value);
+    }
+  }
+  template <class Tag>
+  void put(const id<Tag>& name) {
+    this->packer.pack(name.value);
+  }
+  void put(std::chrono::milliseconds time) {
+    this->packer.pack(static_cast<std::int64_t>(time.count()));
+  }
+  /// Bytes that need not be text.
+  void put_bytes(std::string_view bytes) {
+    this->packer.pack_bin(static_cast<std::uint32_t>(bytes.size()));
+    this->packer.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
+  }
+
+  [[nodiscard]] std::string text() const {
+    return {this->buffer.data(), this->buffer.size()};
+  }
+
+ private:
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer;
+};
+
+/// Reads the fields of one array in order.
+class field_reader {
+ public:
+  explicit field_reader(const msgpack::object& object) {
+    if (object.type != msgpack::type::ARRAY) {
+      throw msgpack::type_error();
+    }
+    this->next = object.via.array.ptr;
+    this->left = object.via.array.size;
+  }
+
+  const msgpack::object& object() {
+    if (this->left == 0) {
+      throw msgpack::type_error();
+    }
+    --this->left;
+    return *this->next++;
+  }
+  template <class Value>
+  void get(Value& value) {
+    this->object().convert(value);
+  }
+  template <class Tag>
+  void get(id<Tag>& name) {
+    this->object().convert(name.value);
+  }
+  void get(std::chrono::milliseconds& time) {
+    // Bounded so that sums with it never overflow.
+    constexpr std::int64_t longest = std::int64_t{1} << 50;
+    const auto count = this->object().as<std::int64_t>();
+    if (count < -longest || count > longest) {
+      throw msgpack::type_error();
+    }
+    time = std::chrono::milliseconds(count);
+  }
+  /// Reads a value of an enumeration that ends with `last`.
+  template <class Enumeration>
+  void get(Enumeration& value, Enumeration last) {
+    const auto number = this->object().as<std::uint8_t>();
+    if (number > static_cast<std::uint8_t>(last)) {
+      throw msgpack::type_error();
+    }
+    value = static_cast<Enumeration>(number);
+  }
+  /// The next field as an array of its own.
+  field_reader array() {
+    return field_reader(this->object());
+  }
+  [[nodiscard]] bool at_end() const {
+    return this->left == 0;
+  }
+
+ private:
+  const msgpack::object* next = nullptr;
+  std::size_t left = 0;
+};
+
+}  // namespace chestnuthead
