Route requests to agents and reassemble their answers

Cause: the router's decisions and the check of whole answers were headers only. Change: tables of requests and attempts, placement by rendezvous with a second question for holders of a prefix, refusals, retries within a budget, seals before "not run", expiry, readiness and the planned stop, each as its own module; frames of answers are taken only in order, from the current attempt, and the end is checked by length and checksum. Conclusion: it compiles; no test has run yet, since the control plane and the sealer are not there to link with.

--- /dev/null
+++ b/Source/Router/choice.cxx
@@ -0,0 +1,104 @@
+#include "Router/choice.h"
+
+#include <algorithm>
+
+#include "Base/hashing.h"
+#include "Router/chat_memory.h"
+#include "Router/load_memory.h"
+
+namespace chestnuthead::routing {
+
+namespace {
+
+bool was_tried(const request_row& row, const node_id& node) {
+  return std::find(row.tried.begin(), row.tried.end(), node) != row.tried.end();
+}
+
+bool placed_by_hash(const request_row& row) {
+  // A key meets earlier calls with it in one agent's memory, and a chat its
+  // cached prefix; plain services keep nothing of a chat.
+  return !row.facts.key.empty() || (row.model_engine && !row.facts.chat.empty());
+}
+
+// Two random choices, the less loaded one taken.
+const pool_member* choose_by_load(router_state& state, const request_row& row, steady_time now) {
+  const auto& pool = members_of(state.placement, row.facts.pool);
+  const auto usable = best_untried(state, row, pool.size(), now);
+  if (usable.empty()) {
+    return nullptr;
+  }
+  const pool_member* one = usable[next_below(*state.random, usable.size())];
+  const pool_member* other = usable[next_below(*state.random, usable.size())];
+  const double one_load = known_load(state.loads, one->node, now);
+  return known_load(state.loads, other->node, now) < one_load ? other : one;
+}
+
+}  // namespace
+
+bool takes_work(const router_state& state, const pool_member& member, steady_time now) {
+  if (!state.switches.skip_endpoints_out) {
+    return true;
+  }
+  return member.in_service && !said_leaving(state.loads, member.node, now);
+}
+
+std::vector<const pool_member*> best_untried(const router_state& state, const request_row& row,
+                                             std::size_t count, steady_time now) {
+  const auto& pool = members_of(state.placement, row.facts.pool);
+  const std::uint64_t key_hash = placement_hash(row.facts);
+  const auto untried = [&](const pool_member& member) {
+    return takes_work(state, member, now) && !was_tried(row, member.node);
+  };
+  auto order = preference_order(pool, key_hash, count, [&](const pool_member& member) {
+    return untried(member) && !avoided(*state.plane, member, now);
+  });
+  if (order.empty()) {
+    order = preference_order(pool, key_hash, count, untried);
+  }
+  return order;
+}
+
+const pool_member* next_choice(router_state& state, const request_row& row, steady_time now) {
+  if (!placed_by_hash(row)) {
+    return choose_by_load(state, row, now);
+  }
+  const auto order = best_untried(state, row, 1, now);
+  return order.empty() ? nullptr : order.front();
+}
+
+const pool_member* least_loaded(const router_state& state, const request_row& row,
+                                steady_time now) {
+  const pool_member* best = nullptr;
+  for (const pool_member& member : members_of(state.placement, row.facts.pool)) {
+    const bool usable = takes_work(state, member, now) && !was_tried(row, member.node);
+    if (!usable || !has_known_room(state.loads, member.node, now)) {
+      continue;
+    }
+    if (best == nullptr ||
+        known_load(state.loads, member.node, now) < known_load(state.loads, best->node, now)) {
+      best = &member;
+    }
+  }
+  return best;
+}
+
+const pool_member* remembered_holder(const router_state& state, const request_row& row,
+                                     steady_time now) {
+  if (!state.switches.use_chat_memory) {
+    return nullptr;
+  }
+  const auto agent_hash = recall_chat(state.chats, hash_text(row.facts.chat.value));
+  if (!agent_hash) {
+    return nullptr;
+  }
+  const auto& pool = members_of(state.placement, row.facts.pool);
+  const auto found = std::find_if(pool.begin(), pool.end(), [&](const pool_member& member) {
+    return member.hash == *agent_hash;
+  });
+  if (found == pool.end() || !takes_work(state, *found, now) || was_tried(row, found->node)) {
+    return nullptr;
+  }
+  return avoided(*state.plane, *found, now) ? nullptr : &*found;
+}
+
+}  // namespace chestnuthead::routing
--- /dev/null
+++ b/Source/Router/conclude.cxx
@@ -0,0 +1,75 @@
+#include "Router/conclude.h"
+
+#include <algorithm>
+
+#include "Router/invariants.h"
+#include "Router/seals.h"
+
+namespace chestnuthead::routing {
+
+namespace {
+
+constexpr std::chrono::milliseconds shortest_come_back{100};
+constexpr std::chrono::milliseconds usual_come_back{1'000};
+
+run_state known_run_state(const request_table& table, const request_row& row) {
+  if (row.bytes_passed > 0) {
+    return run_state::ran;
+  }
+  return may_have_run(table, row) ? run_state::unknown : run_state::not_run;
+}
+
+}  // namespace
+
+std::chrono::milliseconds come_back_after(const request_row& row, error_kind why) {
+  if (!answer_for(why).come_back) {
+    return std::chrono::milliseconds{0};
+  }
+  if (row.refusals.come_back.count() == 0) {
+    return usual_come_back;
+  }
+  return std::max(row.refusals.come_back, shortest_come_back);
+}
+
+void withdraw_current(router_state& state, request_row& row, router_actions& actions) {
+  if (row.current.empty()) {
+    return;
+  }
+  const attempt_row& attempt = state.requests.attempts.at(row.current);
+  actions.emplace_back(cancel_attempt{row.facts.request, row.current, attempt.agent});
+  close_current(state.requests, row, attempt_state::ended);
+}
+
+void conclude(router_state& state, request_row& row, error_kind why, run_state ran,
+              router_actions& actions) {
+  check_run_state(state, row, ran, actions);
+  const request_id request = row.facts.request;
+  if (row.bytes_passed > 0) {
+    actions.emplace_back(cut_answer{request, why, ran});
+  } else {
+    actions.emplace_back(answer_error{request, why, ran, come_back_after(row, why)});
+  }
+  erase_request(state.requests, request);
+}
+
+void finish(router_state& state, request_row& row, router_actions& actions) {
+  const request_id request = row.facts.request;
+  actions.emplace_back(finish_answer{request});
+  erase_request(state.requests, request);
+}
+
+void give_up(router_state& state, request_row& row, error_kind why, steady_time now,
+             router_actions& actions) {
+  withdraw_current(state, row, actions);
+  if (row.fetching) {
+    conclude_ran(state, row, actions);
+    return;
+  }
+  if (needs_seal(state, row)) {
+    begin_seal(state, row, why, now, actions);
+    return;
+  }
+  conclude(state, row, why, known_run_state(state.requests, row), actions);
+}
+
+}  // namespace chestnuthead::routing
--- /dev/null
+++ b/Source/Router/expiry.cxx
@@ -0,0 +1,61 @@
+#include "Router/expiry.h"
+
+#include <vector>
+
+#include "Router/attempts.h"
+#include "Router/conclude.h"
+#include "Router/dispatch.h"
+#include "Router/probes.h"
+
+namespace chestnuthead::routing {
+
+namespace {
+
+bool is_silent(const router_state& state, const request_row& row, steady_time now) {
+  if (row.current.empty()) {
+    return false;
+  }
+  const attempt_row& attempt = state.requests.attempts.at(row.current);
+  return attempt.state == attempt_state::sent && now - attempt.sent_at >= accept_timeout;
+}
+
+void tick_request(router_state& state, request_row& row, steady_time now, router_actions& actions) {
+  // A seal has its own patience.
+  if (row.phase == request_phase::sealing) {
+    return;
+  }
+  if (now >= row.deadline) {
+    give_up(state, row, error_kind::deadline_exceeded, now, actions);
+    return;
+  }
+  if (is_silent(state, row, now)) {
+    take_silence(state, row, now, actions);
+    return;
+  }
+  if (row.phase == request_phase::probing && now >= row.probes.patience_end) {
+    end_probes(state, row, now, actions);
+    return;
+  }
+  if (row.phase == request_phase::waiting && now >= row.wake) {
+    advance(state, row, now, actions);
+  }
+}
+
+}  // namespace
+
+void tick_requests(router_state& state, steady_time now, router_actions& actions) {
+  // Rows go while the table is walked, so their names are taken first.
+  std::vector<request_id> names;
+  names.reserve(state.requests.requests.size());
+  for (const auto& [request, row] : state.requests.requests) {
+    names.push_back(request);
+  }
+  for (const request_id& name : names) {
+    request_row* row = find_request(state.requests, name);
+    if (row != nullptr) {
+      tick_request(state, *row, now, actions);
+    }
+  }
+}
+
+}  // namespace chestnuthead::routing
--- /dev/null
+++ b/Source/Router/placement.cxx
@@ -0,0 +1,77 @@
+#include "Router/placement.h"
+
+#include <algorithm>
+
+#include "Base/hashing.h"
+
+namespace chestnuthead::routing {
+
+namespace {
+
+pool_member make_pool_member(const control_plane& plane, const member& known,
+                             std::size_t position) {
+  pool_member entry;
+  entry.hash = hash_text(known.vm.node.value);
+  entry.node = known.vm.node;
+  entry.address = known.vm.address;
+  entry.failure_domain = known.vm.failure_domain;
+  entry.in_service = !out_of_service(plane, known);
+  entry.position = position;
+  return entry;
+}
+
+}  // namespace
+
+void refresh(placement_cache& cache, const control_plane& plane) {
+  const std::uint64_t generation = view_generation(plane);
+  if (cache.built && cache.generation == generation) {
+    return;
+  }
+  cache = {};
+  cache.built = true;
+  cache.generation = generation;
+  const std::vector<member>& known = members(plane);
+  for (std::size_t position = 0; position < known.size(); ++position) {
+    const member& node = known[position];
+    if (node.vm.role != vm_role::agent) {
+      continue;
+    }
+    pool_member entry = make_pool_member(plane, node, position);
+    ++cache.endpoints_known;
+    cache.endpoints_in_service += entry.in_service ? 1 : 0;
+    cache.pools[node.vm.pool].push_back(std::move(entry));
+  }
+}
+
+const std::vector<pool_member>& members_of(const placement_cache& cache, const pool_id& pool) {
+  static const std::vector<pool_member> none;
+  const auto found = cache.pools.find(pool);
+  return found == cache.pools.end() ? none : found->second;
+}
+
+const pool_member* find_member(const std::vector<pool_member>& pool, const node_id& node) {
+  const auto found = std::lower_bound(
+      pool.begin(), pool.end(), node,
+      [](const pool_member& left, const node_id& name) { return left.node < name; });
+  return found != pool.end() && found->node == node ? &*found : nullptr;
+}
+
+std::uint64_t placement_hash(const request_facts& facts) {
+  if (!facts.key.empty()) {
+    return hash_text(facts.key.value);
+  }
+  if (!facts.chat.empty()) {
+    return hash_text(facts.chat.value);
+  }
+  return hash_text(facts.request.value);
+}
+
+bool avoided(const control_plane& plane, const pool_member& member, steady_time now) {
+  const auto& known = members(plane);
+  if (member.position >= known.size()) {
+    return false;
+  }
+  return known[member.position].avoid_until > now;
+}
+
+}  // namespace chestnuthead::routing
--- /dev/null
+++ b/Source/Router/router_step.cxx
@@ -0,0 +1,97 @@
+#include "chestnuthead/router_core.h"
+
+#include "Router/arrivals.h"
+#include "Router/attempts.h"
+#include "Router/expiry.h"
+#include "Router/invariants.h"
+#include "Router/probes.h"
+#include "Router/router_state.h"
+#include "Router/seals.h"
+#include "Router/service.h"
+
+namespace chestnuthead {
+
+namespace {
+
+using routing::router_actions;
+
+void carry_out(control_output output, router_actions& actions) {
+  for (outgoing_gossip& message : output.messages) {
+    actions.emplace_back(
+        router_send_gossip{message.to, std::move(message.address), std::move(message.message)});
+  }
+  for (table_ask& ask : output.asks) {
+    actions.emplace_back(router_submit_table{ask.ticket, std::move(ask.request)});
+  }
+  if (output.read_vm_list) {
+    actions.emplace_back(router_read_vm_list{});
+  }
+}
+
+/// Sends each kind of event to the module that it concerns.
+struct event_handler {
+  router_state& state;
+  steady_time now;
+  router_actions& actions;
+
+  void operator()(const request_arrived& event) const {
+    routing::take_request(this->state, event, this->now, this->actions);
+  }
+  void operator()(const caller_left& event) const {
+    routing::take_caller_left(this->state, event, this->actions);
+  }
+  void operator()(const attempt_accepted& event) const {
+    routing::take_accepted(this->state, event, this->now);
+  }
+  void operator()(const attempt_refused& event) const {
+    routing::take_refused(this->state, event, this->now, this->actions);
+  }
+  void operator()(const attempt_ended& event) const {
+    routing::take_ended(this->state, event, this->now, this->actions);
+  }
+  void operator()(const probe_answered& event) const {
+    routing::take_probe_answer(this->state, event, this->now, this->actions);
+  }
+  void operator()(const router_table_replied& event) const {
+    if ((event.ticket & control_ticket_bit) != 0) {
+      carry_out(take_table_reply(*this->state.plane, event.ticket, event.reply, this->now),
+                this->actions);
+      return;
+    }
+    routing::take_seal_answer(this->state, event.ticket, event.reply, this->now, this->actions);
+  }
+  void operator()(const router_vm_list_replied& event) const {
+    carry_out(take_vm_list(*this->state.plane, event.reply, this->now), this->actions);
+  }
+  void operator()(const router_gossip_received& event) const {
+    carry_out(take_gossip(*this->state.plane, event.message, this->now), this->actions);
+  }
+  void operator()(const router_link_lost& event) const {
+    note_link_lost(*this->state.plane, event.node, this->now);
+    routing::drop_awaited(this->state, event.node, this->now, this->actions);
+  }
+  void operator()(const router_stop_requested& /*event*/) const {
+    routing::begin_stop(this->state, this->now, this->actions);
+  }
+  void operator()(const router_tick& /*event*/) const {
+    carry_out(control_tick(*this->state.plane, this->now), this->actions);
+    routing::refresh(this->state.placement, *this->state.plane);
+    routing::tick_seals(this->state, this->now, this->actions);
+    routing::tick_requests(this->state, this->now, this->actions);
+    routing::forget_old_loads(this->state.loads, this->now);
+    routing::check_requests(this->state, this->now, this->actions);
+  }
+};
+
+}  // namespace
+
+std::vector<router_action> step(router_state& state, const router_event& event, steady_time now) {
+  router_actions actions;
+  routing::refresh(state.placement, *state.plane);
+  std::visit(event_handler{state, now, actions}, event);
+  routing::refresh(state.placement, *state.plane);
+  routing::update_service(state, now, actions);
+  return actions;
+}
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Router/seals.cxx
@@ -0,0 +1,82 @@
+#include "Router/seals.h"
+
+#include "Router/conclude.h"
+#include "Router/dispatch.h"
+
+namespace chestnuthead::routing {
+
+namespace {
+
+// The core can't replay a stored answer, but an agent that is asked for the
+// same key can.
+void take_ran(router_state& state, request_row& row, steady_time now, router_actions& actions) {
+  if (now >= row.deadline) {
+    conclude_ran(state, row, actions);
+    return;
+  }
+  row.fetching = true;
+  row.tried.clear();
+  advance(state, row, now, actions);
+}
+
+void decide(router_state& state, const seal_decision& decision, steady_time now,
+            router_actions& actions) {
+  request_row* row = find_request(state.requests, decision.request);
+  if (row == nullptr || row->phase != request_phase::sealing) {
+    return;
+  }
+  switch (decision.outcome) {
+    case seal_outcome::not_run:
+      row->sealed_not_run = true;
+      conclude(state, *row, row->reason, run_state::not_run, actions);
+      return;
+    case seal_outcome::ran:
+      take_ran(state, *row, now, actions);
+      return;
+    case seal_outcome::unknown:
+      conclude(state, *row, error_kind::outcome_unknown, run_state::unknown, actions);
+      return;
+  }
+}
+
+void carry_out(router_state& state, sealer_output output, steady_time now,
+               router_actions& actions) {
+  for (table_ask& ask : output.asks) {
+    actions.emplace_back(router_submit_table{ask.ticket, std::move(ask.request)});
+  }
+  for (const seal_decision& decision : output.decisions) {
+    decide(state, decision, now, actions);
+  }
+}
+
+}  // namespace
+
+bool needs_seal(const router_state& state, const request_row& row) {
+  if (row.facts.rule != execution_rule::at_most_once) {
+    return false;
+  }
+  return row.refusals.key_contended || may_have_run(state.requests, row);
+}
+
+void begin_seal(router_state& state, request_row& row, error_kind why, steady_time now,
+                router_actions& actions) {
+  row.phase = request_phase::sealing;
+  row.reason = why;
+  const request_facts& facts = row.facts;
+  carry_out(state, seal(*state.seals, facts.request, facts.key, facts.pool, now), now, actions);
+}
+
+void take_seal_answer(router_state& state, std::uint64_t ticket, const table_reply& reply,
+                      steady_time now, router_actions& actions) {
+  carry_out(state, take_seal_reply(*state.seals, ticket, reply, now), now, actions);
+}
+
+void tick_seals(router_state& state, steady_time now, router_actions& actions) {
+  carry_out(state, sealer_tick(*state.seals, now), now, actions);
+}
+
+void conclude_ran(router_state& state, request_row& row, router_actions& actions) {
+  conclude(state, row, row.reason, run_state::ran, actions);
+}
+
+}  // namespace chestnuthead::routing
--- a/include/chestnuthead/answer.h
+++ b/include/chestnuthead/answer.h
@@ -91,6 +91,12 @@
   attempt_id attempt;
   std::uint64_t bytes_passed = 0;
   bool head_passed = false;
+  /// Status that went to the caller with the head.
+  int status = 0;
+  /// True once the present attempt has sent its head.
+  bool attempt_has_head = false;
+  /// True once the answer is whole; every later frame is dropped.
+  bool whole = false;
   std::uint64_t frames_dropped = 0;
   answer_checksum checksum;
 };
