--- a/include/chestnuthead/ids.h
+++ b/include/chestnuthead/ids.h
@@ -14,7 +14,8 @@
 struct id {
   std::string value;
 
-  auto operator<=>(const id&) const = default;
+  // The linter takes a defaulted comparison for a null pointer.
+  auto operator<=>(const id&) const = default;  // NOLINT(modernize-use-nullptr)
 
   /// True while no identifier has been given.
   [[nodiscard]] bool empty() const {
