--- /dev/null
+++ b/Source/Configuration/json_object_reader.cxx
@@ -0,0 +1,215 @@
+#include "Configuration/json_object_reader.h"
+
+#include <sstream>
+#include <utility>
+
+#include <Poco/Dynamic/Var.h>
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Stringifier.h>
+
+namespace chestnuthead {
+
+namespace {
+
+using Poco::Dynamic::Var;
+using object_ptr = Poco::JSON::Object::Ptr;
+using array_ptr = Poco::JSON::Array::Ptr;
+
+/// The value as it stands in the text, cut to a length that fits a message.
+std::string shown(const Var& value) {
+  constexpr std::size_t longest = 60;
+  std::ostringstream text;
+  Poco::JSON::Stringifier::stringify(value, text);
+  const std::string whole = text.str();
+  return whole.size() <= longest ? whole : whole.substr(0, longest) + "...";
+}
+
+// POCO counts truth values among the whole numbers.
+bool is_whole(const Var& value) {
+  return !value.isEmpty() && value.isInteger() && !value.isBoolean();
+}
+
+bool is_number(const Var& value) {
+  return !value.isEmpty() && value.isNumeric() && !value.isBoolean() && !value.isString();
+}
+
+std::string between(const whole_range& range) {
+  return "a whole number from " + std::to_string(range.least) + " to " + std::to_string(range.most);
+}
+
+std::string between(const real_range& range) {
+  std::ostringstream text;
+  text << "a number from " << range.least << " to " << range.most;
+  return text.str();
+}
+
+}  // namespace
+
+json_object_reader::json_object_reader(const Poco::JSON::Object& source, std::string source_path,
+                                       std::vector<settings_fault>& found_faults)
+    : object(&source), path(std::move(source_path)), faults(&found_faults) {}
+
+void json_object_reader::read(const std::string& key, bool& value, key_presence presence) {
+  Var found;
+  constexpr std::string_view expected = "true or false";
+  if (!this->find(key, presence, expected, found)) {
+    return;
+  }
+  if (!found.isBoolean()) {
+    this->note(key, shown(found), std::string(expected));
+    return;
+  }
+  value = found.convert<bool>();
+}
+
+void json_object_reader::read(const std::string& key, std::string& value, key_presence presence) {
+  this->read_text(key, value, presence);
+}
+
+void json_object_reader::read(const std::string& key, double& value, const real_range& range,
+                              key_presence presence) {
+  Var found;
+  const std::string expected = between(range);
+  if (!this->find(key, presence, expected, found)) {
+    return;
+  }
+  const bool fits = is_number(found) && found.convert<double>() >= range.least &&
+                    found.convert<double>() <= range.most;
+  if (!fits) {
+    this->note(key, shown(found), expected);
+    return;
+  }
+  value = found.convert<double>();
+}
+
+std::vector<std::string> json_object_reader::read_names(const std::string& key) {
+  const std::string expected = "an array of distinct names";
+  std::vector<std::string> names;
+  Var found;
+  if (!this->find(key, key_presence::optional, expected, found)) {
+    return names;
+  }
+  if (found.type() != typeid(array_ptr)) {
+    this->note(key, shown(found), expected);
+    return names;
+  }
+  std::set<std::string> seen;
+  const array_ptr array = found.extract<array_ptr>();
+  for (std::size_t index = 0; index < array->size(); ++index) {
+    const Var item = array->get(static_cast<unsigned int>(index));
+    const bool is_name = !item.isEmpty() && item.isString() && !item.convert<std::string>().empty();
+    if (!is_name || !seen.insert(item.convert<std::string>()).second) {
+      this->note(key + "[" + std::to_string(index) + "]", shown(item),
+                 is_name ? "a name that is not repeated" : "a name");
+      continue;
+    }
+    names.push_back(item.convert<std::string>());
+  }
+  return names;
+}
+
+object_ptr json_object_reader::read_object(const std::string& key) {
+  Var found;
+  if (!this->find(key, key_presence::optional, "an object", found)) {
+    return nullptr;
+  }
+  if (found.type() != typeid(object_ptr)) {
+    this->note(key, shown(found), "an object");
+    return nullptr;
+  }
+  return found.extract<object_ptr>();
+}
+
+std::vector<object_ptr> json_object_reader::read_objects(const std::string& key) {
+  std::vector<object_ptr> objects;
+  Var found;
+  if (!this->find(key, key_presence::optional, "an array of objects", found)) {
+    return objects;
+  }
+  if (found.type() != typeid(array_ptr)) {
+    this->note(key, shown(found), "an array of objects");
+    return objects;
+  }
+  const array_ptr array = found.extract<array_ptr>();
+  for (std::size_t index = 0; index < array->size(); ++index) {
+    const Var item = array->get(static_cast<unsigned int>(index));
+    if (item.isEmpty() || item.type() != typeid(object_ptr)) {
+      this->note(key + "[" + std::to_string(index) + "]", shown(item), "an object");
+      continue;
+    }
+    objects.push_back(item.extract<object_ptr>());
+  }
+  return objects;
+}
+
+void json_object_reader::note(const std::string& key, const std::string& found,
+                              const std::string& expected) {
+  this->faults->push_back(settings_fault{this->path_of(key), found, expected});
+}
+
+void json_object_reader::refuse_unknown_keys() {
+  for (const std::string& name : this->object->getNames()) {
+    if (this->known.count(name) == 0) {
+      this->note(name, "an unknown key", "only keys of this document");
+    }
+  }
+}
+
+std::string json_object_reader::path_of(const std::string& key) const {
+  return this->path.empty() ? key : this->path + "." + key;
+}
+
+bool json_object_reader::read_int64(const std::string& key, std::int64_t& value,
+                                    const whole_range& range, key_presence presence) {
+  Var found;
+  const std::string expected = between(range);
+  if (!this->find(key, presence, expected, found)) {
+    return false;
+  }
+  try {
+    const bool fits = is_whole(found) && found.convert<std::int64_t>() >= range.least &&
+                      found.convert<std::int64_t>() <= range.most;
+    if (fits) {
+      value = found.convert<std::int64_t>();
+      return true;
+    }
+  } catch (const Poco::RangeException&) {
+    // The number is past 64 bits with a sign; it is reported as any other.
+  }
+  this->note(key, shown(found), expected);
+  return false;
+}
+
+bool json_object_reader::read_text(const std::string& key, std::string& value,
+                                   key_presence presence) {
+  Var found;
+  if (!this->find(key, presence, "a text", found)) {
+    return false;
+  }
+  if (!found.isString()) {
+    this->note(key, shown(found), "a text");
+    return false;
+  }
+  value = found.convert<std::string>();
+  return true;
+}
+
+bool json_object_reader::find(const std::string& key, key_presence presence,
+                              std::string_view expected, Var& value) {
+  this->known.insert(key);
+  if (!this->object->has(key)) {
+    if (presence == key_presence::required) {
+      this->note(key, "nothing", std::string(expected));
+    }
+    return false;
+  }
+  value = this->object->get(key);
+  if (value.isEmpty()) {
+    this->note(key, "null", std::string(expected));
+    return false;
+  }
+  return true;
+}
+
+}  // namespace chestnuthead
