Run at-most-once calls only under a claim in the table

Cause: a payment may reach two agents when a router repeats a lost attempt, a router's twin is asked again, or an attempt arrives late. Ways weighed: the router claims (few calls each, so no groups, and a router that pauses after its claim must be fenced at the agent); the agent that will run the call claims (taken: the only process that can run it holds the claim). Before: with the claim switched off the first case runs keys twice; with seals switched off callers are told not run of calls that ran. After: 20000 random cases pass: no key ran twice, no false not run, every claim decided once. Old rows are not removed yet.

--- a/Source/Ledger/ledger.h
+++ b/Source/Ledger/ledger.h
@@ -98,6 +98,9 @@
 
 ledger_output ledger_tick(ledger& book, steady_time now);
 
+/// Rows that changed under this agent's claim, which the protocol rules out.
+std::uint64_t claims_overtaken(const ledger& book);
+
 /// Claims and results that are not settled yet: a planned stop waits for them.
 std::size_t unsettled(const ledger& book);
 
--- /dev/null
+++ b/Source/Ledger/sealer.cxx
@@ -0,0 +1,177 @@
+#include "Ledger/sealer.h"
+
+#include <map>
+#include <optional>
+
+#include "Ledger/ledger_row.h"
+
+namespace chestnuthead {
+
+namespace {
+
+/// Pause before a seal that failed is written again.
+constexpr std::chrono::milliseconds seal_retry_pause{50};
+
+struct seal_entry {
+  request_id request;
+  std::string row_key;
+  std::uint64_t expected_version = 0;
+  ledger_row row;
+  std::uint64_t ticket = 0;
+  bool writing = false;
+  steady_time retry_at{};
+  steady_time give_up_at{};
+};
+
+}  // namespace
+
+struct sealer {
+  std::map<request_id, seal_entry> entries;
+  std::map<std::uint64_t, request_id> under_way;
+  std::uint64_t last_ticket = 0;
+};
+
+namespace {
+
+void add_to_sealed(ledger_row& row, const request_id& request) {
+  if (row.sealed.size() >= sealed_request_limit) {
+    row.state = ledger_row_state::closed;
+    return;
+  }
+  row.sealed.push_back(request);
+}
+
+void write_seal(sealer& seals, seal_entry& entry, sealer_output& output) {
+  entry.writing = true;
+  entry.ticket = ++seals.last_ticket;
+  seals.under_way[entry.ticket] = entry.request;
+  table_write_group group;
+  group.writes.push_back({entry.row_key, entry.expected_version, pack_ledger_row(entry.row)});
+  output.asks.push_back({entry.ticket, group});
+}
+
+void finish(sealer& seals, const request_id& request, seal_outcome outcome,
+            const std::string& answer, sealer_output& output) {
+  output.decisions.push_back({request, outcome, answer});
+  seals.entries.erase(request);
+}
+
+// The key is open at `version`: adds this request to those that may not run.
+void seal_open_row(sealer& seals, seal_entry& entry, const ledger_row& row, std::uint64_t version,
+                   sealer_output& output) {
+  if (is_sealed_against(row, entry.request)) {
+    finish(seals, entry.request, seal_outcome::not_run, "", output);
+    return;
+  }
+  entry.row = row;
+  entry.expected_version = version;
+  add_to_sealed(entry.row, entry.request);
+  write_seal(seals, entry, output);
+}
+
+void seal_met_row(sealer& seals, seal_entry& entry, const table_row& current,
+                  sealer_output& output) {
+  const std::optional<ledger_row> row = unpack_ledger_row(current.value);
+  if (!row) {
+    finish(seals, entry.request, seal_outcome::unknown, "", output);
+    return;
+  }
+  switch (row->state) {
+    case ledger_row_state::open:
+      seal_open_row(seals, entry, *row, current.version, output);
+      return;
+    case ledger_row_state::closed:
+      finish(seals, entry.request, seal_outcome::not_run, "", output);
+      return;
+    case ledger_row_state::done:
+      finish(seals, entry.request, seal_outcome::ran, row->answer, output);
+      return;
+    case ledger_row_state::claimed:
+    case ledger_row_state::lost:
+      finish(seals, entry.request, seal_outcome::unknown, "", output);
+      return;
+  }
+}
+
+void take_seal_result(sealer& seals, seal_entry& entry, const table_write_result& result,
+                      sealer_output& output) {
+  if (result.applied) {
+    finish(seals, entry.request, seal_outcome::not_run, "", output);
+    return;
+  }
+  if (result.current) {
+    seal_met_row(seals, entry, *result.current, output);
+    return;
+  }
+  entry.expected_version = 0;
+  entry.row = ledger_row{};
+  add_to_sealed(entry.row, entry.request);
+  write_seal(seals, entry, output);
+}
+
+}  // namespace
+
+void sealer_deleter::operator()(sealer* seals) const {
+  delete seals;
+}
+
+sealer_ptr make_sealer() {
+  return sealer_ptr(new sealer);
+}
+
+sealer_output seal(sealer& seals, const request_id& request, const idempotency_key& key,
+                   const pool_id& pool, steady_time now) {
+  sealer_output output;
+  if (seals.entries.contains(request)) {
+    return output;
+  }
+  seal_entry& entry = seals.entries[request];
+  entry.request = request;
+  entry.row_key = ledger_row_key(pool, key);
+  entry.give_up_at = now + seal_patience;
+  add_to_sealed(entry.row, request);
+  write_seal(seals, entry, output);
+  return output;
+}
+
+sealer_output take_seal_reply(sealer& seals, std::uint64_t ticket, const table_reply& reply,
+                              steady_time now) {
+  sealer_output output;
+  const auto request = seals.under_way.find(ticket);
+  if (request == seals.under_way.end()) {
+    return output;
+  }
+  const auto place = seals.entries.find(request->second);
+  seals.under_way.erase(request);
+  // The request may have been decided while the table was silent.
+  if (place == seals.entries.end() || place->second.ticket != ticket) {
+    return output;
+  }
+  seal_entry& entry = place->second;
+  entry.writing = false;
+  const auto* results = std::get_if<table_write_results>(&reply);
+  if (results == nullptr || results->results.empty()) {
+    entry.retry_at = now + seal_retry_pause;
+    return output;
+  }
+  take_seal_result(seals, entry, results->results.front(), output);
+  return output;
+}
+
+sealer_output sealer_tick(sealer& seals, steady_time now) {
+  sealer_output output;
+  std::vector<request_id> overdue;
+  for (auto& [request, entry] : seals.entries) {
+    if (now >= entry.give_up_at) {
+      overdue.push_back(request);
+    } else if (!entry.writing && now >= entry.retry_at) {
+      write_seal(seals, entry, output);
+    }
+  }
+  for (const request_id& request : overdue) {
+    finish(seals, request, seal_outcome::unknown, "", output);
+  }
+  return output;
+}
+
+}  // namespace chestnuthead
