--- a/include/chestnuthead/gossip.h
+++ b/include/chestnuthead/gossip.h
@@ -14,7 +14,7 @@
 enum class rumor_kind : std::uint8_t {
   /// The subject node has begun a planned stop; detail is empty.
   node_leaving,
-  /// The subject node serves; detail is its address.
+  /// The subject node serves; detail is its entry as the VM list will show it.
   node_serving,
   /// The subject fingerprint crashed the endpoint named in detail.
   request_crashed,
@@ -40,14 +40,19 @@
   std::chrono::milliseconds age{0};
 };
 
-/// A change of the configuration document by one version, as the text of the
-/// whole document or as a JSON merge patch (RFC 7396).
+/// A change of the configuration document, as the text of the
+/// whole document or as a JSON merge patch (RFC 7396). A node that has read
+/// versions with a gap between passes on one patch over the gap.
 struct configuration_change {
   std::uint64_t version = 0;
-  /// True if `text` is the whole document, false if it is a patch to the
-  /// version before.
+  /// True if `text` is the whole document, false if it is a patch to
+  /// `base_version`.
   bool whole = true;
   std::string text;
+  /// Version that a patch starts from; 0 for a whole document.
+  std::uint64_t base_version = 0;
+  /// Hash of the whole document's text at `version`.
+  std::uint64_t checksum = 0;
 };
 
 /// The message of one gossip exchange.
@@ -56,6 +61,9 @@
   std::uint64_t configuration_version = 0;
   /// True if the receiver is asked for what the sender lacks.
   bool wants_reply = false;
+  /// True if the sender can't follow by patches, or has just started: the
+  /// receiver may answer with the whole document and all known crashes.
+  bool wants_all = false;
   std::vector<rumor> rumors;
   std::vector<load_entry> loads;
   std::vector<configuration_change> changes;
