--- a/Source/Router/attempts.h
+++ b/Source/Router/attempts.h
@@ -10,6 +10,8 @@
 
 /// How long an agent may take to say whether it takes an attempt.
 inline constexpr std::chrono::milliseconds accept_timeout{1'000};
+/// The same where the agent first has to claim a key in the table.
+inline constexpr std::chrono::milliseconds claim_timeout{3'000};
 
 void take_accepted(router_state& state, const attempt_accepted& event, steady_time now);
 
--- a/Source/Router/expiry.cxx
+++ b/Source/Router/expiry.cxx
@@ -16,7 +16,9 @@
     return false;
   }
   const attempt_row& attempt = state.requests.attempts.at(row.current);
-  return attempt.state == attempt_state::sent && now - attempt.sent_at >= accept_timeout;
+  const bool claims = row.facts.rule == execution_rule::at_most_once;
+  const auto timeout = claims ? claim_timeout : accept_timeout;
+  return attempt.state == attempt_state::sent && now - attempt.sent_at >= timeout;
 }
 
 void tick_request(router_state& state, request_row& row, steady_time now, router_actions& actions) {
