Add the two daemons, their settings, ports, logs and metrics

The control thread owns the core's state and takes events from a mailbox; each caller has a traffic thread that puts its answer together; one thread each serves the links to and from other nodes.

--- /dev/null
+++ b/Source/Daemons/agent_call.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "chestnuthead/agent_core.h"
+#include "chestnuthead/answer.h"
+#include "chestnuthead/endpoint_port.h"
+#include "chestnuthead/peer_transport.h"
+
+namespace chestnuthead {
+
+/// One attempt at an agent: passes the endpoint's answer on to the router, or
+/// holds it back if the call is at-most-once.
+class agent_call : public endpoint_listener {
+ public:
+  using event_sink = std::function<void(agent_event)>;
+
+  /// `post` takes the events for the core.
+  agent_call(attempt_message message, std::shared_ptr<attempt_reply> reply, event_sink post);
+
+  /// What the core is told of the offer.
+  [[nodiscard]] attempt_offered offer() const;
+  /// What the endpoint is given.
+  [[nodiscard]] endpoint_call order(std::uint64_t fencing_number) const;
+
+  void accept(const load_report& load);
+  void refuse(const refuse_attempt& action);
+  /// Sends a stored answer, and that it is complete.
+  void answer(const std::string& stored, const load_report& load);
+  /// Sends the answer that was held back if the outcome is `complete`, then the
+  /// outcome.
+  void end(attempt_outcome outcome, const load_report& load);
+  /// From now on the endpoint's bytes are not wanted.
+  void cancel();
+
+  void head(int status, const std::string& content_type) override;
+  bool bytes(std::string_view piece) override;
+  void done(const endpoint_result& result) override;
+
+ private:
+  [[nodiscard]] bool held_back() const;
+  void send_whole(const std::string& stored);
+  /// Sends head once the bytes that the caller has are known.
+  void send_head();
+  bool pass(std::string_view piece);
+  void send_chunk(std::string_view piece);
+  void finish(const endpoint_usage& usage);
+
+  attempt_message message;
+  std::shared_ptr<attempt_reply> reply;
+  event_sink post;
+  std::atomic<bool> cancelled{false};
+  // Used by the endpoint's thread, and by the control thread after `done`.
+  int status = 0;
+  std::string content_type;
+  std::string held;
+  bool head_sent = false;
+  std::uint64_t length = 0;
+  answer_checksum checksum;
+};
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Daemons/daemon_main.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Daemons/command_line.h"
+#include "Daemons/stop_signals.h"
+#include "Net/daemon_settings.h"
+
+namespace chestnuthead {
+
+/// How often a daemon looks whether it was asked to stop.
+inline constexpr std::chrono::milliseconds stop_poll_interval{100};
+
+/// Starts the node, waits for the signal to stop, and lets the node finish.
+template <class Node, class Settings>
+int run_node(const Settings& settings, log_level lowest) {
+  hold_stop_signals();
+  Node node(settings, lowest);
+  const std::string fault = node.start();
+  if (!fault.empty()) {
+    std::cerr << fault << "\n";
+    return exit_cannot_start;
+  }
+  while (!node.stopped()) {
+    if (stop_asked(stop_poll_interval)) {
+      node.request_stop();
+    }
+  }
+  node.finish();
+  return EXIT_SUCCESS;
+}
+
+/// The main function of a daemon: command line, settings, then the node.
+template <class Node, class Settings>
+int daemon_main(const char* program, int argc, char** argv,
+                settings_result<Settings> (*parse)(const std::string&)) {
+  const auto command = read_command_line(program, argc, argv);
+  if (const auto* status = std::get_if<exit_now>(&command)) {
+    return status->status;
+  }
+  const auto& wanted = std::get<daemon_command>(command);
+  const auto text = read_settings_file(wanted.settings_file);
+  if (const auto* status = std::get_if<exit_now>(&text)) {
+    return status->status;
+  }
+  const settings_result<Settings> result = parse(std::get<std::string>(text));
+  if (const auto* faults = std::get_if<std::vector<settings_fault>>(&result)) {
+    return report_faults(wanted.settings_file, *faults).status;
+  }
+  const auto& settings = std::get<Settings>(result);
+  if (wanted.task == daemon_task::print_settings) {
+    std::cout << format_settings(settings) << "\n";
+  }
+  return wanted.task == daemon_task::run ? run_node<Node>(settings, wanted.lowest) : EXIT_SUCCESS;
+}
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Daemons/public_server.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "chestnuthead/ids.h"
+#include "chestnuthead/router_core.h"
+
+#include "Daemons/exchange.h"
+#include "Daemons/status_server.h"
+
+namespace Poco {
+class ThreadPool;
+namespace Net {
+class HTTPServer;
+}
+}  // namespace Poco
+
+namespace chestnuthead {
+
+/// How a caller's request ended, for metrics and logs.
+struct exchange_result {
+  /// "complete", "cut", "caller_gone" or the name of an error kind.
+  std::string end;
+  std::chrono::nanoseconds took{0};
+  /// Time to the first byte of the answer.
+  std::optional<std::chrono::nanoseconds> first_byte;
+};
+
+/// What the public server needs of its router. Called from traffic threads.
+class caller_service {
+ public:
+  virtual ~caller_service() = default;
+
+  /// A name that is used once in the fleet.
+  virtual std::string fresh_name() = 0;
+  /// Takes a request in; false if one of the same id is in progress.
+  virtual bool begin(const std::shared_ptr<exchange>& entry) = 0;
+  virtual void tell_core(router_event event) = 0;
+  virtual void answer_consumed(const attempt_id& attempt, std::size_t bytes) = 0;
+  /// The attempt's answer can't be used any more.
+  virtual void give_up_attempt(const attempt_id& attempt) = 0;
+  virtual void end(const exchange& entry, const exchange_result& result) = 0;
+  virtual status_answer answer_status(const std::string& path) = 0;
+};
+
+/// The callers' HTTP port: one thread a request, a bounded number of them.
+class public_server {
+ public:
+  /// `service` must outlive the server.
+  public_server(caller_service& service, std::uint32_t threads);
+  ~public_server();
+  public_server(const public_server&) = delete;
+  public_server& operator=(const public_server&) = delete;
+
+  /// Port 0 takes a free one. False if the port can't be had.
+  bool start(const std::string& host, std::uint16_t port);
+  void stop();
+
+  /// IP number and port, once started.
+  [[nodiscard]] std::string address() const;
+
+ private:
+  caller_service& service;
+  std::uint32_t threads;
+  std::unique_ptr<Poco::ThreadPool> pool;
+  std::unique_ptr<Poco::Net::HTTPServer> server;
+  std::string bound;
+};
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Daemons/router_node.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "chestnuthead/peer_transport.h"
+#include "chestnuthead/router_core.h"
+
+#include "Daemons/exchange.h"
+#include "Daemons/node_parts.h"
+#include "Daemons/public_server.h"
+#include "Daemons/status_server.h"
+#include "Net/control_loop.h"
+#include "Net/daemon_settings.h"
+#include "Net/json_log.h"
+#include "Net/peer_client.h"
+#include "Net/peer_server.h"
+
+namespace chestnuthead {
+
+/// A whole router: the core on its control thread, and all that talks around
+/// it.
+class router_node : public peer_service, public caller_service {
+ public:
+  router_node(const router_file_settings& settings, log_level lowest);
+  ~router_node() override;
+  router_node(const router_node&) = delete;
+  router_node& operator=(const router_node&) = delete;
+
+  /// Empty if all ports listen; otherwise one sentence that says what failed.
+  std::string start();
+  void request_stop();
+  /// True once the core has no work left.
+  [[nodiscard]] bool stopped() const;
+  /// Lets the last answers leave and ends all threads.
+  void finish();
+
+  // Of `peer_service`: routers take only gossip.
+  void take_attempt(attempt_message message, std::shared_ptr<attempt_reply> reply) override;
+  void attempt_withdrawn(const attempt_id& attempt) override;
+  void take_probe(probe_message message, probe_answer answer) override;
+  void take_gossip(gossip_message message) override;
+
+  // Of `caller_service`.
+  std::string fresh_name() override;
+  bool begin(const std::shared_ptr<exchange>& entry) override;
+  void tell_core(router_event event) override;
+  void answer_consumed(const attempt_id& attempt, std::size_t bytes) override;
+  void give_up_attempt(const attempt_id& attempt) override;
+  void end(const exchange& entry, const exchange_result& result) override;
+  status_answer answer_status(const std::string& path) override;
+
+ private:
+  void take_event(const router_event& event, steady_time now);
+
+  // One for each action of the core; on the control thread.
+  void carry_out(const send_attempt& action);
+  void carry_out(const cancel_attempt& action);
+  void carry_out(const send_probe& action);
+  void carry_out(const answer_error& action);
+  void carry_out(const finish_answer& action);
+  void carry_out(const cut_answer& action);
+  void carry_out(const router_submit_table& action);
+  void carry_out(const router_read_vm_list& action);
+  void carry_out(const router_send_gossip& action);
+  void carry_out(const router_set_ready& action);
+  void carry_out(const router_stop_now& action);
+  void carry_out(const router_record& action);
+  void carry_out(const router_invariant_broken& action);
+
+  status_answer answer_operator(const status_question& question);
+  /// Passes a message on to the request's traffic thread.
+  void tell_traffic(const request_id& request, exchange_message message);
+  /// A frame of an attempt came, on the client's I/O thread.
+  void take_frame_for(const std::shared_ptr<exchange>& entry, attempt_frame frame);
+  [[nodiscard]] router_summary last_summary();
+
+  router_file_settings settings;
+  node_parts parts;
+  router_state_ptr state;
+  control_loop<router_event> control;
+  exchange_table exchanges;
+  peer_client client;
+  peer_server server;
+  public_server callers;
+  status_server operators;
+
+  std::string name_start;
+  std::atomic<std::uint64_t> names_made{0};
+  std::mutex lock;
+  router_summary summary;
+  std::atomic<bool> ready{false};
+  std::atomic<bool> stop_now{false};
+  std::atomic<bool> ending{false};
+};
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Daemons/status_server.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Poco::Net {
+class HTTPServer;
+}
+
+namespace chestnuthead {
+
+/// A short answer to a question of an operator or a tool.
+struct status_answer {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+};
+
+/// A question of an operator.
+struct status_question {
+  std::string method;
+  /// Path without its query.
+  std::string path;
+};
+
+using status_source = std::function<status_answer(const status_question& question)>;
+
+/// A small HTTP server for operators: /health, /ready, /status, /metrics,
+/// /timeline and /stop.
+class status_server {
+ public:
+  explicit status_server(status_source source);
+  ~status_server();
+  status_server(const status_server&) = delete;
+  status_server& operator=(const status_server&) = delete;
+
+  /// Port 0 takes a free one. False if the port can't be had.
+  bool start(const std::string& host, std::uint16_t port);
+  void stop();
+
+  /// IP number and port, once started.
+  [[nodiscard]] std::string address() const;
+
+ private:
+  status_source source;
+  std::unique_ptr<Poco::Net::HTTPServer> server;
+  std::string bound;
+};
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Daemons/traffic_flow.cxx
@@ -0,0 +1,156 @@
+#include "Daemons/traffic_flow.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "chestnuthead/answer.h"
+
+namespace chestnuthead {
+
+namespace {
+
+/// How often a traffic thread that waits looks whether its caller is there.
+constexpr std::chrono::milliseconds caller_poll_interval{200};
+
+/// One request on its traffic thread.
+class traffic_flow {
+ public:
+  traffic_flow(caller_service& flow_service, exchange& flow_entry, caller_answer& flow_answer)
+      : service(flow_service), entry(flow_entry), answer(flow_answer) {
+    this->assembly.request = this->entry.arrival.facts.request;
+  }
+
+  /// Runs to the end and says how the exchange ended.
+  exchange_result run() {
+    while (!this->end.has_value()) {
+      const steady_time until = std::chrono::steady_clock::now() + caller_poll_interval;
+      auto message = this->entry.messages.pop_until(until);
+      if (message.has_value()) {
+        std::visit([this](auto& what) { this->take(what); }, *message);
+      } else if (this->answer.caller_gone()) {
+        this->lose_caller();
+      }
+    }
+    return {*this->end, std::chrono::steady_clock::now() - this->began, this->first_byte};
+  }
+
+ private:
+  void take(const attempt_begun& message) {
+    begin_attempt(this->assembly, message.attempt);
+    this->attempt = message.attempt;
+    this->agent = message.agent;
+    const bool generated = !message.key.empty() && message.key == this->entry.generated_key;
+    if (generated && !this->assembly.head_passed) {
+      this->answer.name_generated_key(message.key);
+    }
+  }
+
+  void take(const answer_error& message) {
+    this->answer.error(message.kind, {}, message.ran, message.come_back);
+    this->end = answer_for(message.kind).name;
+  }
+
+  void take(const finish_answer& /*message*/) {
+    this->end = "complete";
+  }
+
+  void take(const cut_answer& /*message*/) {
+    this->answer.cut();
+    this->end = "cut";
+  }
+
+  void take(attempt_frame& frame) {
+    if (const auto* ended = std::get_if<ended_frame>(&frame)) {
+      this->take_end(*ended);
+    } else if (auto* head = std::get_if<answer_head>(&frame)) {
+      this->take_step(take_frame(this->assembly, std::move(*head)), 0);
+    } else if (auto* chunk = std::get_if<answer_chunk>(&frame)) {
+      const std::size_t size = chunk->bytes.size();
+      this->take_step(take_frame(this->assembly, std::move(*chunk)), size);
+    } else if (auto* tail = std::get_if<answer_tail>(&frame)) {
+      this->take_step(take_frame(this->assembly, *tail), 0);
+    }
+  }
+
+  void take_step(const assembly_step& step, std::size_t received) {
+    if (const auto* pass = std::get_if<pass_bytes>(&step)) {
+      this->pass(*pass);
+    } else if (std::holds_alternative<answer_is_broken>(step)) {
+      this->break_attempt();
+      return;
+    }
+    if (received > 0) {
+      this->service.answer_consumed(this->attempt, received);
+    }
+  }
+
+  void pass(const pass_bytes& piece) {
+    if (piece.first) {
+      this->first_byte = std::chrono::steady_clock::now() - this->began;
+      this->answer.name_endpoint(this->agent);
+      if (!this->answer.begin(piece.status, piece.content_type)) {
+        this->lose_caller();
+        return;
+      }
+    }
+    if (!piece.bytes.empty() && !this->answer.write(piece.bytes)) {
+      this->lose_caller();
+    }
+  }
+
+  /// The attempt can't give the rest of the answer.
+  void break_attempt() {
+    this->service.give_up_attempt(this->attempt);
+    this->tell_ended(attempt_outcome::endpoint_failed, {});
+  }
+
+  void take_end(const ended_frame& frame) {
+    if (frame.attempt != this->attempt) {
+      return;
+    }
+    const bool incomplete = frame.outcome == attempt_outcome::complete && !this->assembly.whole;
+    this->tell_ended(incomplete ? attempt_outcome::endpoint_failed : frame.outcome, frame.load);
+  }
+
+  void tell_ended(attempt_outcome outcome, const load_report& load) {
+    this->service.tell_core(attempt_ended{this->assembly.request, this->attempt, outcome,
+                                          this->assembly.bytes_passed, load});
+  }
+
+  void lose_caller() {
+    this->service.tell_core(caller_left{this->assembly.request});
+    this->answer.cut();
+    this->end = answer_for(error_kind::caller_gone).name;
+  }
+
+  caller_service& service;
+  exchange& entry;
+  caller_answer& answer;
+  answer_assembly assembly;
+  attempt_id attempt;
+  node_id agent;
+  steady_time began = std::chrono::steady_clock::now();
+  std::optional<std::chrono::nanoseconds> first_byte;
+  std::optional<std::string> end;
+};
+
+}  // namespace
+
+void run_exchange(caller_service& service, const std::shared_ptr<exchange>& entry,
+                  caller_answer& answer) {
+  answer.name_request(entry->arrival.facts.request);
+  if (!service.begin(entry)) {
+    answer.error(error_kind::malformed_request,
+                 "Header Chestnut-Request-Id names a request that is in progress.",
+                 run_state::not_run, {});
+    return;
+  }
+  traffic_flow flow(service, *entry, answer);
+  service.end(*entry, flow.run());
+}
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Daemons/traffic_flow.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <memory>
+
+#include "Daemons/caller_answer.h"
+#include "Daemons/exchange.h"
+#include "Daemons/public_server.h"
+
+namespace chestnuthead {
+
+/// Carries one request from its arrival to the end of its answer, on the
+/// caller's traffic thread.
+void run_exchange(caller_service& service, const std::shared_ptr<exchange>& entry,
+                  caller_answer& answer);
+
+}  // namespace chestnuthead
--- a/Source/Net/client_link.cxx
+++ b/Source/Net/client_link.cxx
@@ -84,13 +84,14 @@
 
 void client_link::removed() {
   this->owner.forget_link(*this);
-  if (!this->closed_idle) {
-    this->owner.lost(this->node);
-  }
   while (!this->attempts.empty()) {
     this->fail_attempt(this->attempts.begin()->first);
   }
   this->probes.clear();
+  // Told last: the end of an attempt counts as a sign of life of the node.
+  if (!this->closed_idle) {
+    this->owner.lost(this->node);
+  }
   this->socket.close();
 }
 
@@ -146,8 +147,7 @@
   this->link->request(gossip_path, std::move(bytes));
 }
 
-void client_link::stream_begun(std::int32_t /*stream*/, const std::string& /*word*/) {
-}
+void client_link::stream_begun(std::int32_t /*stream*/, const std::string& /*word*/) {}
 
 void client_link::stream_data(std::int32_t stream, std::string_view bytes) {
   const auto attempt = this->attempts.find(stream);
@@ -258,8 +258,7 @@
   this->probes.erase(stream);
 }
 
-void client_link::stream_sent(std::int32_t /*stream*/, std::size_t /*bytes*/) {
-}
+void client_link::stream_sent(std::int32_t /*stream*/, std::size_t /*bytes*/) {}
 
 void client_link::count_bytes() {
   this->owner.traffic.link_sent += this->link->bytes_sent() - this->counted_sent;
--- /dev/null
+++ b/Source/Net/engine_answer.cxx
@@ -0,0 +1,75 @@
+#include "Net/engine_answer.h"
+
+#include "Net/json_text.h"
+
+namespace chestnuthead {
+
+namespace {
+
+constexpr std::string_view data_mark = "data:";
+constexpr std::string_view done_mark = "[DONE]";
+/// Answers beyond this are not searched for their usage.
+constexpr std::size_t kept_limit_bytes = 4U << 20U;
+
+std::uint32_t count_of(const Poco::JSON::Object& object, const std::string& key) {
+  constexpr std::int64_t largest = 0xFFFFFFFF;
+  const std::int64_t count = json_number(object, key);
+  return count < 0 || count > largest ? 0 : static_cast<std::uint32_t>(count);
+}
+
+}  // namespace
+
+void engine_answer::begin(const std::string& content_type) {
+  this->stream = content_type.starts_with("text/event-stream");
+}
+
+void engine_answer::add(std::string_view piece) {
+  if (this->text.size() + piece.size() > kept_limit_bytes) {
+    this->text.clear();
+    return;
+  }
+  this->text.append(piece);
+  if (!this->stream) {
+    return;
+  }
+  std::size_t start = 0;
+  std::size_t end = this->text.find('\n');
+  while (end != std::string::npos) {
+    this->take_line(this->text.substr(start, end - start));
+    start = end + 1;
+    end = this->text.find('\n', start);
+  }
+  this->text.erase(0, start);
+}
+
+void engine_answer::take_line(const std::string& line) {
+  if (!line.starts_with(data_mark)) {
+    return;
+  }
+  if (line.find(done_mark) != std::string::npos && line.size() < data_mark.size() * 3) {
+    this->done_seen = true;
+  } else if (line.find("\"usage\"") != std::string::npos) {
+    this->last_usage = line.substr(data_mark.size());
+  }
+}
+
+bool engine_answer::is_whole() const {
+  return !this->stream || this->done_seen;
+}
+
+endpoint_usage engine_answer::usage() const {
+  const auto answer = parse_json_object(this->stream ? this->last_usage : this->text);
+  const auto usage = answer.isNull() ? nullptr : json_object(*answer, "usage");
+  if (usage.isNull()) {
+    return {};
+  }
+  endpoint_usage counts;
+  counts.prompt_tokens = count_of(*usage, "prompt_tokens");
+  counts.answer_tokens = count_of(*usage, "completion_tokens");
+  if (const auto details = json_object(*usage, "prompt_tokens_details")) {
+    counts.cached_tokens = count_of(*details, "cached_tokens");
+  }
+  return counts;
+}
+
+}  // namespace chestnuthead
--- a/Source/Net/http2_link.cxx
+++ b/Source/Net/http2_link.cxx
@@ -67,16 +67,15 @@
   }
 
   static int on_frame(nghttp2_session* /*session*/, const nghttp2_frame* frame, void* user) {
-    const bool carries_body =
-        frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+    const bool carries_body = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
     if (carries_body && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
       of(user).events.stream_complete(frame->hd.stream_id);
     }
     return 0;
   }
 
-  static int on_close(nghttp2_session* /*session*/, std::int32_t stream,
-                      std::uint32_t /*error*/, void* user) {
+  static int on_close(nghttp2_session* /*session*/, std::int32_t stream, std::uint32_t /*error*/,
+                      void* user) {
     http2_link& link = of(user);
     link.bodies.erase(stream);
     link.events.stream_closed(stream);
--- a/Source/Net/http_call.cxx
+++ b/Source/Net/http_call.cxx
@@ -35,7 +35,8 @@
   for (const http_header& header : request.headers) {
     head.set(header.name, header.value);
   }
-  const bool has_body = !request.body.empty() || request.method == "POST" || request.method == "PUT";
+  const bool has_body =
+      !request.body.empty() || request.method == "POST" || request.method == "PUT";
   if (has_body) {
     head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
   }
@@ -90,8 +91,7 @@
   }
 };
 
-http_canceller::http_canceller() : socket(std::make_unique<open_socket>()) {
-}
+http_canceller::http_canceller() : socket(std::make_unique<open_socket>()) {}
 
 http_canceller::~http_canceller() = default;
 
@@ -138,16 +138,15 @@
 std::variant<http_answer, http_failure> fetch_http(const http_request& request) {
   http_answer answer;
   bool too_large = false;
-  const http_reader reader{
-      [&answer](int status, const std::string& content_type) {
-        answer.status = status;
-        answer.content_type = content_type;
-      },
-      [&](std::string_view piece) {
-        too_large = answer.body.size() + piece.size() > answer_limit_bytes;
-        answer.body.append(piece);
-        return !too_large;
-      }};
+  const http_reader reader{[&answer](int status, const std::string& content_type) {
+                             answer.status = status;
+                             answer.content_type = content_type;
+                           },
+                           [&](std::string_view piece) {
+                             too_large = answer.body.size() + piece.size() > answer_limit_bytes;
+                             answer.body.append(piece);
+                             return !too_large;
+                           }};
   const http_outcome outcome = run_http_call(request, reader);
   if (const auto* failure = std::get_if<http_failure>(&outcome)) {
     return *failure;
--- a/Source/Net/hybrid_clock.cxx
+++ b/Source/Net/hybrid_clock.cxx
@@ -16,8 +16,7 @@
 
 }  // namespace
 
-hybrid_clock::hybrid_clock(const clock& source) : source(source) {
-}
+hybrid_clock::hybrid_clock(const clock& clock_source) : source(clock_source) {}
 
 hybrid_time hybrid_clock::tick() {
   const std::lock_guard guard(this->lock);
--- a/Source/Net/io_loop.cxx
+++ b/Source/Net/io_loop.cxx
@@ -101,7 +101,8 @@
     entries.push_back({handler->descriptor(), events_of(*handler), 0});
   }
   entries.push_back({this->wake_descriptor, POLLIN, 0});
-  const int count = poll(entries.data(), entries.size(), static_cast<int>(io_tick_interval.count()));
+  const int count =
+      poll(entries.data(), entries.size(), static_cast<int>(io_tick_interval.count()));
   const steady_time now = std::chrono::steady_clock::now();
   if (count > 0) {
     this->drain_wake();
--- a/Source/Net/json_text.cxx
+++ b/Source/Net/json_text.cxx
@@ -33,8 +33,8 @@
     return;
   }
   std::array<char, 8> escape{};
-  const int size = std::snprintf(escape.data(), escape.size(), "\\u%04x",
-                                 static_cast<unsigned>(code));
+  const int size =
+      std::snprintf(escape.data(), escape.size(), "\\u%04x", static_cast<unsigned>(code));
   out.append(escape.data(), static_cast<std::size_t>(size));
 }
 
--- a/Source/Net/msgpack_fields.h
+++ b/Source/Net/msgpack_fields.h
@@ -19,8 +19,7 @@
 /// Writes the fields of arrays.
 class field_writer {
  public:
-  field_writer() : packer(this->buffer) {
-  }
+  field_writer() : packer(this->buffer) {}
 
   void array(std::size_t fields) {
     this->packer.pack_array(static_cast<std::uint32_t>(fields));
--- a/Source/Net/peer_client.cxx
+++ b/Source/Net/peer_client.cxx
@@ -14,8 +14,7 @@
     : hybrid(client_hybrid),
       traffic(client_traffic),
       lost(std::move(client_lost)),
-      limits(client_limits) {
-}
+      limits(client_limits) {}
 
 peer_client::~peer_client() {
   this->stop();
@@ -29,8 +28,7 @@
   this->loop.stop();
 }
 
-std::shared_ptr<client_link> peer_client::link_to(const node_id& node,
-                                                  const std::string& address) {
+std::shared_ptr<client_link> peer_client::link_to(const node_id& node, const std::string& address) {
   const auto place = this->links.find(address);
   if (place != this->links.end()) {
     return place->second;
@@ -64,7 +62,8 @@
       link->send_attempt(std::move(message), std::move(listener));
       return;
     }
-    listener(refused_frame{message.facts.request, message.attempt, refusal_kind::not_ready, {}, {}});
+    listener(
+        refused_frame{message.facts.request, message.attempt, refusal_kind::not_ready, {}, {}});
   });
 }
 
--- a/Source/Net/peer_codec.cxx
+++ b/Source/Net/peer_codec.cxx
@@ -401,7 +401,8 @@
   if (!header_size.has_value() || *header_size > bytes.size() - length_bytes) {
     return codec_fault{"the header is cut short"};
   }
-  decoded<attempt_message> result = decode<attempt_message>(bytes.substr(length_bytes, *header_size));
+  decoded<attempt_message> result =
+      decode<attempt_message>(bytes.substr(length_bytes, *header_size));
   if (auto* good = std::get_if<stamped<attempt_message>>(&result)) {
     good->message.body =
         std::make_shared<const std::string>(bytes.substr(length_bytes + *header_size));
--- a/Source/Net/peer_server.cxx
+++ b/Source/Net/peer_server.cxx
@@ -13,8 +13,7 @@
 /// Accepts connections on the server's I/O thread.
 class accept_handler : public io_handler {
  public:
-  explicit accept_handler(peer_server& handler_owner) : owner(handler_owner) {
-  }
+  explicit accept_handler(peer_server& handler_owner) : owner(handler_owner) {}
 
   [[nodiscard]] int descriptor() const override {
     return this->owner.socket.impl()->sockfd();
@@ -39,8 +38,7 @@
   bool tick(steady_time /*now*/) override {
     return true;
   }
-  void removed() override {
-  }
+  void removed() override {}
 
  private:
   peer_server& owner;
@@ -51,8 +49,7 @@
     : service(server_service),
       hybrid(server_hybrid),
       traffic(server_traffic),
-      limits(server_limits) {
-}
+      limits(server_limits) {}
 
 peer_server::~peer_server() {
   this->stop();
@@ -78,6 +75,10 @@
   this->socket.close();
 }
 
+std::uint32_t peer_server::attempts_open() const {
+  return this->open_attempts;
+}
+
 std::string peer_server::address() const {
   return this->socket.address().toString();
 }
--- a/Source/Net/peer_server.h
+++ b/Source/Net/peer_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -31,6 +32,9 @@
   bool start(const std::string& host, std::uint16_t port);
   void stop();
 
+  /// Attempts whose exchange is not over.
+  [[nodiscard]] std::uint32_t attempts_open() const;
+
   /// IP number and port, once started.
   [[nodiscard]] std::string address() const;
 
@@ -44,6 +48,7 @@
   peer_traffic& traffic;
   http2_link_limits limits;
   Poco::Net::ServerSocket socket;
+  std::atomic<std::uint32_t> open_attempts{0};
   io_loop loop;
 };
 
--- a/Source/Net/server_link.cxx
+++ b/Source/Net/server_link.cxx
@@ -20,8 +20,7 @@
 
 server_reply::server_reply(peer_server& reply_owner, std::weak_ptr<server_link> reply_link,
                            std::int32_t reply_stream)
-    : owner(reply_owner), link(std::move(reply_link)), stream(reply_stream) {
-}
+    : owner(reply_owner), link(std::move(reply_link)), stream(reply_stream) {}
 
 void server_reply::send(attempt_frame frame) {
   std::string bytes = encode_frame(frame, this->owner.hybrid.tick());
@@ -32,18 +31,22 @@
     }
     this->queued += bytes.size();
   }
-  this->owner.loop.post([to = this->link, number = this->stream, data = std::move(bytes),
-                         last = is_last(frame)] {
-    if (const auto open = to.lock()) {
-      open->append(number, data, last);
-    }
-  });
+  this->owner.loop.post(
+      [to = this->link, number = this->stream, data = std::move(bytes), last = is_last(frame)] {
+        if (const auto open = to.lock()) {
+          open->append(number, data, last);
+        }
+      });
 }
 
-bool server_reply::wait_for_room() {
+room_state server_reply::wait_for_room(std::chrono::milliseconds longest) {
   std::unique_lock guard(this->lock);
-  this->changed.wait(guard, [this] { return this->closed || this->queued < queue_limit_bytes; });
-  return !this->closed;
+  const bool woken = this->changed.wait_for(
+      guard, longest, [this] { return this->closed || this->queued < queue_limit_bytes; });
+  if (this->closed) {
+    return room_state::ended;
+  }
+  return woken ? room_state::ready : room_state::full;
 }
 
 void server_reply::sent(std::size_t bytes) {
@@ -62,8 +65,7 @@
                          steady_time now)
     : owner(link_owner),
       socket(link_socket),
-      link(link_socket, http2_link::side::server, *this, link_owner.limits, now) {
-}
+      link(link_socket, http2_link::side::server, *this, link_owner.limits, now) {}
 
 int server_link::descriptor() const {
   return this->link.descriptor();
@@ -91,6 +93,8 @@
 }
 
 void server_link::removed() {
+  // What is ready may still reach a peer that listens.
+  this->link.write();
   for (const auto& [stream, request] : std::exchange(this->exchanges, {})) {
     this->end_exchange(request);
   }
@@ -154,6 +158,7 @@
   request.attempt = good->message.attempt;
   request.reply = std::make_shared<server_reply>(this->owner, this->weak_from_this(), stream);
   this->link.respond(stream);
+  ++this->owner.open_attempts;
   this->owner.service.take_attempt(std::move(good->message), request.reply);
 }
 
@@ -198,6 +203,7 @@
   if (request.reply == nullptr) {
     return;
   }
+  --this->owner.open_attempts;
   request.reply->close();
   if (!request.ended) {
     this->owner.service.attempt_withdrawn(request.attempt);
--- a/Source/Net/server_link.h
+++ b/Source/Net/server_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
@@ -26,7 +27,7 @@
   server_reply(peer_server& owner, std::weak_ptr<server_link> link, std::int32_t stream);
 
   void send(attempt_frame frame) override;
-  bool wait_for_room() override;
+  room_state wait_for_room(std::chrono::milliseconds longest) override;
 
   /// So many queued bytes have left.
   void sent(std::size_t bytes);
--- a/include/chestnuthead/peer_transport.h
+++ b/include/chestnuthead/peer_transport.h
@@ -100,6 +100,16 @@
                            gossip_message message) = 0;
 };
 
+/// What became of waiting for room.
+enum class room_state : std::uint8_t {
+  /// More may be queued.
+  ready,
+  /// The receiver has not taken in enough yet.
+  full,
+  /// The exchange has ended, so that the rest is not wanted.
+  ended,
+};
+
 /// The way back for the frames of one attempt. May be used from any thread.
 class attempt_reply {
  public:
@@ -108,9 +118,9 @@
   /// Queues a frame. A `refused_frame` or `ended_frame` ends the exchange.
   virtual void send(attempt_frame frame) = 0;
 
-  /// Waits until the receiver has taken in enough of what was queued. False if
-  /// the exchange has ended, so that the rest is not wanted.
-  virtual bool wait_for_room() = 0;
+  /// Waits until the receiver has taken in enough of what was queued, at most
+  /// for `longest`.
+  virtual room_state wait_for_room(std::chrono::milliseconds longest) = 0;
 };
 
 /// The receiving end: what a node does for others. Called from the
