Add chestnut-load, which plays callers and checks what they are told

Cause: whether every caller gets a whole, own and true outcome has to be seen from the callers' side. Change: sessions (returning chats, long plans, quick checks, look-ups, at-most-once calls) are planned from a seed and played by a bounded number of threads against a random router a call. Each answer is compared with the one its request must get; executions counted by the plain services are compared with what callers were told.

--- /dev/null
+++ b/Source/Load/runner.cxx
@@ -0,0 +1,211 @@
+#include "Load/runner.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <queue>
+#include <thread>
+
+#include "chestnuthead/seeded_random.h"
+
+#include "Load/exchange.h"
+#include "Load/verdict.h"
+
+namespace chestnuthead {
+
+namespace {
+
+using stopwatch = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr milliseconds first_retry_pause{50};
+constexpr milliseconds longest_retry_pause{2000};
+
+// What a caller does after an exchange.
+enum class next_step : std::uint8_t {
+  finished,
+  /// The same call once more, under the same idempotency key.
+  repeat,
+  /// The same call under a new key, as the old one was told "not run".
+  repeat_with_new_key,
+  /// Stop: the last answer is the outcome.
+  give_up,
+};
+
+// A session's next call; the earliest comes first.
+struct due_call {
+  stopwatch::time_point when;
+  std::uint32_t session = 0;
+
+  bool operator<(const due_call& other) const {
+    return this->when > other.when;
+  }
+};
+
+// Everything that the worker threads share.
+struct run_state_table {
+  const load_options& options;
+  std::vector<session> sessions;
+  std::mutex guard;
+  std::condition_variable changed;
+  std::priority_queue<due_call> due;
+  std::size_t unfinished = 0;
+  seeded_random balancer;
+  tally total;
+};
+
+bool in_time(const session& caller, const load_options& options) {
+  const auto spent = stopwatch::now() - caller.turn_began;
+  return spent < milliseconds(options.patience_ms);
+}
+
+// An at-most-once call is repeated under its key as long as its outcome is
+// open: the key makes that safe.
+next_step after_call_without_answer(const verdict& result) {
+  if (result.kind != verdict_kind::error) {
+    return next_step::repeat;
+  }
+  if (result.ran == "not run") {
+    return result.retry_after.count() > 0 ? next_step::repeat_with_new_key : next_step::give_up;
+  }
+  return result.retry_after.count() > 0 ? next_step::repeat : next_step::give_up;
+}
+
+next_step decide(const session& caller, const load_options& options, const verdict& result) {
+  if (result.kind == verdict_kind::good) {
+    return next_step::finished;
+  }
+  const bool bad = result.kind == verdict_kind::wrong || result.kind == verdict_kind::incomplete;
+  if (bad || !in_time(caller, options)) {
+    return next_step::give_up;
+  }
+  if (caller.kind == call_kind::at_most_once) {
+    return after_call_without_answer(result);
+  }
+  const bool refused_for_good =
+      result.kind == verdict_kind::error && result.ran != "ran" && result.retry_after.count() == 0;
+  return refused_for_good ? next_step::give_up : next_step::repeat;
+}
+
+milliseconds retry_pause(const session& caller, const verdict& result) {
+  if (result.retry_after.count() > 0) {
+    return result.retry_after;
+  }
+  const std::uint32_t doublings = std::min<std::uint32_t>(caller.calls, 6);
+  return std::min(longest_retry_pause, first_retry_pause * (1 << doublings));
+}
+
+void note_key(tally& total, const session& caller, const load_options& options,
+              const verdict& result) {
+  key_record& record = total.keys[session_key(caller, options.seed)];
+  record.answered = record.answered || result.kind == verdict_kind::good;
+  record.told_not_run = result.kind == verdict_kind::error && result.ran == "not run";
+}
+
+// Counts the outcome of a request whose caller stops asking.
+void count_given_up(tally& total, const session& caller, const verdict& result) {
+  const bool error = result.kind == verdict_kind::error;
+  if (caller.kind == call_kind::at_most_once && error && result.ran == "not run") {
+    ++total.ended_not_run;
+  } else if (caller.kind == call_kind::at_most_once && error && result.ran == "unknown") {
+    ++total.ended_unknown;
+  } else {
+    ++total.failed;
+    ++total.failed_kinds[error ? result.error : "no_whole_answer"];
+  }
+}
+
+void schedule(run_state_table& run, const session& caller, milliseconds pause) {
+  run.due.push({stopwatch::now() + pause, caller.number});
+}
+
+void next_turn(run_state_table& run, session& caller) {
+  if (!finish_turn(caller)) {
+    --run.unfinished;
+    return;
+  }
+  schedule(run, caller, caller.pauses[caller.turn]);
+}
+
+// Enters an exchange into the tables and schedules what follows.
+void take_reply(run_state_table& run, session& caller, const exchange_reply& reply) {
+  const verdict result = judge(caller, run.options, reply);
+  add_exchange(run.total, caller, reply, result);
+  if (caller.kind == call_kind::at_most_once) {
+    note_key(run.total, caller, run.options, result);
+  }
+  ++caller.calls;
+  const next_step step = decide(caller, run.options, result);
+  if (step == next_step::finished) {
+    next_turn(run, caller);
+    return;
+  }
+  if (step == next_step::give_up) {
+    count_given_up(run.total, caller, result);
+    next_turn(run, caller);
+    return;
+  }
+  caller.keys += step == next_step::repeat_with_new_key ? 1 : 0;
+  ++run.total.retries;
+  schedule(run, caller, retry_pause(caller, result));
+}
+
+// Waits for the next call that is due; false once all sessions have finished.
+bool take_due(run_state_table& run, std::unique_lock<std::mutex>& lock, due_call& next) {
+  while (run.unfinished > 0) {
+    if (run.due.empty()) {
+      run.changed.wait(lock);
+      continue;
+    }
+    next = run.due.top();
+    if (next.when <= stopwatch::now()) {
+      run.due.pop();
+      return true;
+    }
+    run.changed.wait_until(lock, next.when);
+  }
+  return false;
+}
+
+void work(run_state_table& run) {
+  std::unique_lock lock(run.guard);
+  due_call next;
+  while (take_due(run, lock, next)) {
+    session& caller = run.sessions[next.session];
+    // A turn's messages end with the caller's own as long as it has no answer.
+    if (caller.messages.empty() || caller.messages.back().role == "assistant") {
+      begin_turn(caller);
+      caller.turn_began = stopwatch::now();
+      ++run.total.requests;
+    }
+    const std::vector<std::string>& routers = run.options.routers;
+    const std::string address = routers[next_below(run.balancer, routers.size())];
+    const exchange_request request = make_call(caller, run.options);
+    lock.unlock();
+    const exchange_reply reply = exchange(address, request, milliseconds(run.options.patience_ms));
+    lock.lock();
+    take_reply(run, caller, reply);
+    run.changed.notify_all();
+  }
+}
+
+}  // namespace
+
+tally run_load(const load_options& options) {
+  run_state_table run{options, plan_sessions(options),      {}, {}, {},
+                      0,       seeded_random(options.seed), {}};
+  run.unfinished = run.sessions.size();
+  for (const session& caller : run.sessions) {
+    schedule(run, caller, caller.start);
+  }
+  std::vector<std::thread> workers;
+  workers.reserve(options.concurrency);
+  for (std::uint64_t count = 0; count < options.concurrency; ++count) {
+    workers.emplace_back([&run] { work(run); });
+  }
+  for (std::thread& worker : workers) {
+    worker.join();
+  }
+  return run.total;
+}
+
+}  // namespace chestnuthead
