--- /dev/null
+++ b/Source/Control/answers.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "chestnuthead/configuration.h"
+#include "chestnuthead/ids.h"
+
+/// A team's answers to the questionnaire.
+namespace chestnuthead {
+
+/// One model or plain service.
+struct service_answers {
+  pool_id name;
+  pool_kind kind = pool_kind::model_engine;
+  std::uint32_t replicas = 1;
+  /// Requests that one warm replica works on at once.
+  std::uint32_t requests_at_once = 16;
+  /// Requests that one replica bears just after its start.
+  std::uint32_t requests_at_once_cold = 2;
+  std::chrono::seconds longest_answer{60};
+  std::uint32_t largest_request_kb = 1024;
+  bool checks_fencing = false;
+  /// Calls of a plain service, each as "METHOD /path"; calls in neither list
+  /// are at-most-once.
+  std::vector<std::string> idempotent_calls;
+  std::vector<std::string> at_most_once_calls;
+  std::chrono::hours keys_kept{24};
+};
+
+enum class customer_size : std::uint8_t { small, medium, large };
+
+struct customer_answers {
+  customer_id name;
+  customer_size size = customer_size::medium;
+};
+
+/// How much the team cares for each measure, from 1 to 5.
+struct measure_weights {
+  std::uint32_t cache_reuse = 3;
+  std::uint32_t control_traffic = 3;
+  std::uint32_t skew = 3;
+  std::uint32_t failure_domain_moves = 3;
+};
+
+struct answers {
+  std::string organisation;
+  std::vector<failure_domain_id> failure_domains;
+  /// Entry VMs.
+  std::uint32_t routers = 2;
+  std::vector<service_answers> services;
+  std::vector<customer_answers> customers;
+  measure_weights weights;
+};
+
+using answers_result = std::variant<answers, std::vector<settings_fault>>;
+
+/// Reads answers from their JSON text; reports all faults at once. Keys that
+/// begin with an underscore are notes for people and are passed over.
+answers_result parse_answers(const std::string& text);
+
+/// The empty form, with a note beside each question.
+std::string empty_form();
+
+}  // namespace chestnuthead
