--- a/Source/Daemons/agent_node.cxx
+++ b/Source/Daemons/agent_node.cxx
@@ -304,8 +304,8 @@
     this->request_stop();
     return {accepted, "application/json", R"({"stopping":true})"};
   }
-  const std::string status = format_status(this->settings, this->last_summary());
-  return answer_question(this->parts, {this->ready, status}, question.path);
+  const node_report report{this->ready, format_status(this->settings, this->last_summary())};
+  return answer_question(this->parts, report, question.path);
 }
 
 }  // namespace chestnuthead
--- a/Source/Daemons/router_node.cxx
+++ b/Source/Daemons/router_node.cxx
@@ -281,8 +281,8 @@
 }
 
 status_answer router_node::answer_status(const std::string& path) {
-  const std::string status = format_status(this->settings, this->last_summary());
-  return answer_question(this->parts, {this->ready, status}, path);
+  const node_report report{this->ready, format_status(this->settings, this->last_summary())};
+  return answer_question(this->parts, report, path);
 }
 
 status_answer router_node::answer_operator(const status_question& question) {
