Add the control plane that both cores embed

Cause: every node has to follow the configuration, know the others and hear news and loads, with a bounded number of reads and bytes. Change: a node reads the configuration's row and the VM list at intervals that grow with the fleet, adopts only newer versions, pushes what is new at once and passes on patches, rumors and loads in periodic exchanges under a byte budget. It is confirmed once a read that it began after its start has succeeded.

--- a/Source/Gossip/control_plane.h
+++ b/Source/Gossip/control_plane.h
@@ -37,10 +37,17 @@
   gossip_message message;
 };
 
+/// An invariant of the control plane that does not hold; `name` is a fixed word.
+struct broken_invariant {
+  std::string name;
+  std::string detail;
+};
+
 struct control_output {
   std::vector<outgoing_gossip> messages;
   std::vector<table_ask> asks;
   bool read_vm_list = false;
+  std::vector<broken_invariant> broken;
 };
 
 struct control_plane;
@@ -51,7 +58,8 @@
 
 using control_plane_ptr = std::unique_ptr<control_plane, control_plane_deleter>;
 
-/// `self` is this node's own entry, as the VM list will show it. `random` must
+/// `self` is this node's own entry, as the VM list will show it. An endpoint has
+/// the same name as the node of its agent. `random` must
 /// outlive the result.
 control_plane_ptr make_control_plane(const vm_entry& self, random_source& random);
 
@@ -72,7 +80,8 @@
 /// `node` answered, so it is no longer avoided.
 void note_link_good(control_plane& plane, const node_id& node);
 
-/// Begins to spread a piece of news from this node.
+/// Begins to spread a piece of news from this node. For `node_serving` of this
+/// node the detail is filled in here; a fingerprint is given as decimal number.
 void start_rumor(control_plane& plane, rumor_kind kind, const std::string& subject,
                  const std::string& detail, steady_time now);
 
@@ -90,11 +99,14 @@
 /// older than what any earlier run of it could have served by.
 bool configuration_confirmed(const control_plane& plane);
 
+/// True if the platform's list shows this node as leaving: it is to stop.
+bool listed_as_leaving(const control_plane& plane);
+
 /// All nodes known, this one left out, in the order of their names.
 const std::vector<member>& members(const control_plane& plane);
 
 /// Grows whenever `members` or the configuration has changed, so that derived
-/// tables can be kept until then.
+/// tables can be kept until then. `avoid_until` may change without it.
 std::uint64_t view_generation(const control_plane& plane);
 
 /// Mean load of this node's pool from entries that are fresh enough, own load
@@ -111,4 +123,18 @@
 bool taken_out(const configuration_document& document, const endpoint_id& endpoint,
                const failure_domain_id& domain);
 
+/// Counters of the control plane, for metrics and measurements.
+struct control_counters {
+  std::uint64_t configuration_reads = 0;
+  std::uint64_t vm_list_reads = 0;
+  std::uint64_t messages_sent = 0;
+  std::uint64_t messages_received = 0;
+  /// Estimated MessagePack bytes.
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+  std::uint64_t invariants_broken = 0;
+};
+
+const control_counters& counters_of(const control_plane& plane);
+
 }  // namespace chestnuthead
--- /dev/null
+++ b/Source/Gossip/crash_table.cxx
@@ -0,0 +1,98 @@
+#include "Gossip/crash_table.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace chestnuthead {
+
+namespace {
+
+std::optional<std::uint64_t> fingerprint_in(const std::string& text) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, problem] = std::from_chars(text.data(), end, number);
+  if (problem != std::errc{} || stop != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+steady_time latest(const std::map<endpoint_id, crash_record>& records) {
+  steady_time newest{};
+  for (const auto& [endpoint, record] : records) {
+    newest = std::max(newest, record.said_at);
+  }
+  return newest;
+}
+
+/// Removes the fingerprint that was heard of least recently.
+void forget_one_fingerprint(crash_table& table) {
+  const auto oldest = std::min_element(
+      table.crashes.begin(), table.crashes.end(),
+      [](const auto& one, const auto& other) { return latest(one.second) < latest(other.second); });
+  table.crashes.erase(oldest);
+}
+
+}  // namespace
+
+void note_crash(crash_table& table, const rumor& news, steady_time now) {
+  const std::optional<std::uint64_t> fingerprint = fingerprint_in(news.subject);
+  if (!fingerprint) {
+    return;
+  }
+  auto& records = table.crashes[*fingerprint];
+  const endpoint_id endpoint{news.detail};
+  const steady_time said_at = now - news.age;
+  const auto known = records.find(endpoint);
+  if (known != records.end()) {
+    known->second.said_at = std::max(known->second.said_at, said_at);
+    return;
+  }
+  // More endpoints than any limit asks for change no decision.
+  if (records.size() < crash_endpoint_limit) {
+    records[endpoint] = crash_record{news, said_at};
+  }
+  if (table.crashes.size() > crash_fingerprint_limit) {
+    forget_one_fingerprint(table);
+  }
+}
+
+std::uint32_t count_crashed(const crash_table& table, std::uint64_t fingerprint,
+                            std::chrono::seconds memory, steady_time now) {
+  const auto place = table.crashes.find(fingerprint);
+  if (place == table.crashes.end()) {
+    return 0;
+  }
+  return static_cast<std::uint32_t>(std::count_if(
+      place->second.begin(), place->second.end(),
+      [memory, now](const auto& entry) { return now - entry.second.said_at <= memory; }));
+}
+
+std::vector<rumor> crash_history(const crash_table& table, std::chrono::seconds memory,
+                                 steady_time now) {
+  std::vector<rumor> history;
+  for (const auto& [fingerprint, records] : table.crashes) {
+    for (const auto& [endpoint, record] : records) {
+      if (now - record.said_at <= memory) {
+        history.push_back(record.news);
+        history.back().age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - record.said_at);
+      }
+    }
+  }
+  std::stable_sort(history.begin(), history.end(),
+                   [](const rumor& one, const rumor& other) { return one.age < other.age; });
+  history.resize(std::min(history.size(), crash_history_limit));
+  return history;
+}
+
+void expire_crashes(crash_table& table, std::chrono::seconds memory, steady_time now) {
+  for (auto place = table.crashes.begin(); place != table.crashes.end();) {
+    std::erase_if(place->second,
+                  [memory, now](const auto& entry) { return now - entry.second.said_at > memory; });
+    place = place->second.empty() ? table.crashes.erase(place) : std::next(place);
+  }
+}
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Gossip/exchange.cxx
@@ -0,0 +1,206 @@
+#include "Gossip/exchange.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "Gossip/message_size.h"
+
+namespace chestnuthead {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Pause between two questions to a peer that holds a newer configuration.
+constexpr milliseconds ask_pause{400};
+/// Questions for changes alone before the whole document is asked for.
+constexpr std::uint32_t asks_for_changes = 2;
+
+std::uint64_t version_of(const control_plane& plane) {
+  return plane.configuration.document.version;
+}
+
+bool shares_pool(const control_plane& plane, const vm_entry& peer) {
+  return plane.self.role == vm_role::agent && peer.role == vm_role::agent &&
+         peer.pool == plane.self.pool;
+}
+
+gossip_message begin_message(const control_plane& plane) {
+  gossip_message message;
+  message.from = plane.self.node;
+  message.configuration_version = version_of(plane);
+  return message;
+}
+
+void add_news(control_plane& plane, const vm_entry& peer, gossip_message& message,
+              steady_time now) {
+  message.rumors = take_rumors_to_send(plane.rumors, rumor_bytes_per_message, now);
+  if (shares_pool(plane, peer)) {
+    message.loads =
+        choose_loads(plane.loads, endpoint_id{plane.self.node.value}, *plane.random, now);
+  }
+}
+
+void send(control_plane& plane, const vm_entry& to, gossip_message message, send_budget& budget,
+          control_output& output) {
+  const std::size_t bytes = encoded_size(message);
+  count_sent(budget, bytes);
+  ++plane.counters.messages_sent;
+  plane.counters.bytes_sent += bytes;
+  output.messages.push_back({to.node, to.address, std::move(message)});
+}
+
+/// The newest changes, as many as go along with a push.
+std::vector<configuration_change> changes_to_push(const configuration_history& history) {
+  std::vector<configuration_change> changes;
+  std::size_t bytes = 0;
+  for (auto change = history.recent.rbegin(); change != history.recent.rend(); ++change) {
+    bytes += change->text.size();
+    if (changes.size() == changes_per_push || bytes > change_bytes_per_push) {
+      break;
+    }
+    changes.insert(changes.begin(), *change);
+  }
+  const bool leads_here = !changes.empty() && changes.back().version == history.document.version;
+  if (leads_here) {
+    return changes;
+  }
+  if (history.document.version > 0 && history.text.size() <= change_bytes_per_push) {
+    return {whole_change(history)};
+  }
+  return {};
+}
+
+void push_news(control_plane& plane, control_output& output, steady_time now) {
+  if (plane.pushes_left == 0 || !may_send(plane.gossip_budget, now)) {
+    return;
+  }
+  --plane.pushes_left;
+  const std::size_t fanout = plane.configuration.document.policy.gossip_fanout;
+  const auto peers =
+      pick_peers(plane.picker, plane.members, plane.self, fanout, *plane.random, now);
+  for (const member* peer : peers) {
+    gossip_message message = begin_message(plane);
+    message.rumors = take_rumors_to_send(plane.rumors, rumor_bytes_per_message, now);
+    message.changes = changes_to_push(plane.configuration);
+    send(plane, peer->vm, std::move(message), plane.gossip_budget, output);
+  }
+}
+
+void ask_newer_peer(control_plane& plane, control_output& output, steady_time now) {
+  if (!plane.newer || now < plane.newer->next_ask || !may_send(plane.gossip_budget, now)) {
+    return;
+  }
+  const member* peer = find_member(plane.members, plane.newer->peer);
+  if (peer == nullptr || plane.newer->version <= version_of(plane)) {
+    plane.newer.reset();
+    return;
+  }
+  gossip_message message = begin_message(plane);
+  message.wants_reply = true;
+  message.wants_all = plane.newer->asks >= asks_for_changes;
+  ++plane.newer->asks;
+  plane.newer->next_ask = now + ask_pause * std::min(plane.newer->asks, 8U);
+  send(plane, peer->vm, std::move(message), plane.gossip_budget, output);
+}
+
+void exchange_with_one(control_plane& plane, control_output& output, steady_time now) {
+  if (now < plane.next_gossip) {
+    return;
+  }
+  const milliseconds interval = plane.configuration.document.policy.gossip_interval;
+  const auto jitter = static_cast<std::int64_t>(
+      next_below(*plane.random, static_cast<std::uint64_t>(interval.count() / 2 + 1)));
+  plane.next_gossip = now + interval * 3 / 4 + milliseconds{jitter};
+  if (!may_send(plane.gossip_budget, now)) {
+    return;
+  }
+  const member* peer = pick_peer(plane.picker, plane.members, plane.self, *plane.random, now);
+  if (peer == nullptr) {
+    return;
+  }
+  gossip_message message = begin_message(plane);
+  message.wants_reply = true;
+  if (plane.history_asks_left > 0 && version_of(plane) > 0) {
+    --plane.history_asks_left;
+    message.wants_all = true;
+  }
+  add_news(plane, peer->vm, message, now);
+  send(plane, peer->vm, std::move(message), plane.gossip_budget, output);
+}
+
+/// What brings a peer at an older version to this node's.
+std::vector<configuration_change> changes_for(control_plane& plane, const gossip_message& message,
+                                              steady_time now) {
+  if (message.configuration_version >= version_of(plane)) {
+    return {};
+  }
+  std::vector<configuration_change> changes =
+      changes_since(plane.configuration, message.configuration_version);
+  const bool sends_whole = changes.empty() && message.wants_all;
+  if (sends_whole && may_send(plane.bulk_budget, now)) {
+    changes.push_back(whole_change(plane.configuration));
+  }
+  return changes;
+}
+
+std::size_t size_of_changes(const gossip_message& message) {
+  std::size_t bytes = 0;
+  for (const configuration_change& change : message.changes) {
+    bytes += encoded_size(change);
+  }
+  return bytes;
+}
+
+}  // namespace
+
+void schedule_push(control_plane& plane) {
+  plane.pushes_left = pushes_of_news;
+}
+
+void send_what_is_due(control_plane& plane, control_output& output, steady_time now) {
+  push_news(plane, output, now);
+  ask_newer_peer(plane, output, now);
+  exchange_with_one(plane, output, now);
+}
+
+void answer_peer(control_plane& plane, const gossip_message& message, control_output& output,
+                 steady_time now) {
+  const member* peer = find_member(plane.members, message.from);
+  if (peer == nullptr || !may_send(plane.gossip_budget, now)) {
+    return;
+  }
+  gossip_message answer = begin_message(plane);
+  answer.changes = changes_for(plane, message, now);
+  if (!message.wants_reply && answer.changes.empty()) {
+    return;
+  }
+  if (message.wants_reply) {
+    add_news(plane, peer->vm, answer, now);
+  }
+  if (message.wants_all) {
+    const auto memory = plane.configuration.document.policy.crash_memory;
+    const std::vector<rumor> history = crash_history(plane.crashes, memory, now);
+    answer.rumors.insert(answer.rumors.end(), history.begin(), history.end());
+  }
+  const bool is_bulk = size_of_changes(answer) > change_bytes_per_push;
+  send(plane, peer->vm, std::move(answer), is_bulk ? plane.bulk_budget : plane.gossip_budget,
+       output);
+}
+
+void note_newer_peer(control_plane& plane, const node_id& peer, std::uint64_t version) {
+  // A node without any document waits for its own read of the table.
+  if (version_of(plane) == 0 || version <= version_of(plane)) {
+    return;
+  }
+  if (!plane.newer) {
+    plane.newer = newer_peer{peer, version, 0, steady_time{}};
+    return;
+  }
+  // The next question goes to whoever spoke last, which is alive.
+  plane.newer->peer = peer;
+  plane.newer->version = std::max(plane.newer->version, version);
+}
+
+}  // namespace chestnuthead
--- a/Tests/Configuration/merge_patch_test.cxx
+++ b/Tests/Configuration/merge_patch_test.cxx
@@ -24,8 +24,9 @@
   }
 
   void patch_names_only_what_changed() {
-    CPPUNIT_ASSERT_EQUAL(std::string(R"({"a":null,"b":{"c":3}})"),
-                         *make_merge_patch(R"({"a":1,"b":{"c":2,"d":4}})", R"({"b":{"d":4, "c":3}})"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"a":null,"b":{"c":3}})"),
+        *make_merge_patch(R"({"a":1,"b":{"c":2,"d":4}})", R"({"b":{"d":4, "c":3}})"));
   }
 
   void texts_that_are_no_objects_give_nothing() {
