--- /dev/null
+++ b/Source/Agent/admission.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+#include "chestnuthead/agent_core.h"
+
+#include "Agent/agent_state.h"
+
+/// Whether an offered attempt is admitted. What load is and how the bound is
+/// made is told in docs/design/agent.md.
+namespace chestnuthead {
+
+/// Why an attempt is not admitted, and when to come back.
+struct refusal {
+  refusal_kind why = refusal_kind::full;
+  std::chrono::milliseconds come_back{0};
+};
+
+/// Highest load of an endpoint when the `endpoints` of its pool carry `mean`
+/// on average: the multiple of what the mean will be with one request more.
+std::uint32_t bound_by_mean(double load_multiple, double mean, std::uint32_t endpoints);
+
+/// The bound that applies to this endpoint; empty for plain services and while
+/// the mean is not known.
+std::optional<std::uint32_t> mean_bound(const agent_state& state);
+
+/// Highest load that this agent may admit up to at present.
+std::uint32_t load_limit(const agent_state& state);
+
+/// True if the endpoint takes no new work: operators took it or its failure
+/// domain out, the platform announced that the VM will go, or it is stopping.
+bool is_leaving(const agent_state& state);
+
+/// Attempts that wait for the table: for a claim or for their result.
+std::uint32_t waiting_for_table(const agent_state& state);
+
+/// The reason to refuse the attempt; empty if it is admitted.
+std::optional<refusal> reason_to_refuse(const agent_state& state, const attempt_offered& offer,
+                                        steady_time now);
+
+}  // namespace chestnuthead
--- a/Source/Agent/agent_state.cxx
+++ b/Source/Agent/agent_state.cxx
@@ -1,7 +1,24 @@
 #include "Agent/agent_state.h"
 
+#include "Agent/admission.h"
+
 namespace chestnuthead {
 
+namespace {
+
+vm_entry own_entry(const agent_settings& settings) {
+  vm_entry self;
+  self.node = settings.self;
+  self.role = vm_role::agent;
+  self.pool = settings.pool;
+  self.failure_domain = settings.failure_domain;
+  self.region = settings.region;
+  self.address = settings.address;
+  return self;
+}
+
+}  // namespace
+
 void agent_state_deleter::operator()(agent_state* state) const {
   delete state;
 }
@@ -9,38 +26,29 @@
 agent_state_ptr make_agent_state(const agent_settings& settings, random_source& random) {
   agent_state_ptr state(new agent_state);
   state->settings = settings;
-  state->random = &random;
+  state->control = make_control_plane(own_entry(settings), random);
+  state->book = make_ledger(settings.self);
+  restart_cold(state->warm, own_pool(*state));
   return state;
 }
 
 const pool_configuration& own_pool(const agent_state& state) {
   static const pool_configuration defaults;
-  for (const pool_configuration& pool : configuration_of(state).pools) {
-    if (pool.name == state.settings.pool) {
-      return pool;
-    }
-  }
-  return defaults;
+  const pool_configuration* pool = find_pool(configuration_of(state), state.settings.pool);
+  return pool == nullptr ? defaults : *pool;
 }
 
 std::uint32_t in_flight(const agent_state& state) {
   return static_cast<std::uint32_t>(state.attempts.rows.size());
 }
 
-load_report report_load(const agent_state& state, const chat_id& /*chat*/, steady_time /*now*/) {
-  load_report report;
-  report.in_flight = in_flight(state);
-  report.limit = own_pool(state).warm_limit;
-  report.configuration_version = configuration_of(state).version;
-  report.leaving = state.stopping;
-  return report;
-}
-
 agent_summary summarise(const agent_state& state) {
   agent_summary summary;
   summary.configuration_version = configuration_of(state).version;
   summary.in_flight = in_flight(state);
-  summary.limit = own_pool(state).warm_limit;
+  summary.limit = load_limit(state);
+  summary.pool_mean = mean_with(state.pool, in_flight(state)).value_or(0.0);
+  summary.resident_chats = static_cast<std::uint32_t>(state.resident.chats.size());
   summary.ready = state.ready_told;
   summary.stopping = state.stopping;
   summary.invariants_broken = state.invariants_broken;
@@ -48,7 +56,7 @@
 }
 
 const configuration_document& configuration_of(const agent_state& state) {
-  return state.configuration;
+  return current_configuration(*state.control);
 }
 
 }  // namespace chestnuthead
--- a/Source/Agent/agent_state.h
+++ b/Source/Agent/agent_state.h
@@ -6,20 +6,53 @@
 #include "chestnuthead/agent_core.h"
 
 #include "Agent/attempt_table.h"
+#include "Agent/crash_suspects.h"
+#include "Agent/fair_share.h"
+#include "Agent/gate_audit.h"
+#include "Agent/pool_view.h"
+#include "Agent/residency.h"
+#include "Agent/service_rate.h"
+#include "Agent/warm_up.h"
+#include "Gossip/control_plane.h"
+#include "Ledger/ledger.h"
 
 namespace chestnuthead {
 
+/// Turns single mechanisms off, so that tests can show what each one prevents.
+/// All are on in use.
+struct agent_switches {
+  bool remember_attempts = true;
+  bool wait_for_claim = true;
+  bool bound_by_mean = true;
+  bool start_cold = true;
+  bool heed_taken_out = true;
+  bool drain_before_stop = true;
+  bool share_fairly = true;
+  bool isolate_suspects = true;
+};
+
 /// All tables of one agent.
 struct agent_state {
   agent_settings settings;
-  random_source* random = nullptr;
-  configuration_document configuration;
+  agent_switches switches;
+  control_plane_ptr control;
+  ledger_ptr book;
 
   attempt_table attempts;
+  pool_view pool;
+  warm_up warm;
+  residency resident;
+  fair_share shares;
+  service_rate rate;
+  crash_suspects suspects;
+  gate_audit audit;
 
   /// The endpoint answers its health question.
   bool endpoint_up = false;
+  /// When the endpoint was last seen to crash.
+  steady_time crashed_at;
   bool stopping = false;
+  steady_time stop_begun_at;
   bool stop_told = false;
   /// What `agent_set_ready` said last.
   bool ready_told = false;
@@ -36,7 +69,4 @@
 /// Requests admitted and not finished: the agent's load.
 std::uint32_t in_flight(const agent_state& state);
 
-/// The report that rides on every answer.
-load_report report_load(const agent_state& state, const chat_id& chat, steady_time now);
-
 }  // namespace chestnuthead
--- a/Source/Agent/agent_step.cxx
+++ b/Source/Agent/agent_step.cxx
@@ -1,7 +1,14 @@
 #include <utility>
 
+#include "Agent/admission.h"
 #include "Agent/agent_state.h"
+#include "Agent/attempt_answers.h"
 #include "Agent/attempt_flow.h"
+#include "Agent/attempt_start.h"
+#include "Agent/control_link.h"
+#include "Agent/endpoint_events.h"
+#include "Agent/ledger_link.h"
+#include "Agent/planned_stop.h"
 
 namespace chestnuthead {
 
@@ -27,44 +34,54 @@
   take_failure(state, event, now);
 }
 
-void take(agent_state& state, const endpoint_ready& /*event*/, steady_time /*now*/) {
-  state.endpoint_up = true;
+void take(agent_state& state, const endpoint_ready& event, steady_time now) {
+  take_ready(state, event, now);
 }
 
+// The agent counts what it has admitted itself; the endpoint's report lags.
 void take(agent_state& /*state*/, const endpoint_load& /*event*/, steady_time /*now*/) {}
 
 void take(agent_state& state, const probe_asked& event, steady_time now) {
   state.actions.emplace_back(
-      answer_probe{event.request, event.router, report_load(state, event.chat, now)});
+      answer_probe{event.request, event.router, report_load(state, event.chat)});
 }
 
-void take(agent_state& /*state*/, const agent_table_replied& /*event*/, steady_time /*now*/) {}
+void take(agent_state& state, const agent_table_replied& event, steady_time now) {
+  if ((event.ticket & control_ticket_bit) != 0) {
+    take_control_table_reply(state, event, now);
+  } else {
+    take_ledger_table_reply(state, event, now);
+  }
+}
 
-void take(agent_state& /*state*/, const agent_vm_list_replied& /*event*/, steady_time /*now*/) {}
+void take(agent_state& state, const agent_vm_list_replied& event, steady_time now) {
+  take_vm_list_reply(state, event.reply, now);
+}
 
-void take(agent_state& /*state*/, const agent_gossip_received& /*event*/, steady_time /*now*/) {}
+void take(agent_state& state, const agent_gossip_received& event, steady_time now) {
+  take_gossip_message(state, event.message, now);
+}
 
-void take(agent_state& state, const agent_stop_requested& /*event*/, steady_time /*now*/) {
-  state.stopping = true;
+void take(agent_state& state, const agent_stop_requested& /*event*/, steady_time now) {
+  begin_stop(state, now);
 }
 
 void take(agent_state& state, const agent_tick& /*event*/, steady_time now) {
+  tick_control(state, now);
+  tick_ledger(state, now);
+  end_crashed(state, now);
   end_expired(state, now);
   forget_old_attempts(state.attempts, now);
+  forget_old_histories(state.audit, now);
+  forget_old_suspects(state.suspects, now);
 }
 
-void tell_ready(agent_state& state) {
-  const bool ready = state.endpoint_up && !state.stopping;
-  if (ready != state.ready_told) {
-    state.ready_told = ready;
-    state.actions.emplace_back(agent_set_ready{ready});
+void audit_step(agent_state& state, steady_time now) {
+  for (agent_invariant_broken& fault : check_actions(state.audit, state.actions, now)) {
+    state.actions.emplace_back(std::move(fault));
   }
-}
-
-void finish_stop(agent_state& state) {
-  if (state.stopping && !state.stop_told && state.attempts.rows.empty()) {
-    state.stop_told = true;
-    state.actions.emplace_back(agent_stop_now{});
+  for (const agent_action& action : state.actions) {
+    state.invariants_broken += std::holds_alternative<agent_invariant_broken>(action) ? 1U : 0U;
   }
 }
 
@@ -72,10 +89,14 @@
 
 std::vector<agent_action> step(agent_state& state, const agent_event& event, steady_time now) {
   state.actions.clear();
+  if (now - state.pool.measured_at >= agent_tick_interval) {
+    refresh_pool(state, now);
+  }
   std::visit([&state, now](const auto& what) { take(state, what, now); }, event);
   start_waiting(state, now);
   tell_ready(state);
-  finish_stop(state);
+  finish_stop(state, now);
+  audit_step(state, now);
   return std::exchange(state.actions, {});
 }
 
--- a/Source/Agent/attempt_flow.cxx
+++ b/Source/Agent/attempt_flow.cxx
@@ -1,69 +1,113 @@
 #include "Agent/attempt_flow.h"
 
-#include <optional>
+#include <algorithm>
+#include <string>
+
+#include "Agent/admission.h"
+#include "Agent/attempt_answers.h"
+#include "Agent/ledger_link.h"
 
 namespace chestnuthead {
 
 namespace {
 
-void record(agent_state& state, const attempt_offered& offer, const char* name) {
-  timeline_event event;
-  event.node = state.settings.self;
-  event.name = name;
-  event.request = offer.facts.request;
-  event.attempt = offer.attempt;
-  event.chat = offer.facts.chat;
-  event.endpoint = state.settings.endpoint;
-  event.failure_domain = state.settings.failure_domain;
-  state.actions.emplace_back(agent_record{event});
+void break_invariant(agent_state& state, const char* name, const attempt_id& attempt) {
+  state.actions.emplace_back(agent_invariant_broken{name, attempt.value});
 }
 
-void refuse(agent_state& state, const attempt_offered& offer, refusal_kind why, steady_time now) {
-  record(state, offer, "attempt_refused");
-  state.actions.emplace_back(refuse_attempt{offer.attempt, why, std::chrono::milliseconds{0},
-                                            report_load(state, offer.facts.chat, now)});
+// Holds whatever the switches say: the bound and the orders in force are looked
+// up anew.
+void check_admitted(agent_state& state, const attempt_id& attempt) {
+  if (in_flight(state) > load_limit(state)) {
+    break_invariant(state, "load_above_bound", attempt);
+  }
+  if (is_leaving(state)) {
+    break_invariant(state, "admitted_while_out", attempt);
+  }
 }
 
-void accept(agent_state& state, attempt_row& row, steady_time now) {
-  row.accepted = true;
-  record(state, row.offer, "attempt_accepted");
-  state.actions.emplace_back(
-      accept_attempt{row.offer.attempt, report_load(state, row.offer.facts.chat, now)});
+bool is_at_most_once(const attempt_row& row) {
+  return row.offer.facts.rule == execution_rule::at_most_once;
 }
 
-// Removes the row first, so that the report no longer counts it.
-void end(agent_state& state, const attempt_id& attempt, attempt_outcome outcome, steady_time now) {
-  const attempt_offered offer = find_attempt(state.attempts, attempt)->offer;
-  state.attempts.rows.erase(attempt);
-  record(state, offer, "attempt_ended");
-  state.actions.emplace_back(
-      end_attempt{attempt, outcome, report_load(state, offer.facts.chat, now)});
+void admit(agent_state& state, const attempt_offered& offer, steady_time now) {
+  attempt_row& row = add_attempt(state.attempts, offer, now);
+  row.expected_cached_tokens =
+      std::min(resident_tokens(state.resident, offer.facts.chat), offer.facts.prompt_tokens);
+  check_admitted(state, offer.attempt);
+  // The ledger may still refuse an at-most-once attempt, so that one is
+  // accepted when its claim stands.
+  if (!is_at_most_once(row)) {
+    accept(state, row, now);
+  }
 }
 
-std::optional<refusal_kind> reason_to_refuse(const agent_state& state) {
-  if (state.stopping) {
-    return refusal_kind::out_of_service;
-  }
-  if (!state.endpoint_up) {
-    return refusal_kind::not_ready;
+// The endpoint may go on for a moment, so the row counts as load until the
+// exchange is closed.
+void cancel_running(agent_state& state, attempt_row& row, steady_time now) {
+  row.phase = attempt_phase::cancelling;
+  row.cancelled_at = now;
+  record_attempt(state, row.offer, "attempt_ended", "cancelled");
+  state.actions.emplace_back(cancel_on_endpoint{row.offer.attempt});
+  state.actions.emplace_back(end_attempt{row.offer.attempt, attempt_outcome::cancelled,
+                                         report_load(state, row.offer.facts.chat)});
+}
+
+// The attempt has not been given to the endpoint and never will be.
+void give_up(agent_state& state, attempt_row& row, steady_time now) {
+  if (row.accepted) {
+    end(state, row.offer.attempt, attempt_outcome::cancelled, now);
+    return;
   }
-  if (in_flight(state) >= own_pool(state).warm_limit) {
-    return refusal_kind::full;
+  refuse(state, row.offer, refusal_kind::deadline, std::chrono::milliseconds{0}, now);
+}
+
+void stop_attempt(agent_state& state, attempt_row& row, steady_time now) {
+  const attempt_id attempt = row.offer.attempt;
+  switch (row.phase) {
+    case attempt_phase::queued:
+      give_up(state, row, now);
+      return;
+    case attempt_phase::claiming:
+      withdraw_claim(state, attempt, now);
+      return;
+    case attempt_phase::granted:
+      give_up(state, row, now);
+      release_claim(state, attempt, now);
+      return;
+    case attempt_phase::running:
+      // A call that must not run twice is never cut: its result is recorded.
+      if (!is_at_most_once(row)) {
+        cancel_running(state, row, now);
+      }
+      return;
+    case attempt_phase::recording:
+    case attempt_phase::cancelling:
+      return;
   }
-  return std::nullopt;
+}
+
+bool time_is_up(const attempt_row& row, steady_time now) {
+  // The ledger keeps the deadline of a claim itself.
+  return row.phase != attempt_phase::claiming && row.deadline <= now;
 }
 
 }  // namespace
 
 void take_offer(agent_state& state, const attempt_offered& offer, steady_time now) {
-  if (!note_seen(state.attempts, offer.attempt, now)) {
+  if (!note_seen(state.attempts, offer.attempt, now) && state.switches.remember_attempts) {
+    // A crossed or late copy; the first one was or will be answered.
     return;
   }
-  if (const auto why = reason_to_refuse(state)) {
-    refuse(state, offer, *why, now);
+  note_offered(state.audit, offer, now);
+  if (offer.configuration_version > configuration_of(state).version) {
+    note_version(*state.control, offer.router, offer.configuration_version);
+  }
+  if (const auto why = reason_to_refuse(state, offer, now)) {
+    refuse(state, offer, why->why, why->come_back, now);
     return;
   }
-  accept(state, add_attempt(state.attempts, offer, now), now);
+  admit(state, offer, now);
 }
 
 void take_withdrawal(agent_state& state, const attempt_id& attempt, steady_time now) {
@@ -73,53 +117,25 @@
     note_seen(state.attempts, attempt, now);
     return;
   }
-  if (row->phase == attempt_phase::running) {
-    state.actions.emplace_back(cancel_on_endpoint{attempt});
-  }
-  end(state, attempt, attempt_outcome::cancelled, now);
-}
-
-void take_first_byte(agent_state& state, const attempt_id& attempt, steady_time now) {
-  attempt_row* row = find_attempt(state.attempts, attempt);
-  if (row != nullptr && !row->first_byte_at) {
-    row->first_byte_at = now;
-  }
+  stop_attempt(state, *row, now);
 }
 
-void take_finish(agent_state& state, const endpoint_finished& event, steady_time now) {
-  if (find_attempt(state.attempts, event.attempt) != nullptr) {
-    end(state, event.attempt, attempt_outcome::complete, now);
-  }
-}
-
-void take_failure(agent_state& state, const endpoint_failed& event, steady_time now) {
-  if (event.crashed) {
-    state.endpoint_up = false;
-  }
-  if (find_attempt(state.attempts, event.attempt) != nullptr) {
-    end(state, event.attempt, attempt_outcome::endpoint_failed, now);
-  }
-}
-
-void start_waiting(agent_state& state, steady_time now) {
-  for (const attempt_id& attempt : attempts_in(state.attempts, attempt_phase::queued)) {
-    if (!state.endpoint_up || slots_held(state.attempts) >= own_pool(state).concurrency) {
-      return;
+void end_expired(agent_state& state, steady_time now) {
+  std::vector<attempt_id> expired;
+  for (const auto& [attempt, row] : state.attempts.rows) {
+    if (time_is_up(row, now)) {
+      expired.push_back(attempt);
     }
-    attempt_row& row = *find_attempt(state.attempts, attempt);
-    row.phase = attempt_phase::running;
-    row.started_at = now;
-    record(state, row.offer, "attempt_running");
-    state.actions.emplace_back(run_on_endpoint{attempt, 0});
   }
-}
-
-void end_expired(agent_state& state, steady_time now) {
-  for (const attempt_id& attempt : attempts_in(state.attempts, attempt_phase::queued)) {
-    if (find_attempt(state.attempts, attempt)->deadline <= now) {
-      end(state, attempt, attempt_outcome::cancelled, now);
+  for (const attempt_id& attempt : expired) {
+    if (attempt_row* row = find_attempt(state.attempts, attempt)) {
+      stop_attempt(state, *row, now);
     }
   }
+  std::erase_if(state.attempts.rows, [now](const auto& entry) {
+    const attempt_row& row = entry.second;
+    return row.phase == attempt_phase::cancelling && now - row.cancelled_at > cancel_wait;
+  });
 }
 
 }  // namespace chestnuthead
--- /dev/null
+++ b/Source/Agent/control_link.cxx
@@ -0,0 +1,51 @@
+#include "Agent/control_link.h"
+
+#include "Agent/admission.h"
+
+namespace chestnuthead {
+
+namespace {
+
+void apply(agent_state& state, const control_output& output) {
+  for (const broken_invariant& fault : output.broken) {
+    state.actions.emplace_back(agent_invariant_broken{fault.name, fault.detail});
+  }
+  for (const outgoing_gossip& message : output.messages) {
+    state.actions.emplace_back(agent_send_gossip{message.to, message.address, message.message});
+  }
+  for (const table_ask& ask : output.asks) {
+    state.actions.emplace_back(agent_submit_table{ask.ticket, ask.request});
+  }
+  if (output.read_vm_list) {
+    state.actions.emplace_back(agent_read_vm_list{});
+  }
+}
+
+}  // namespace
+
+void take_control_table_reply(agent_state& state, const agent_table_replied& event,
+                              steady_time now) {
+  apply(state, take_table_reply(*state.control, event.ticket, event.reply, now));
+  fit_limit(state.warm, own_pool(state));
+}
+
+void take_vm_list_reply(agent_state& state, const vm_list_reply& reply, steady_time now) {
+  apply(state, take_vm_list(*state.control, reply, now));
+}
+
+void take_gossip_message(agent_state& state, const gossip_message& message, steady_time now) {
+  apply(state, take_gossip(*state.control, message, now));
+  fit_limit(state.warm, own_pool(state));
+}
+
+void refresh_pool(agent_state& state, steady_time now) {
+  measure_pool(state.pool, *state.control, state.settings.pool, in_flight(state), load_limit(state),
+               now);
+}
+
+void tick_control(agent_state& state, steady_time now) {
+  refresh_pool(state, now);
+  apply(state, control_tick(*state.control, now));
+}
+
+}  // namespace chestnuthead
--- a/include/chestnuthead/agent_core.h
+++ b/include/chestnuthead/agent_core.h
@@ -29,6 +29,8 @@
   pool_id pool;
   failure_domain_id failure_domain;
   region_id region;
+  /// Address of the agent's peer port, as IP number and port.
+  std::string address;
 };
 
 // Events.
