--- a/Source/Router/conclude.cxx
+++ b/Source/Router/conclude.cxx
@@ -66,6 +66,10 @@
     return;
   }
   if (needs_seal(state, row)) {
+    if (!state.switches.seal_before_not_run) {
+      conclude(state, row, why, run_state::not_run, actions);
+      return;
+    }
     begin_seal(state, row, why, now, actions);
     return;
   }
--- /dev/null
+++ b/Tests/Router/placement_test.cxx
@@ -0,0 +1,139 @@
+#include "Router/placement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Router/router_fixture.h"
+
+namespace chestnuthead {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class placement_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(placement_test);
+  CPPUNIT_TEST(routers_agree_without_talking);
+  CPPUNIT_TEST(a_returning_chat_asks_its_first_choice_under_the_condition);
+  CPPUNIT_TEST(the_holder_is_found_after_its_domain_was_out);
+  CPPUNIT_TEST(silent_probes_end_with_the_first_choice);
+  CPPUNIT_TEST(a_chat_that_moved_is_remembered);
+  CPPUNIT_TEST(a_domain_that_was_taken_out_gets_no_attempt);
+  CPPUNIT_TEST(without_the_check_the_invariant_breaks);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void routers_agree_without_talking() {
+    router_fixture one(12, 1);
+    router_fixture other(12, 2);
+    for (int number = 0; number < 50; ++number) {
+      const std::string name = std::to_string(number);
+      CPPUNIT_ASSERT(last_of<send_attempt>(one.ask("r" + name, "c" + name)).agent ==
+                     last_of<send_attempt>(other.ask("s" + name, "c" + name)).agent);
+    }
+  }
+
+  void a_returning_chat_asks_its_first_choice_under_the_condition() {
+    router_fixture router(12);
+    const auto first = last_of<send_attempt>(router.ask("r1", "chat"));
+    CPPUNIT_ASSERT(first.terms.only_if_resident);
+    auto actions = router.refuse(first, refusal_kind::not_resident);
+    const auto probes = all_of<send_probe>(actions);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, probes.size());
+    for (const send_probe& probe : probes) {
+      CPPUNIT_ASSERT(probe.agent != first.agent);
+      actions = router.give(probe_answered{{"r1"}, probe.agent, load_with(0)});
+    }
+    const auto second = last_of<send_attempt>(actions);
+    CPPUNIT_ASSERT(second.agent == first.agent);
+    CPPUNIT_ASSERT(!second.terms.only_if_resident);
+  }
+
+  void the_holder_is_found_after_its_domain_was_out() {
+    router_fixture router(12);
+    router.state->switches.use_chat_memory = false;
+    const auto home = last_of<send_attempt>(router.ask("r1", "chat"));
+    router.end(home, attempt_outcome::complete);
+    take_out(router, {domain_of(router, home.agent)});
+    const auto away = last_of<send_attempt>(router.ask("r2", "chat"));
+    router.end(away, attempt_outcome::complete);
+    take_out(router, {});
+
+    const auto back = last_of<send_attempt>(router.ask("r3", "chat"));
+    CPPUNIT_ASSERT(back.agent == home.agent);
+    auto actions = router.refuse(back, refusal_kind::not_resident);
+    for (const send_probe& probe : all_of<send_probe>(actions)) {
+      const std::uint32_t tokens = probe.agent == away.agent ? 500 : 0;
+      actions = router.give(probe_answered{{"r3"}, probe.agent, load_with(tokens)});
+    }
+    CPPUNIT_ASSERT(last_of<send_attempt>(actions).agent == away.agent);
+  }
+
+  void silent_probes_end_with_the_first_choice() {
+    router_fixture router(12);
+    const auto first = last_of<send_attempt>(router.ask("r1", "chat"));
+    router.refuse(first, refusal_kind::not_resident);
+    const auto actions = router.pass(milliseconds{50});
+    CPPUNIT_ASSERT(last_of<send_attempt>(actions).agent == first.agent);
+  }
+
+  void a_chat_that_moved_is_remembered() {
+    for (const bool remembered : {true, false}) {
+      router_fixture router(12);
+      router.state->switches.use_chat_memory = remembered;
+      const auto home = last_of<send_attempt>(router.ask("r1", "chat"));
+      const auto away = last_of<send_attempt>(router.refuse(home, refusal_kind::full));
+      router.accept(away);
+      router.end(away, attempt_outcome::complete);
+      const auto again = last_of<send_attempt>(router.ask("r2", "chat"));
+      CPPUNIT_ASSERT(again.agent == (remembered ? away.agent : home.agent));
+    }
+  }
+
+  void a_domain_that_was_taken_out_gets_no_attempt() {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, attempts_to_domain_out(true));
+  }
+
+  void without_the_check_the_invariant_breaks() {
+    CPPUNIT_ASSERT(attempts_to_domain_out(false) > 0);
+  }
+
+ private:
+  static load_report load_with(std::uint32_t resident_tokens) {
+    load_report load;
+    load.limit = 32;
+    load.resident_tokens = resident_tokens;
+    return load;
+  }
+
+  static failure_domain_id domain_of(const router_fixture& router, const node_id& agent) {
+    for (const vm_entry& vm : router.vms.vms) {
+      if (vm.node == agent) {
+        return vm.failure_domain;
+      }
+    }
+    return {};
+  }
+
+  static void take_out(router_fixture& router, const std::set<failure_domain_id>& domains) {
+    router.document.failure_domains_out = domains;
+    router.configure();
+  }
+
+  // Takes "d1" out, asks 100 times and counts what reaches it; the broken
+  // invariants must number the same.
+  static std::size_t attempts_to_domain_out(bool check) {
+    router_fixture router(12);
+    router.state->switches.skip_endpoints_out = check;
+    take_out(router, {{"d1"}});
+    std::size_t reached = 0;
+    for (int number = 0; number < 100; ++number) {
+      const auto sent = last_of<send_attempt>(router.ask("r" + std::to_string(number)));
+      reached += domain_of(router, sent.agent).value == "d1" ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(reached, all_of<router_invariant_broken>(router.log).size());
+    return reached;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
+
+}  // namespace chestnuthead
--- a/Tests/Router/router_fixture.cxx
+++ b/Tests/Router/router_fixture.cxx
@@ -1,5 +1,7 @@
 #include "Router/router_fixture.h"
 
+#include "Base/table_ask.h"
+
 namespace chestnuthead {
 
 namespace {
@@ -63,8 +65,8 @@
 void router_fixture::configure() {
   const auto row = this->table.find(configuration_row_key);
   const std::uint64_t version = row ? row->version : 0;
-  this->table.apply(table_write_group{
-      {{configuration_row_key, version, format_configuration(this->document)}}});
+  this->table.apply(
+      table_write_group{{{configuration_row_key, version, format_configuration(this->document)}}});
   while (configuration_of(*this->state).version <= version) {
     this->pass(std::chrono::seconds{1});
   }
@@ -89,7 +91,9 @@
   for (std::size_t at = 0; at < actions.size(); ++at) {
     // A copy, since answers add to the list.
     const router_action action = actions[at];
-    if (const auto* ask = std::get_if<router_submit_table>(&action)) {
+    const auto* ask = std::get_if<router_submit_table>(&action);
+    const bool held = ask != nullptr && this->hold_seals && (ask->ticket & control_ticket_bit) == 0;
+    if (ask != nullptr && !held) {
       append(actions, this->answer_table(*ask));
     } else if (std::holds_alternative<router_read_vm_list>(action)) {
       append(actions, step(*this->state, router_vm_list_replied{this->vms}, this->now));
@@ -121,8 +125,7 @@
   return this->give(event);
 }
 
-std::vector<router_action> router_fixture::pay(const std::string& request,
-                                               const std::string& key) {
+std::vector<router_action> router_fixture::pay(const std::string& request, const std::string& key) {
   request_arrived event;
   event.facts.request = {request};
   event.facts.customer = {"school"};
@@ -144,8 +147,7 @@
       attempt_refused{attempt.facts.request, attempt.attempt, why, come_back, some_load()});
 }
 
-std::vector<router_action> router_fixture::end(const send_attempt& attempt,
-                                               attempt_outcome outcome,
+std::vector<router_action> router_fixture::end(const send_attempt& attempt, attempt_outcome outcome,
                                                std::uint64_t bytes_passed) {
   return this->give(
       attempt_ended{attempt.facts.request, attempt.attempt, outcome, bytes_passed, some_load()});
--- a/Tests/Router/router_fixture.h
+++ b/Tests/Router/router_fixture.h
@@ -48,6 +48,8 @@
   configuration_document document;
   memory_table table;
   bool table_down = false;
+  /// Calls of the table by seals are returned instead of answered.
+  bool hold_seals = false;
   vm_snapshot vms;
   steady_time now{std::chrono::hours{1}};
   std::vector<router_action> log;
