--- a/Source/Agent/agent_step.cxx
+++ b/Source/Agent/agent_step.cxx
@@ -41,7 +41,7 @@
 // The agent counts what it has admitted itself; the endpoint's report lags.
 void take(agent_state& /*state*/, const endpoint_load& /*event*/, steady_time /*now*/) {}
 
-void take(agent_state& state, const probe_asked& event, steady_time now) {
+void take(agent_state& state, const probe_asked& event, steady_time /*now*/) {
   state.actions.emplace_back(
       answer_probe{event.request, event.router, report_load(state, event.chat)});
 }
--- a/Source/Agent/attempt_answers.cxx
+++ b/Source/Agent/attempt_answers.cxx
@@ -94,7 +94,7 @@
   state.actions.emplace_back(agent_record{event});
 }
 
-void accept(agent_state& state, attempt_row& row, steady_time now) {
+void accept(agent_state& state, attempt_row& row) {
   row.accepted = true;
   record_attempt(state, row.offer, "attempt_accepted");
   state.actions.emplace_back(
@@ -102,7 +102,7 @@
 }
 
 void refuse(agent_state& state, const attempt_offered& offer, refusal_kind why,
-            std::chrono::milliseconds come_back, steady_time now) {
+            std::chrono::milliseconds come_back) {
   // The caller's reference may point into the row that goes.
   const attempt_offered kept = offer;
   state.attempts.rows.erase(kept.attempt);
@@ -111,15 +111,14 @@
       refuse_attempt{kept.attempt, why, come_back, report_load(state, kept.facts.chat)});
 }
 
-void end(agent_state& state, const attempt_id& attempt, attempt_outcome outcome, steady_time now) {
+void end(agent_state& state, const attempt_id& attempt, attempt_outcome outcome) {
   const attempt_offered offer = find_attempt(state.attempts, attempt)->offer;
   state.attempts.rows.erase(attempt);
   record_attempt(state, offer, "attempt_ended", name_of_outcome(outcome));
   state.actions.emplace_back(end_attempt{attempt, outcome, report_load(state, offer.facts.chat)});
 }
 
-void answer_stored(agent_state& state, const attempt_id& attempt, const std::string& answer,
-                   steady_time now) {
+void answer_stored(agent_state& state, const attempt_id& attempt, const std::string& answer) {
   const attempt_offered offer = find_attempt(state.attempts, attempt)->offer;
   state.attempts.rows.erase(attempt);
   record_attempt(state, offer, "attempt_ended", "stored answer");
--- a/Source/Agent/attempt_answers.h
+++ b/Source/Agent/attempt_answers.h
@@ -21,17 +21,16 @@
                     const std::string& detail = {});
 
 /// The attempt is taken.
-void accept(agent_state& state, attempt_row& row, steady_time now);
+void accept(agent_state& state, attempt_row& row);
 
 /// The offer is not taken; it has no row, or its row is removed here.
 void refuse(agent_state& state, const attempt_offered& offer, refusal_kind why,
-            std::chrono::milliseconds come_back, steady_time now);
+            std::chrono::milliseconds come_back);
 
 /// An accepted attempt has ended; its row is removed.
-void end(agent_state& state, const attempt_id& attempt, attempt_outcome outcome, steady_time now);
+void end(agent_state& state, const attempt_id& attempt, attempt_outcome outcome);
 
 /// An attempt is answered by what the ledger holds; its row is removed.
-void answer_stored(agent_state& state, const attempt_id& attempt, const std::string& answer,
-                   steady_time now);
+void answer_stored(agent_state& state, const attempt_id& attempt, const std::string& answer);
 
 }  // namespace chestnuthead
--- a/Source/Agent/attempt_flow.cxx
+++ b/Source/Agent/attempt_flow.cxx
@@ -38,7 +38,7 @@
   // The ledger may still refuse an at-most-once attempt, so that one is
   // accepted when its claim stands.
   if (!is_at_most_once(row)) {
-    accept(state, row, now);
+    accept(state, row);
   }
 }
 
@@ -54,25 +54,25 @@
 }
 
 // The attempt has not been given to the endpoint and never will be.
-void give_up(agent_state& state, attempt_row& row, steady_time now) {
+void give_up(agent_state& state, attempt_row& row) {
   if (row.accepted) {
-    end(state, row.offer.attempt, attempt_outcome::cancelled, now);
+    end(state, row.offer.attempt, attempt_outcome::cancelled);
     return;
   }
-  refuse(state, row.offer, refusal_kind::deadline, std::chrono::milliseconds{0}, now);
+  refuse(state, row.offer, refusal_kind::deadline, std::chrono::milliseconds{0});
 }
 
 void stop_attempt(agent_state& state, attempt_row& row, steady_time now) {
   const attempt_id attempt = row.offer.attempt;
   switch (row.phase) {
     case attempt_phase::queued:
-      give_up(state, row, now);
+      give_up(state, row);
       return;
     case attempt_phase::claiming:
       withdraw_claim(state, attempt, now);
       return;
     case attempt_phase::granted:
-      give_up(state, row, now);
+      give_up(state, row);
       release_claim(state, attempt, now);
       return;
     case attempt_phase::running:
@@ -104,7 +104,7 @@
     note_version(*state.control, offer.router, offer.configuration_version);
   }
   if (const auto why = reason_to_refuse(state, offer, now)) {
-    refuse(state, offer, why->why, why->come_back, now);
+    refuse(state, offer, why->why, why->come_back);
     return;
   }
   admit(state, offer, now);
--- a/Source/Agent/attempt_start.cxx
+++ b/Source/Agent/attempt_start.cxx
@@ -21,7 +21,7 @@
   row.phase = attempt_phase::running;
   row.started_at = now;
   if (!row.accepted) {
-    accept(state, row, now);
+    accept(state, row);
   }
   record_attempt(state, row.offer, "attempt_running");
   state.actions.emplace_back(run_on_endpoint{row.offer.attempt, 0});
@@ -33,7 +33,7 @@
 
 void give_back(agent_state& state, const attempt_row& row, refusal_kind why, steady_time now) {
   const attempt_id attempt = row.offer.attempt;
-  refuse(state, row.offer, why, std::chrono::milliseconds{0}, now);
+  refuse(state, row.offer, why, std::chrono::milliseconds{0});
   release_claim(state, attempt, now);
 }
 
--- a/Source/Agent/endpoint_events.cxx
+++ b/Source/Agent/endpoint_events.cxx
@@ -38,26 +38,26 @@
     return;
   }
   if (!is_at_most_once(row)) {
-    end(state, attempt, attempt_outcome::endpoint_failed, now);
+    end(state, attempt, attempt_outcome::endpoint_failed);
     return;
   }
   if (never_sent) {
-    end(state, attempt, attempt_outcome::endpoint_failed, now);
+    end(state, attempt, attempt_outcome::endpoint_failed);
     release_claim(state, attempt, now);
     return;
   }
-  end(state, attempt, attempt_outcome::outcome_unknown, now);
+  end(state, attempt, attempt_outcome::outcome_unknown);
   abandon_claim(state, attempt, now);
 }
 
 // What waits is sent back at once: it has not run, and others may have room.
-void send_back_waiting(agent_state& state, steady_time now) {
+void send_back_waiting(agent_state& state) {
   for (const attempt_id& attempt : attempts_in(state.attempts, attempt_phase::queued)) {
     const attempt_row& row = *find_attempt(state.attempts, attempt);
     if (row.accepted) {
-      end(state, attempt, attempt_outcome::endpoint_failed, now);
+      end(state, attempt, attempt_outcome::endpoint_failed);
     } else {
-      refuse(state, row.offer, refusal_kind::not_ready, come_back_after_crash, now);
+      refuse(state, row.offer, refusal_kind::not_ready, come_back_after_crash);
     }
   }
 }
@@ -71,7 +71,7 @@
   state.crashed_at = now;
   clear_residency(state.resident);
   restart_cold(state.warm, own_pool(state));
-  send_back_waiting(state, now);
+  send_back_waiting(state);
 }
 
 void end_all_at_endpoint(agent_state& state, steady_time now) {
@@ -108,7 +108,7 @@
     begin_recording(state, *row, event.stored_answer, now);
     return;
   }
-  end(state, event.attempt, attempt_outcome::complete, now);
+  end(state, event.attempt, attempt_outcome::complete);
 }
 
 void take_failure(agent_state& state, const endpoint_failed& event, steady_time now) {
--- a/Source/Agent/ledger_link.cxx
+++ b/Source/Agent/ledger_link.cxx
@@ -16,34 +16,34 @@
   row->phase = attempt_phase::granted;
 }
 
-void take(agent_state& state, const claim_refused& decision, steady_time now) {
+void take(agent_state& state, const claim_refused& decision, steady_time /*now*/) {
   const attempt_row* row = find_attempt(state.attempts, decision.attempt);
   if (row != nullptr) {
-    refuse(state, row->offer, decision.why, std::chrono::milliseconds{0}, now);
+    refuse(state, row->offer, decision.why, std::chrono::milliseconds{0});
   }
 }
 
 // The router hears that the attempt is taken and then, at once, how it ended.
-void take(agent_state& state, const claim_has_answer& decision, steady_time now) {
+void take(agent_state& state, const claim_has_answer& decision, steady_time /*now*/) {
   attempt_row* row = find_attempt(state.attempts, decision.attempt);
   if (row != nullptr) {
-    accept(state, *row, now);
-    answer_stored(state, decision.attempt, decision.stored_answer, now);
+    accept(state, *row);
+    answer_stored(state, decision.attempt, decision.stored_answer);
   }
 }
 
-void take(agent_state& state, const claim_outcome_unknown& decision, steady_time now) {
+void take(agent_state& state, const claim_outcome_unknown& decision, steady_time /*now*/) {
   attempt_row* row = find_attempt(state.attempts, decision.attempt);
   if (row != nullptr) {
-    accept(state, *row, now);
-    end(state, decision.attempt, attempt_outcome::outcome_unknown, now);
+    accept(state, *row);
+    end(state, decision.attempt, attempt_outcome::outcome_unknown);
   }
 }
 
 void take(agent_state& state, const result_settled& decision, steady_time now) {
   note_settled(state.audit, decision.attempt, now);
   if (find_attempt(state.attempts, decision.attempt) != nullptr) {
-    end(state, decision.attempt, attempt_outcome::complete, now);
+    end(state, decision.attempt, attempt_outcome::complete);
   }
 }
 
--- a/Source/Agent/planned_stop.cxx
+++ b/Source/Agent/planned_stop.cxx
@@ -24,7 +24,8 @@
 }
 
 void tell_ready(agent_state& state) {
-  const bool ready = state.endpoint_up && !is_leaving(state) && configuration_confirmed(*state.control);
+  const bool ready =
+      state.endpoint_up && !is_leaving(state) && configuration_confirmed(*state.control);
   if (ready != state.ready_told) {
     state.ready_told = ready;
     state.actions.emplace_back(agent_set_ready{ready});
--- a/Tests/Agent/agent_bench.cxx
+++ b/Tests/Agent/agent_bench.cxx
@@ -33,7 +33,7 @@
   this->restart();
 }
 
-void agent_bench::store(memory_table& table, configuration_document document) {
+void agent_bench::store(memory_table& table, const configuration_document& document) {
   const auto row = table.find(configuration_row_key);
   table.apply(table_write_group{
       {{configuration_row_key, row ? row->version : 0, format_configuration(document)}}});
--- a/Tests/Agent/agent_bench.h
+++ b/Tests/Agent/agent_bench.h
@@ -36,7 +36,7 @@
   explicit agent_bench(memory_table& shared_table, const std::string& name = "agent-1");
 
   /// Puts the document into the table; agents hear of it when they read.
-  static void store(memory_table& table, configuration_document document);
+  static void store(memory_table& table, const configuration_document& document);
 
   /// Ticks until the configuration is confirmed, then reports the endpoint as
   /// ready. Fails the test if it takes too long.
--- a/Tests/Agent/warm_up_test.cxx
+++ b/Tests/Agent/warm_up_test.cxx
@@ -81,7 +81,7 @@
     fragile_engine engine;
     flood(bench, engine, 5);
     CPPUNIT_ASSERT(!engine.fell_over);
-    CPPUNIT_ASSERT_EQUAL(8U, summarise(*bench.state).limit);
+    CPPUNIT_ASSERT_EQUAL(8U, bench.state->warm.limit);
     CPPUNIT_ASSERT(bench.broken.empty());
 
     // It begins anew: the limit starts at the bottom again.
