--- a/Source/Router/attempts.cxx
+++ b/Source/Router/attempts.cxx
@@ -53,11 +53,16 @@
 }
 
 bool may_retry(router_state& state, const request_row& row, bool cannot_resume) {
-  const auto crash_limit = current_configuration(*state.plane).policy.crash_limit;
-  if (cannot_resume || row.failed_at.size() >= crash_limit) {
+  const policy_configuration& policy = current_configuration(*state.plane).policy;
+  if (cannot_resume || row.failed_at.size() >= policy.crash_limit ||
+      row.counted_attempts >= policy.attempt_limit) {
     return false;
   }
-  return spend_retry(state.retries) || !state.switches.limit_retries;
+  if (!state.switches.limit_retries) {
+    force_retry(state.retries);
+    return true;
+  }
+  return spend_retry(state.retries);
 }
 
 void retry_or_give_up(router_state& state, request_row& row, attempt_outcome outcome,
--- a/Source/Router/invariants.cxx
+++ b/Source/Router/invariants.cxx
@@ -5,6 +5,7 @@
 
 #include "Ledger/sealer.h"
 #include "Router/load_memory.h"
+#include "Router/retry_budget.h"
 
 namespace chestnuthead::routing {
 
@@ -78,6 +79,9 @@
 }
 
 void check_requests(router_state& state, steady_time now, router_actions& actions) {
+  if (overdrawn(state.retries)) {
+    report_broken(state, "retry_budget_overdrawn", std::to_string(state.retries.spent), actions);
+  }
   for (const auto& [request, row] : state.requests.requests) {
     if (!waits_for_something(row)) {
       report_broken(state, "request_forgotten", request.value, actions);
--- a/Source/Router/invariants.h
+++ b/Source/Router/invariants.h
@@ -26,7 +26,8 @@
 void check_attempt(router_state& state, const request_row& row, const send_attempt& attempt,
                    steady_time now, router_actions& actions);
 
-/// Every request waits for something, and none outlives its deadline.
+/// Every request waits for something, none outlives its deadline, and retries
+/// keep within their budget.
 void check_requests(router_state& state, steady_time now, router_actions& actions);
 
 }  // namespace chestnuthead::routing
--- a/Source/Router/retry_budget.h
+++ b/Source/Router/retry_budget.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 /// Limits retries to a share of the requests, so that a fault is not answered
 /// with a flood.
 namespace chestnuthead::routing {
@@ -11,6 +13,9 @@
 /// A token bucket that requests fill and retries empty.
 struct retry_budget {
   double tokens = retry_burst;
+  /// All that requests have added since the start, and all retries since then.
+  double earned = 0.0;
+  std::uint64_t spent = 0;
 };
 
 /// A request has arrived: adds its share of a retry.
@@ -19,4 +24,10 @@
 /// Takes one retry out of the budget; false if there is none.
 bool spend_retry(retry_budget& budget);
 
+/// Counts a retry that is made whatever the budget says.
+void force_retry(retry_budget& budget);
+
+/// True if more retries were made than the budget ever held.
+bool overdrawn(const retry_budget& budget);
+
 }  // namespace chestnuthead::routing
--- a/Source/Router/router_step.cxx
+++ b/Source/Router/router_step.cxx
@@ -15,7 +15,10 @@
 
 using routing::router_actions;
 
-void carry_out(control_output output, router_actions& actions) {
+void carry_out(router_state& state, control_output output, router_actions& actions) {
+  for (const broken_invariant& broken : output.broken) {
+    routing::report_broken(state, broken.name, broken.detail, actions);
+  }
   for (outgoing_gossip& message : output.messages) {
     actions.emplace_back(
         router_send_gossip{message.to, std::move(message.address), std::move(message.message)});
@@ -54,17 +57,19 @@
   }
   void operator()(const router_table_replied& event) const {
     if ((event.ticket & control_ticket_bit) != 0) {
-      carry_out(take_table_reply(*this->state.plane, event.ticket, event.reply, this->now),
+      carry_out(this->state,
+                take_table_reply(*this->state.plane, event.ticket, event.reply, this->now),
                 this->actions);
       return;
     }
     routing::take_seal_answer(this->state, event.ticket, event.reply, this->now, this->actions);
   }
   void operator()(const router_vm_list_replied& event) const {
-    carry_out(take_vm_list(*this->state.plane, event.reply, this->now), this->actions);
+    carry_out(this->state, take_vm_list(*this->state.plane, event.reply, this->now), this->actions);
   }
   void operator()(const router_gossip_received& event) const {
-    carry_out(take_gossip(*this->state.plane, event.message, this->now), this->actions);
+    carry_out(this->state, take_gossip(*this->state.plane, event.message, this->now),
+              this->actions);
   }
   void operator()(const router_link_lost& event) const {
     note_link_lost(*this->state.plane, event.node, this->now);
@@ -74,7 +79,7 @@
     routing::begin_stop(this->state, this->now, this->actions);
   }
   void operator()(const router_tick& /*event*/) const {
-    carry_out(control_tick(*this->state.plane, this->now), this->actions);
+    carry_out(this->state, control_tick(*this->state.plane, this->now), this->actions);
     routing::refresh(this->state.placement, *this->state.plane);
     routing::tick_seals(this->state, this->now, this->actions);
     routing::tick_requests(this->state, this->now, this->actions);
