--- a/Source/Daemons/agent_node.cxx
+++ b/Source/Daemons/agent_node.cxx
@@ -15,9 +15,15 @@
 constexpr std::chrono::milliseconds drain_timeout{5'000};
 constexpr std::chrono::milliseconds drain_poll_interval{10};
 
-agent_settings core_settings(const agent_file_settings& settings) {
-  return {node_id{settings.common.node}, endpoint_id{settings.common.node}, pool_id{settings.pool},
-          failure_domain_id{settings.common.failure_domain}, region_id{settings.common.region}};
+agent_settings core_settings(const agent_file_settings& settings, const std::string& address) {
+  agent_settings result;
+  result.self.value = settings.common.node;
+  result.endpoint.value = settings.common.node;
+  result.pool.value = settings.pool;
+  result.failure_domain.value = settings.common.failure_domain;
+  result.region.value = settings.common.region;
+  result.address = address;
+  return result;
 }
 
 http_endpoint_settings endpoint_settings(const agent_file_settings& settings) {
@@ -55,7 +61,6 @@
     : settings(node_settings),
       parts(node_settings.common, lowest),
       endpoint(endpoint_settings(node_settings)),
-      state(make_agent_state(core_settings(node_settings), *this->parts.random)),
       control(this->parts.clock, agent_tick{}, agent_tick_interval,
               [this](const agent_event& event, steady_time now) { this->take_event(event, now); }),
       client(this->parts.hybrid, this->parts.traffic, [](const node_id& /*node*/) {}),
@@ -75,6 +80,8 @@
     return "Port " + std::to_string(this->settings.common.status_port) +
            " of status_port can't be opened; a free port of this machine was expected.";
   }
+  this->state =
+      make_agent_state(core_settings(this->settings, this->server.address()), *this->parts.random);
   this->client.start();
   this->control.start();
   this->watcher = std::thread([this] { this->watch_endpoint(); });
--- a/Source/Daemons/agent_node.h
+++ b/Source/Daemons/agent_node.h
@@ -74,6 +74,7 @@
   agent_file_settings settings;
   node_parts parts;
   http_endpoint endpoint;
+  /// Made in `start`, when the peer port is known.
   agent_state_ptr state;
   control_loop<agent_event> control;
   peer_client client;
--- a/Source/Net/peer_codec.cxx
+++ b/Source/Net/peer_codec.cxx
@@ -162,16 +162,20 @@
 }
 
 void put(field_writer& out, const configuration_change& change) {
-  out.array(3);
+  out.array(5);
   out.put(change.version);
   out.put(change.whole);
   out.put(change.text);
+  out.put(change.base_version);
+  out.put(change.checksum);
 }
 
 void get(field_reader in, configuration_change& change) {
   in.get(change.version);
   in.get(change.whole);
   in.get(change.text);
+  in.get(change.base_version);
+  in.get(change.checksum);
 }
 
 template <class Entry>
@@ -190,13 +194,14 @@
 }
 
 void put(field_writer& out, const gossip_message& message) {
-  out.array(6);
+  out.array(7);
   out.put(message.from);
   out.put(message.configuration_version);
   out.put(message.wants_reply);
   put_list(out, message.rumors);
   put_list(out, message.loads);
   put_list(out, message.changes);
+  out.put(message.wants_all);
 }
 
 void get(field_reader in, gossip_message& message) {
@@ -206,6 +211,7 @@
   get_list(in.array(), message.rumors);
   get_list(in.array(), message.loads);
   get_list(in.array(), message.changes);
+  in.get(message.wants_all);
 }
 
 void put(field_writer& out, const accepted_frame& frame) {
