Spread loads youngest first and news by what they tell

Cause: with 160 replicas in a pool, an agent knew the pool's mean in too few cases, and a fleet that starts together spent its budget on announcements that told nothing. Change: 32 entries a message, the youngest first, instead of 24 at random; announcements that the VM list has told already are passed on once; pushes and exchanges have budgets of their own; first pauses are spread over their whole interval. A loop in virtual time wires many control planes for tests and measurements.

--- a/Source/Gossip/control_plane.cxx
+++ b/Source/Gossip/control_plane.cxx
@@ -69,7 +69,8 @@
   begin_reads(plane.reads, *plane.random, now);
   plane.next_gossip = now;
   plane.next_ageing = now + ageing_interval;
-  plane.gossip_budget.filled_at = now;
+  plane.exchange_budget.filled_at = now;
+  plane.push_budget.filled_at = now;
   plane.bulk_budget.filled_at = now;
 }
 
@@ -170,23 +171,27 @@
   start_rumor(plane, rumor_kind::node_serving, plane.self.node.value, "", now);
 }
 
-void apply_rumor(control_plane& plane, const rumor& news, steady_time now) {
+/// Applies a rumor to the table that it concerns; true if it told anything new.
+bool apply_rumor(control_plane& plane, const rumor& news, steady_time now) {
   if (news.kind == rumor_kind::request_crashed) {
-    note_crash(plane.crashes, news, now);
-    return;
+    return note_crash(plane.crashes, news, now);
   }
-  refute(plane, news, now);
+  const std::uint64_t generation = plane.members.generation;
   merge_node_rumor(plane.members, news, now);
+  return plane.members.generation != generation;
 }
 
 void take_rumors(control_plane& plane, const gossip_message& message, steady_time now) {
   for (const rumor& news : message.rumors) {
-    const bool is_new = store_rumor(plane.rumors, news, sends_for(plane), now);
-    const bool is_history = news.kind == rumor_kind::request_crashed;
-    if (is_new || is_history) {
-      apply_rumor(plane, news, now);
+    if (knows_rumor(plane.rumors, news)) {
+      store_rumor(plane.rumors, news, 0, now);
+      continue;
     }
-    if (is_new) {
+    refute(plane, news, now);
+    // What the VM list or earlier news have told already is hardly passed on.
+    const bool tells_more = apply_rumor(plane, news, now);
+    store_rumor(plane.rumors, news, tells_more ? sends_for(plane) : 1, now);
+    if (tells_more) {
       schedule_push(plane);
     }
   }
@@ -228,7 +233,8 @@
   plane->members.self = self.node;
   plane->next_sequence = random.next() & ~lower_half;
   plane->history_asks_left = history_asks;
-  plane->gossip_budget = make_send_budget(gossip_bytes_per_second, gossip_burst_bytes);
+  plane->exchange_budget = make_send_budget(exchange_bytes_per_second, exchange_burst_bytes);
+  plane->push_budget = make_send_budget(push_bytes_per_second, push_burst_bytes);
   plane->bulk_budget = make_send_budget(bulk_bytes_per_second, bulk_burst_bytes);
   return plane;
 }
--- a/Source/Gossip/control_plane_state.h
+++ b/Source/Gossip/control_plane_state.h
@@ -21,12 +21,14 @@
 
 namespace chestnuthead {
 
-/// Bytes a second that a node sends for ordinary gossip, and beside them for
-/// whole documents and long runs of changes. What a node receives is the same
-/// on the mean.
-inline constexpr double gossip_bytes_per_second = 5'000.0;
-inline constexpr double gossip_burst_bytes = 10'000.0;
-inline constexpr double bulk_bytes_per_second = 1'500.0;
+/// Bytes a second that a node sends for exchanges, for pushes of fresh news,
+/// and for whole documents and long runs of changes. What a node receives is
+/// the same on the mean.
+inline constexpr double exchange_bytes_per_second = 3'600.0;
+inline constexpr double exchange_burst_bytes = 8'000.0;
+inline constexpr double push_bytes_per_second = 1'800.0;
+inline constexpr double push_burst_bytes = 12'000.0;
+inline constexpr double bulk_bytes_per_second = 1'000.0;
 inline constexpr double bulk_burst_bytes = 48'000.0;
 
 /// A peer that holds a newer configuration than this node.
@@ -65,7 +67,8 @@
   /// Exchanges in which the crashes known elsewhere are still asked for.
   std::uint32_t history_asks_left = 0;
   bool said_leaving = false;
-  send_budget gossip_budget;
+  send_budget exchange_budget;
+  send_budget push_budget;
   send_budget bulk_budget;
   control_counters counters;
   /// Sum of the tables' own counts of broken invariants as last told.
--- a/Source/Gossip/crash_table.cxx
+++ b/Source/Gossip/crash_table.cxx
@@ -36,10 +36,10 @@
 
 }  // namespace
 
-void note_crash(crash_table& table, const rumor& news, steady_time now) {
+bool note_crash(crash_table& table, const rumor& news, steady_time now) {
   const std::optional<std::uint64_t> fingerprint = fingerprint_in(news.subject);
   if (!fingerprint) {
-    return;
+    return false;
   }
   auto& records = table.crashes[*fingerprint];
   const endpoint_id endpoint{news.detail};
@@ -47,15 +47,17 @@
   const auto known = records.find(endpoint);
   if (known != records.end()) {
     known->second.said_at = std::max(known->second.said_at, said_at);
-    return;
+    return false;
   }
   // More endpoints than any limit asks for change no decision.
-  if (records.size() < crash_endpoint_limit) {
+  const bool is_kept = records.size() < crash_endpoint_limit;
+  if (is_kept) {
     records[endpoint] = crash_record{news, said_at};
   }
   if (table.crashes.size() > crash_fingerprint_limit) {
     forget_one_fingerprint(table);
   }
+  return is_kept;
 }
 
 std::uint32_t count_crashed(const crash_table& table, std::uint64_t fingerprint,
--- a/Source/Gossip/crash_table.h
+++ b/Source/Gossip/crash_table.h
@@ -28,9 +28,9 @@
   std::map<std::uint64_t, std::map<endpoint_id, crash_record>> crashes;
 };
 
-/// Takes in a rumor of kind `request_crashed`; ignores one whose subject is no
-/// fingerprint.
-void note_crash(crash_table& table, const rumor& news, steady_time now);
+/// Takes in a rumor of kind `request_crashed`; false if it was known or its
+/// subject is no fingerprint.
+bool note_crash(crash_table& table, const rumor& news, steady_time now);
 
 /// Distinct endpoints that crashed on this content within `memory`.
 std::uint32_t count_crashed(const crash_table& table, std::uint64_t fingerprint,
--- a/Source/Gossip/exchange.cxx
+++ b/Source/Gossip/exchange.cxx
@@ -35,10 +35,9 @@
 
 void add_news(control_plane& plane, const vm_entry& peer, gossip_message& message,
               steady_time now) {
-  message.rumors = take_rumors_to_send(plane.rumors, rumor_bytes_per_message, now);
+  message.rumors = take_rumors_to_send(plane.rumors, rumor_bytes_per_exchange, now);
   if (shares_pool(plane, peer)) {
-    message.loads =
-        choose_loads(plane.loads, endpoint_id{plane.self.node.value}, *plane.random, now);
+    message.loads = choose_loads(plane.loads, now);
   }
 }
 
@@ -73,7 +72,7 @@
 }
 
 void push_news(control_plane& plane, control_output& output, steady_time now) {
-  if (plane.pushes_left == 0 || !may_send(plane.gossip_budget, now)) {
+  if (plane.pushes_left == 0 || !may_send(plane.push_budget, now)) {
     return;
   }
   --plane.pushes_left;
@@ -82,14 +81,14 @@
       pick_peers(plane.picker, plane.members, plane.self, fanout, *plane.random, now);
   for (const member* peer : peers) {
     gossip_message message = begin_message(plane);
-    message.rumors = take_rumors_to_send(plane.rumors, rumor_bytes_per_message, now);
+    message.rumors = take_rumors_to_send(plane.rumors, rumor_bytes_per_push, now);
     message.changes = changes_to_push(plane.configuration);
-    send(plane, peer->vm, std::move(message), plane.gossip_budget, output);
+    send(plane, peer->vm, std::move(message), plane.push_budget, output);
   }
 }
 
 void ask_newer_peer(control_plane& plane, control_output& output, steady_time now) {
-  if (!plane.newer || now < plane.newer->next_ask || !may_send(plane.gossip_budget, now)) {
+  if (!plane.newer || now < plane.newer->next_ask || !may_send(plane.exchange_budget, now)) {
     return;
   }
   const member* peer = find_member(plane.members, plane.newer->peer);
@@ -102,7 +101,7 @@
   message.wants_all = plane.newer->asks >= asks_for_changes;
   ++plane.newer->asks;
   plane.newer->next_ask = now + ask_pause * std::min(plane.newer->asks, 8U);
-  send(plane, peer->vm, std::move(message), plane.gossip_budget, output);
+  send(plane, peer->vm, std::move(message), plane.exchange_budget, output);
 }
 
 void exchange_with_one(control_plane& plane, control_output& output, steady_time now) {
@@ -113,7 +112,7 @@
   const auto jitter = static_cast<std::int64_t>(
       next_below(*plane.random, static_cast<std::uint64_t>(interval.count() / 2 + 1)));
   plane.next_gossip = now + interval * 3 / 4 + milliseconds{jitter};
-  if (!may_send(plane.gossip_budget, now)) {
+  if (!may_send(plane.exchange_budget, now)) {
     return;
   }
   const member* peer = pick_peer(plane.picker, plane.members, plane.self, *plane.random, now);
@@ -127,7 +126,7 @@
     message.wants_all = true;
   }
   add_news(plane, peer->vm, message, now);
-  send(plane, peer->vm, std::move(message), plane.gossip_budget, output);
+  send(plane, peer->vm, std::move(message), plane.exchange_budget, output);
 }
 
 /// What brings a peer at an older version to this node's.
@@ -168,7 +167,7 @@
 void answer_peer(control_plane& plane, const gossip_message& message, control_output& output,
                  steady_time now) {
   const member* peer = find_member(plane.members, message.from);
-  if (peer == nullptr || !may_send(plane.gossip_budget, now)) {
+  if (peer == nullptr || !may_send(plane.exchange_budget, now)) {
     return;
   }
   gossip_message answer = begin_message(plane);
@@ -185,7 +184,7 @@
     answer.rumors.insert(answer.rumors.end(), history.begin(), history.end());
   }
   const bool is_bulk = size_of_changes(answer) > change_bytes_per_push;
-  send(plane, peer->vm, std::move(answer), is_bulk ? plane.bulk_budget : plane.gossip_budget,
+  send(plane, peer->vm, std::move(answer), is_bulk ? plane.bulk_budget : plane.exchange_budget,
        output);
 }
 
--- a/Source/Gossip/exchange.h
+++ b/Source/Gossip/exchange.h
@@ -6,8 +6,9 @@
 /// What a control plane tells its peers, and when.
 namespace chestnuthead {
 
-/// Bytes of rumors in one message at most.
-inline constexpr std::size_t rumor_bytes_per_message = 600;
+/// Bytes of rumors in one message of an exchange and in one push at most.
+inline constexpr std::size_t rumor_bytes_per_exchange = 300;
+inline constexpr std::size_t rumor_bytes_per_push = 600;
 /// Changes that go along with a push, in number and bytes at most.
 inline constexpr std::size_t changes_per_push = 3;
 inline constexpr std::size_t change_bytes_per_push = 1'000;
--- a/Source/Gossip/load_table.cxx
+++ b/Source/Gossip/load_table.cxx
@@ -1,5 +1,6 @@
 #include "Gossip/load_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chestnuthead {
@@ -32,22 +33,19 @@
   table.loads[entry.endpoint] = known_load{entry.in_flight, entry.limit, measured_at};
 }
 
-std::vector<load_entry> choose_loads(const load_table& table, const endpoint_id& own,
-                                     random_source& random, steady_time now) {
-  std::vector<load_entry> chosen;
-  std::vector<load_entry> others;
+std::vector<load_entry> choose_loads(const load_table& table, steady_time now) {
+  std::vector<load_entry> fresh;
   for (const auto& [endpoint, load] : table.loads) {
     if (is_fresh(load, now)) {
-      auto& place = endpoint == own ? chosen : others;
-      place.push_back(entry_of(endpoint, load, now));
+      fresh.push_back(entry_of(endpoint, load, now));
     }
   }
-  for (std::size_t index = 0; index < others.size() && chosen.size() < loads_per_message; ++index) {
-    const std::size_t pick = index + next_below(random, others.size() - index);
-    std::swap(others[index], others[pick]);
-    chosen.push_back(others[index]);
-  }
-  return chosen;
+  const std::size_t count = std::min(fresh.size(), loads_per_message);
+  std::partial_sort(
+      fresh.begin(), fresh.begin() + static_cast<std::ptrdiff_t>(count), fresh.end(),
+      [](const load_entry& one, const load_entry& other) { return one.age < other.age; });
+  fresh.resize(count);
+  return fresh;
 }
 
 std::optional<double> mean_load(const load_table& table, const std::vector<endpoint_id>& endpoints,
--- a/Source/Gossip/load_table.h
+++ b/Source/Gossip/load_table.h
@@ -10,7 +10,6 @@
 #include "chestnuthead/clock.h"
 #include "chestnuthead/gossip.h"
 #include "chestnuthead/ids.h"
-#include "chestnuthead/random_source.h"
 
 /// Loads of the endpoints of one pool as peers passed them on.
 namespace chestnuthead {
@@ -21,7 +20,7 @@
 /// load of an endpoint that is gone does not stay young from hop to hop.
 inline constexpr std::chrono::milliseconds load_hop_age{50};
 /// Entries in one message at most.
-inline constexpr std::size_t loads_per_message = 24;
+inline constexpr std::size_t loads_per_message = 32;
 /// Endpoints kept at most.
 inline constexpr std::size_t load_limit = 1'024;
 
@@ -39,10 +38,9 @@
 /// Takes in an entry unless a newer one is known or it is too old.
 void merge_load(load_table& table, const load_entry& entry, steady_time now);
 
-/// Chooses entries for a peer: `own` first if it is known, the rest at random
-/// among those that are fresh.
-std::vector<load_entry> choose_loads(const load_table& table, const endpoint_id& own,
-                                     random_source& random, steady_time now);
+/// Chooses entries for a peer, the youngest first: the own one is always among
+/// them, and news travel faster than with a choice at random.
+std::vector<load_entry> choose_loads(const load_table& table, steady_time now);
 
 /// Mean load of `endpoints`, if at least half of them are fresh.
 std::optional<double> mean_load(const load_table& table, const std::vector<endpoint_id>& endpoints,
--- a/Source/Gossip/read_schedule.cxx
+++ b/Source/Gossip/read_schedule.cxx
@@ -27,6 +27,13 @@
       static_cast<std::int64_t>(static_cast<double>(window.count()) * next_unit(random))};
 }
 
+/// The first pause is spread over the whole of its mean, so that nodes which
+/// have started together read at different times from then on.
+milliseconds next_pause(milliseconds mean, bool first, random_source& random) {
+  return first ? std::max(shortest_read_interval / 2, within(mean, random))
+               : jittered(mean, random);
+}
+
 /// Time over which the nodes of a failure domain that come back together
 /// spread their first reads.
 milliseconds start_window(const fleet_shape& fleet) {
@@ -92,7 +99,7 @@
   const milliseconds steady = list_interval(fleet);
   const milliseconds pause = success ? steady : start_pause(fleet, schedule.list_failures, steady);
   schedule.list_failures = success ? 0 : schedule.list_failures + 1;
-  schedule.next_list_read = now + jittered(pause, random);
+  schedule.next_list_read = now + next_pause(pause, schedule.list_reads++ == 0, random);
   const bool first = !schedule.next_configuration_read && !schedule.configuration_read_since;
   if (first) {
     schedule.next_configuration_read = now + within(start_window(fleet), random);
@@ -110,7 +117,8 @@
   const milliseconds pause =
       starting ? start_pause(fleet, schedule.configuration_failures, steady) : steady;
   schedule.configuration_failures = success ? 0 : schedule.configuration_failures + 1;
-  schedule.next_configuration_read = now + jittered(pause, random);
+  schedule.next_configuration_read =
+      now + next_pause(pause, schedule.configuration_reads++ == 0, random);
 }
 
 }  // namespace chestnuthead
--- a/Source/Gossip/read_schedule.h
+++ b/Source/Gossip/read_schedule.h
@@ -20,7 +20,7 @@
 
 inline constexpr std::chrono::milliseconds shortest_read_interval{1'000};
 /// A node that has just started reads the list within this time.
-inline constexpr std::chrono::milliseconds first_list_read_window{500};
+inline constexpr std::chrono::milliseconds first_list_read_window{1'000};
 /// A call without any answer is given up after this time.
 inline constexpr std::chrono::milliseconds read_timeout{5'000};
 /// Nodes of its failure domain that a node supposes while it knows no list.
@@ -46,6 +46,8 @@
   std::optional<steady_time> configuration_read_since;
   std::uint32_t configuration_failures = 0;
   std::uint32_t list_failures = 0;
+  std::uint64_t configuration_reads = 0;
+  std::uint64_t list_reads = 0;
   /// A read that was begun after this node's start has succeeded.
   bool confirmed = false;
 };
--- a/Source/Gossip/rumor_store.cxx
+++ b/Source/Gossip/rumor_store.cxx
@@ -15,19 +15,21 @@
   return {news.origin, news.sequence, news.subject};
 }
 
-void forget_oldest(rumor_store& store) {
-  const auto oldest = store.by_time.begin();
-  const rumor_name name = oldest->first.second;
-  store.by_time.erase(oldest);
-  store.rumors.erase(name);
-  store.active.erase(name);
+/// Sets how often a rumor is still passed on, and keeps the order of sending.
+void set_sends_left(rumor_store& store, stored_rumor& stored, const rumor_name& name,
+                    std::uint32_t sends) {
+  store.active.erase({stored.sends_left, name});
+  stored.sends_left = sends;
+  if (sends > 0) {
+    store.active.insert({sends, name});
+  }
 }
 
-void count_duplicate(rumor_store& store, stored_rumor& known, const rumor_name& name) {
-  known.sends_left -= std::min(known.sends_left, sends_lost_by_duplicate);
-  if (known.sends_left == 0) {
-    store.active.erase(name);
-  }
+void forget_oldest(rumor_store& store) {
+  const rumor_name name = store.by_time.begin()->second;
+  store.by_time.erase(store.by_time.begin());
+  set_sends_left(store, store.rumors.at(name), name, 0);
+  store.rumors.erase(name);
 }
 
 std::chrono::milliseconds age_at(const stored_rumor& stored, steady_time now) {
@@ -36,20 +38,27 @@
 
 }  // namespace
 
+bool knows_rumor(const rumor_store& store, const rumor& news) {
+  return store.rumors.count(name_of(news)) > 0;
+}
+
 bool store_rumor(rumor_store& store, const rumor& news, std::uint32_t sends, steady_time now) {
   const rumor_name name = name_of(news);
   const auto known = store.rumors.find(name);
   if (known != store.rumors.end()) {
-    count_duplicate(store, known->second, name);
+    stored_rumor& stored = known->second;
+    set_sends_left(store, stored, name,
+                   stored.sends_left - std::min(stored.sends_left, sends_lost_by_duplicate));
     return false;
   }
   if (news.age > rumor_spread_age) {
     return false;
   }
   const steady_time said_at = now - news.age;
-  store.rumors[name] = stored_rumor{news, said_at, sends};
-  store.by_time[{said_at, name}] = true;
-  store.active[name] = true;
+  stored_rumor& stored = store.rumors[name];
+  stored = stored_rumor{news, said_at, 0};
+  store.by_time.insert({said_at, name});
+  set_sends_left(store, stored, name, sends);
   if (store.rumors.size() > rumor_limit) {
     forget_oldest(store);
   }
@@ -58,36 +67,36 @@
 
 std::vector<rumor> take_rumors_to_send(rumor_store& store, std::size_t byte_limit,
                                        steady_time now) {
-  std::vector<std::pair<std::uint32_t, rumor_name>> order;
-  for (const auto& [name, unused] : store.active) {
-    order.emplace_back(store.rumors.at(name).sends_left, name);
-  }
-  std::stable_sort(order.begin(), order.end(),
-                   [](const auto& one, const auto& other) { return one.first > other.first; });
   std::vector<rumor> chosen;
+  std::vector<rumor_name> names;
   std::size_t bytes = 0;
-  for (const auto& [sends_left, name] : order) {
-    stored_rumor& stored = store.rumors.at(name);
+  for (const auto& [sends_left, name] : store.active) {
+    const stored_rumor& stored = store.rumors.at(name);
     bytes += encoded_size(stored.news);
     if (bytes > byte_limit) {
       break;
     }
+    names.push_back(name);
     chosen.push_back(stored.news);
     chosen.back().age = age_at(stored, now);
-    if (--stored.sends_left == 0) {
-      store.active.erase(name);
-    }
+  }
+  for (const rumor_name& name : names) {
+    stored_rumor& stored = store.rumors.at(name);
+    set_sends_left(store, stored, name, stored.sends_left - 1);
   }
   return chosen;
 }
 
 void expire_rumors(rumor_store& store, steady_time now) {
-  while (!store.by_time.empty() && now - store.by_time.begin()->first.first > rumor_memory) {
+  while (!store.by_time.empty() && now - store.by_time.begin()->first > rumor_memory) {
     forget_oldest(store);
   }
-  for (auto place = store.active.begin(); place != store.active.end();) {
-    const bool old = age_at(store.rumors.at(place->first), now) > rumor_spread_age;
-    place = old ? store.active.erase(place) : std::next(place);
+  // Oldest first, so that the first young one ends the search.
+  for (const auto& [said_at, name] : store.by_time) {
+    if (now - said_at <= rumor_spread_age) {
+      break;
+    }
+    set_sends_left(store, store.rumors.at(name), name, 0);
   }
 }
 
--- a/Source/Gossip/rumor_store.h
+++ b/Source/Gossip/rumor_store.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -41,14 +42,24 @@
   std::uint32_t sends_left = 0;
 };
 
+struct most_sends_first {
+  bool operator()(const std::pair<std::uint32_t, rumor_name>& one,
+                  const std::pair<std::uint32_t, rumor_name>& other) const {
+    return one.first != other.first ? one.first > other.first : one.second < other.second;
+  }
+};
+
 struct rumor_store {
   std::map<rumor_name, stored_rumor> rumors;
   /// The same by the time at which they were said, for ageing.
-  std::map<std::pair<steady_time, rumor_name>, bool> by_time;
-  /// Names of those that still have sends left.
-  std::map<rumor_name, bool> active;
+  std::set<std::pair<steady_time, rumor_name>> by_time;
+  /// Those that still have sends left, most sends first.
+  std::set<std::pair<std::uint32_t, rumor_name>, most_sends_first> active;
 };
 
+/// True if the rumor was heard before.
+bool knows_rumor(const rumor_store& store, const rumor& news);
+
 /// Takes in a rumor; false if it was known or is too old to spread. A known one
 /// loses sends, since others have it too.
 bool store_rumor(rumor_store& store, const rumor& news, std::uint32_t sends, steady_time now);
--- /dev/null
+++ b/Source/Measure/control_fleet.cxx
@@ -0,0 +1,347 @@
+#include "Measure/control_fleet.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace chestnuthead {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr steady_time start_of_run{std::chrono::hours{1}};
+constexpr milliseconds platform_delay{4};
+constexpr milliseconds late_platform_delay{9'000};
+
+vm_entry entry_for(const control_fleet_settings& settings, std::size_t place) {
+  const std::size_t domain = place % (settings.regions * settings.domains_per_region);
+  vm_entry vm;
+  vm.failure_domain.value = "domain-" + std::to_string(domain);
+  vm.region.value = "region-" + std::to_string(domain / settings.domains_per_region);
+  vm.address = "10.0." + std::to_string(place / 250) + "." + std::to_string(place % 250) + ":7000";
+  if (place < settings.routers) {
+    vm.node.value = "router-" + std::to_string(place);
+    return vm;
+  }
+  const std::size_t agent = place - settings.routers;
+  vm.role = vm_role::agent;
+  vm.node.value = "agent-" + std::to_string(agent);
+  vm.pool.value = "pool-" + std::to_string(agent % settings.pools);
+  return vm;
+}
+
+void add(control_counters& sum, const control_counters& part) {
+  sum.configuration_reads += part.configuration_reads;
+  sum.vm_list_reads += part.vm_list_reads;
+  sum.messages_sent += part.messages_sent;
+  sum.messages_received += part.messages_received;
+  sum.bytes_sent += part.bytes_sent;
+  sum.bytes_received += part.bytes_received;
+  sum.invariants_broken += part.invariants_broken;
+}
+
+}  // namespace
+
+control_fleet::control_fleet(const control_fleet_settings& given,
+                             const configuration_document& first)
+    : settings(given), random(given.seed), accepted(first) {
+  for (std::size_t place = 0; place < given.routers + given.agents; ++place) {
+    control_fleet_node node;
+    node.vm = entry_for(given, place);
+    node.random = std::make_unique<seeded_random>(this->random.next());
+    this->places[node.vm.node] = place;
+    this->listed[place] = node.vm;
+    this->nodes.push_back(std::move(node));
+  }
+  this->publish();
+  this->editions.front().published = steady_time{};
+  this->change([](configuration_document&) {});
+}
+
+void control_fleet::start(std::size_t place) {
+  control_fleet_node& node = this->nodes[place];
+  if (node.plane) {
+    add(node.earlier, counters_of(*node.plane));
+  }
+  ++node.run;
+  node.alive = true;
+  node.frozen = false;
+  node.held.clear();
+  node.plane = make_control_plane(node.vm, *node.random);
+  if (this->listed.count(place) == 0 || this->listed[place].leaving) {
+    this->listed[place] = node.vm;
+    this->publish();
+  }
+  start_rumor(*node.plane, rumor_kind::node_serving, node.vm.node.value, "", this->clock);
+  const auto offset =
+      next_below(this->random, static_cast<std::uint64_t>(this->settings.tick_interval.count()));
+  const std::uint64_t run_number = node.run;
+  this->after(milliseconds{offset}, [this, place, run_number] { this->tick(place, run_number); });
+}
+
+void control_fleet::start_all() {
+  for (std::size_t place = 0; place < this->nodes.size(); ++place) {
+    this->start(place);
+  }
+}
+
+void control_fleet::kill(std::size_t place) {
+  this->nodes[place].alive = false;
+}
+
+void control_fleet::freeze(std::size_t place) {
+  this->nodes[place].frozen = true;
+}
+
+void control_fleet::resume(std::size_t place) {
+  control_fleet_node& node = this->nodes[place];
+  node.frozen = false;
+  const std::vector<std::function<void()>> held = std::move(node.held);
+  node.held.clear();
+  for (const auto& run : held) {
+    run();
+  }
+}
+
+void control_fleet::list_leaving(std::size_t place) {
+  this->listed[place].leaving = true;
+  this->publish();
+}
+
+void control_fleet::list_gone(std::size_t place) {
+  this->listed.erase(place);
+  this->publish();
+}
+
+bool control_fleet::change(const std::function<void(configuration_document&)>& edit) {
+  if (this->table_down) {
+    return false;
+  }
+  edit(this->accepted);
+  const std::uint64_t expected = this->accepted.version;
+  this->table.apply(
+      table_write_group{{{configuration_row_key, expected, format_configuration(this->accepted)}}});
+  this->accepted.version = expected + 1;
+  return true;
+}
+
+void control_fleet::run_until(milliseconds until) {
+  const steady_time end = start_of_run + until;
+  while (!this->events.empty() && this->events.top().at <= end) {
+    const event next = this->events.top();
+    this->events.pop();
+    this->clock = next.at;
+    next.run();
+  }
+  this->clock = end;
+}
+
+milliseconds control_fleet::elapsed() const {
+  return std::chrono::duration_cast<milliseconds>(this->clock - start_of_run);
+}
+
+steady_time control_fleet::now() const {
+  return this->clock;
+}
+
+std::size_t control_fleet::size() const {
+  return this->nodes.size();
+}
+
+control_fleet_node& control_fleet::at(std::size_t place) {
+  return this->nodes[place];
+}
+
+std::uint64_t control_fleet::accepted_version_now() const {
+  return this->accepted.version;
+}
+
+std::size_t control_fleet::holders_of(std::uint64_t version) const {
+  return static_cast<std::size_t>(
+      std::count_if(this->nodes.begin(), this->nodes.end(), [version](const auto& node) {
+        return node.alive && configuration_confirmed(*node.plane) &&
+               current_configuration(*node.plane).version >= version;
+      }));
+}
+
+std::size_t control_fleet::confirmed() const {
+  return this->holders_of(0);
+}
+
+control_counters control_fleet::counters(std::size_t place) const {
+  const control_fleet_node& node = this->nodes[place];
+  control_counters sum = node.earlier;
+  if (node.plane) {
+    add(sum, counters_of(*node.plane));
+  }
+  return sum;
+}
+
+void control_fleet::after(milliseconds delay, std::function<void()> run) {
+  this->events.push(event{this->clock + delay, this->next_order++, std::move(run)});
+}
+
+void control_fleet::for_node(std::size_t place, std::uint64_t run_number,
+                             const std::function<void()>& run) {
+  control_fleet_node& node = this->nodes[place];
+  if (!node.alive || node.run != run_number) {
+    return;
+  }
+  if (node.frozen) {
+    node.held.push_back([this, place, run_number, run] { this->for_node(place, run_number, run); });
+    return;
+  }
+  run();
+  this->check(place);
+}
+
+void control_fleet::tick(std::size_t place, std::uint64_t run_number) {
+  control_fleet_node& node = this->nodes[place];
+  if (!node.alive || node.run != run_number) {
+    return;
+  }
+  if (!node.frozen) {
+    if (node.vm.role == vm_role::agent) {
+      report_own_load(*node.plane, node.load, 32, this->clock);
+    }
+    this->carry_out(place, control_tick(*node.plane, this->clock));
+    this->check(place);
+  }
+  this->after(this->settings.tick_interval,
+              [this, place, run_number] { this->tick(place, run_number); });
+}
+
+void control_fleet::carry_out(std::size_t place, const control_output& output) {
+  for (const outgoing_gossip& gossip : output.messages) {
+    this->deliver(place, gossip);
+  }
+  for (const table_ask& ask : output.asks) {
+    this->ask_table(place, ask);
+  }
+  if (output.read_vm_list) {
+    this->read_list(place);
+  }
+  for (const broken_invariant& found : output.broken) {
+    this->broken.push_back(this->nodes[place].vm.node.value + ": " + found.name + " " +
+                           found.detail);
+  }
+}
+
+void control_fleet::deliver(std::size_t from, const outgoing_gossip& gossip) {
+  const auto target = this->places.find(gossip.to);
+  if (target == this->places.end() || this->chance(this->settings.loss)) {
+    return;
+  }
+  const std::size_t place = target->second;
+  control_fleet_node& node = this->nodes[place];
+  const vm_entry& sender = this->nodes[from].vm;
+  if (this->is_cut && this->is_cut(sender, node.vm)) {
+    note_link_lost(*this->nodes[from].plane, gossip.to, this->clock);
+    return;
+  }
+  if (!node.alive) {
+    note_link_lost(*this->nodes[from].plane, gossip.to, this->clock);
+    return;
+  }
+  const bool near = sender.region == node.vm.region;
+  milliseconds delay = near ? this->settings.near_delay : this->settings.far_delay;
+  if (this->chance(this->settings.late)) {
+    delay += this->settings.late_delay;
+  }
+  const std::uint64_t run_number = node.run;
+  this->after(delay, [this, place, run_number, message = gossip.message] {
+    this->for_node(place, run_number, [this, place, message] {
+      this->carry_out(place, take_gossip(*this->nodes[place].plane, message, this->clock));
+    });
+  });
+}
+
+void control_fleet::ask_table(std::size_t place, const table_ask& ask) {
+  ++this->table_reads_by_second[this->second()];
+  const std::uint64_t run_number = this->nodes[place].run;
+  const bool fails = this->table_down || this->without_platform.count(place) > 0 ||
+                     this->chance(this->settings.table_no_answer);
+  const table_reply reply =
+      fails ? table_reply{table_failure::no_answer} : this->table.apply(ask.request);
+  const bool late = this->chance(this->settings.table_late);
+  this->after(late ? late_platform_delay : platform_delay,
+              [this, place, run_number, ticket = ask.ticket, reply] {
+                this->for_node(place, run_number, [this, place, ticket, reply] {
+                  this->carry_out(place, take_table_reply(*this->nodes[place].plane, ticket, reply,
+                                                          this->clock));
+                });
+              });
+}
+
+void control_fleet::read_list(std::size_t place) {
+  ++this->list_reads_by_second[this->second()];
+  const std::uint64_t run_number = this->nodes[place].run;
+  // Each read sees the list as it was some time ago, so that two in a row may
+  // come in the wrong order.
+  const auto lag = milliseconds{static_cast<std::int64_t>(
+      next_below(this->random, static_cast<std::uint64_t>(this->settings.list_lag.count() + 1)))};
+  auto edition = this->editions.rbegin();
+  while (std::next(edition) != this->editions.rend() && edition->published + lag > this->clock) {
+    ++edition;
+  }
+  const bool fails = this->without_platform.count(place) > 0;
+  this->after(platform_delay, [this, place, run_number, fails, snapshot = edition->snapshot] {
+    this->for_node(place, run_number, [this, place, fails, snapshot] {
+      const vm_list_reply reply =
+          fails ? vm_list_reply{vm_list_failure::unavailable} : vm_list_reply{*snapshot};
+      this->carry_out(place, take_vm_list(*this->nodes[place].plane, reply, this->clock));
+    });
+  });
+}
+
+void control_fleet::publish() {
+  auto snapshot = std::make_shared<vm_snapshot>();
+  snapshot->version = this->editions.size() + 1;
+  for (const auto& [place, vm] : this->listed) {
+    snapshot->vms.push_back(vm);
+  }
+  this->editions.push_back({this->clock, std::move(snapshot)});
+}
+
+void control_fleet::check(std::size_t place) {
+  control_fleet_node& node = this->nodes[place];
+  if (!configuration_confirmed(*node.plane)) {
+    return;
+  }
+  const std::uint64_t version = current_configuration(*node.plane).version;
+  if (version < node.served_version) {
+    this->broken.push_back(node.vm.node.value + ": served version " +
+                           std::to_string(node.served_version) + ", now " +
+                           std::to_string(version));
+  }
+  node.served_version = std::max(node.served_version, version);
+}
+
+bool control_fleet::chance(double share) {
+  return share > 0.0 && next_unit(this->random) < share;
+}
+
+std::int64_t control_fleet::second() const {
+  return std::chrono::duration_cast<std::chrono::seconds>(this->elapsed()).count();
+}
+
+configuration_document sample_configuration(std::size_t pools, std::size_t customers) {
+  configuration_document document;
+  document.operation = "first";
+  for (std::size_t index = 0; index < pools; ++index) {
+    pool_configuration pool;
+    pool.name.value = "pool-" + std::to_string(index);
+    document.pools.push_back(pool);
+  }
+  for (std::size_t index = 0; index < customers; ++index) {
+    document.customers.push_back({customer_id{"customer-" + std::to_string(index)}, 1.0});
+  }
+  constexpr std::size_t domains = 12;
+  for (std::size_t index = 0; index < domains; ++index) {
+    document.failure_domains.push_back(failure_domain_id{"domain-" + std::to_string(index)});
+  }
+  return document;
+}
+
+}  // namespace chestnuthead
