--- a/Source/Measure/control_fleet.cxx
+++ b/Source/Measure/control_fleet.cxx
@@ -69,6 +69,9 @@
   node.frozen = false;
   node.held.clear();
   node.plane = make_control_plane(node.vm, *node.random);
+  if (this->on_start) {
+    this->on_start(*node.plane);
+  }
   if (this->listed.count(place) == 0 || this->listed[place].leaving) {
     this->listed[place] = node.vm;
     this->publish();
--- a/Source/Measure/control_fleet.h
+++ b/Source/Measure/control_fleet.h
@@ -102,6 +102,8 @@
   bool table_down = false;
   /// True for links that carry nothing; asked for each message.
   std::function<bool(const vm_entry& from, const vm_entry& to)> is_cut;
+  /// Called for each control plane that has just been made, to set switches.
+  std::function<void(control_plane&)> on_start;
   /// Nodes that can't reach the platform.
   std::set<std::size_t> without_platform;
   memory_table table;
