--- a/Source/Agent/attempt_flow.cxx
+++ b/Source/Agent/attempt_flow.cxx
@@ -87,6 +87,17 @@
   }
 }
 
+// Sends calls on that got no slot, so that another endpoint may have them.
+void send_on_waiting_calls(agent_state& state, steady_time now) {
+  for (const attempt_id& attempt : attempts_in(state.attempts, attempt_phase::queued)) {
+    const attempt_row& row = *find_attempt(state.attempts, attempt);
+    if (!row.accepted && now - row.admitted_at > call_queue_wait) {
+      const auto come_back = time_to_next_end(state.rate, slots_held(state.attempts));
+      refuse(state, row.offer, refusal_kind::full, come_back);
+    }
+  }
+}
+
 bool time_is_up(const attempt_row& row, steady_time now) {
   // The ledger keeps the deadline of a claim itself.
   return row.phase != attempt_phase::claiming && row.deadline <= now;
@@ -132,6 +143,7 @@
       stop_attempt(state, *row, now);
     }
   }
+  send_on_waiting_calls(state, now);
   std::erase_if(state.attempts.rows, [now](const auto& entry) {
     const attempt_row& row = entry.second;
     return row.phase == attempt_phase::cancelling && now - row.cancelled_at > cancel_wait;
--- a/Source/Agent/attempt_flow.h
+++ b/Source/Agent/attempt_flow.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+
 #include "chestnuthead/agent_core.h"
 
 #include "Agent/agent_state.h"
@@ -12,6 +14,10 @@
 /// not reported closed.
 inline constexpr std::chrono::seconds cancel_wait{5};
 
+/// How long an at-most-once call waits for a slot before its claim is asked
+/// for. Its router hears nothing until the claim stands, so this is short.
+inline constexpr std::chrono::milliseconds call_queue_wait{750};
+
 void take_offer(agent_state& state, const attempt_offered& offer, steady_time now);
 void take_withdrawal(agent_state& state, const attempt_id& attempt, steady_time now);
 
--- a/Tests/Agent/agent_bench.cxx
+++ b/Tests/Agent/agent_bench.cxx
@@ -1,5 +1,7 @@
 #include "Agent/agent_bench.h"
 
+#include <utility>
+
 #include <cppunit/TestAssert.h>
 
 #include "Base/hashing.h"
@@ -99,11 +101,18 @@
 }
 
 void agent_bench::restart() {
+  this->orphans.insert(this->orphans.end(), this->held.begin(), this->held.end());
   this->held.clear();
   this->random = seeded_random{hash_text(this->settings.self.value)};
   this->state = make_agent_state(this->settings, this->random);
 }
 
+void agent_bench::apply_orphans() {
+  for (const agent_submit_table& call : std::exchange(this->orphans, {})) {
+    this->table->apply(call.request);
+  }
+}
+
 std::uint32_t agent_bench::load() const {
   return summarise(*this->state).in_flight;
 }
--- a/Tests/Agent/agent_bench.h
+++ b/Tests/Agent/agent_bench.h
@@ -54,9 +54,12 @@
   /// Names `count` peers with this load in the VM list and in gossip.
   void hear_peers(std::uint32_t count, std::uint32_t load);
 
-  /// Starts anew, as after kill -9.
+  /// Starts anew, as after kill -9. Calls that were held may still take effect.
   void restart();
 
+  /// Carries out what was held when the agent was killed.
+  void apply_orphans();
+
   [[nodiscard]] std::uint32_t load() const;
 
   memory_table* table;
@@ -72,6 +75,7 @@
   table_reply call_table(const table_request& request);
 
   std::deque<agent_submit_table> held;
+  std::deque<agent_submit_table> orphans;
   vm_snapshot vms;
 };
 
