Model the fleet before endpoints and measure reuse, skew and domain

Cause: a policy can't be chosen without figures. Change: a model engine (batching, limited prefix cache, cold start) and callers with returning chats on a virtual clock; the product's cores and five baselines before it; chestnut-measure and Utilities/measure.sh.

--- /dev/null
+++ b/Source/Measure/chestnut_measure.cxx
@@ -0,0 +1,185 @@
+#include <array>
+#include <cstdlib>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <variant>
+
+#include <getopt.h>
+
+#include "Measure/measures.h"
+
+namespace chestnuthead {
+
+namespace {
+
+constexpr int usage_status = 2;
+
+constexpr const char* help_text =
+    "Usage: chestnut-measure MEASURE [OPTION...]\n"
+    "Runs a measure on a virtual clock and prints one line of JSON.\n"
+    "\n"
+    "Measures:\n"
+    "  reuse          share of returning chats' prefixes found in a cache\n"
+    "  skew           highest over mean load, with a customer that surges\n"
+    "  domain         service while a failure domain leaves and returns\n"
+    "\n"
+    "Options:\n"
+    "  --policy P     ours (default), random, two-choices, rendezvous, bounded\n"
+    "                 or full-knowledge\n"
+    "  --seed N       seed of all random choices (default 1)\n"
+    "  --scenario S   for reuse: quiet (default), rolling, flapping or domain\n"
+    "  --routers N    routers (default 4)\n"
+    "  --endpoints N  endpoints (default 12)\n"
+    "  --chats N      chats alive at once (default 1200)\n"
+    "  --multiple M   highest load as a multiple of the mean (default 1.25)\n"
+    "  --help         this text\n";
+
+using measure_function = Poco::JSON::Object::Ptr (*)(const measure_options&);
+
+struct named_measure {
+  const char* name;
+  measure_function run;
+};
+
+constexpr std::array<named_measure, 3> measures{{
+    {"reuse", measure_reuse},
+    {"skew", measure_skew},
+    {"domain", measure_domain},
+}};
+
+struct parsed_line {
+  std::string measure;
+  measure_options options;
+  bool help = false;
+};
+
+// A whole number of at least one, or an error sentence.
+std::variant<std::uint64_t, std::string> parse_number(const std::string& option,
+                                                      const std::string& text) {
+  char* end = nullptr;
+  const std::uint64_t number = std::strtoull(text.c_str(), &end, 10);
+  if (text.empty() || *end != '\0' || text.front() == '-' || number == 0) {
+    return "The option --" + option + " has the value \"" + text +
+           "\"; expected a whole number of at least 1.";
+  }
+  return number;
+}
+
+std::string set_multiple(measure_options& options, const std::string& text) {
+  char* end = nullptr;
+  const double multiple = std::strtod(text.c_str(), &end);
+  if (text.empty() || *end != '\0' || !(multiple >= 1.0)) {
+    return "The option --multiple has the value \"" + text + "\"; expected a number of at least 1.";
+  }
+  options.run.shape.load_multiple = multiple;
+  return "";
+}
+
+// Sets one option; the result is an error sentence or empty.
+std::string set_option(measure_options& options, const std::string& name,
+                       const std::string& value) {
+  if (name == "policy") {
+    options.policy = value;
+    return "";
+  }
+  if (name == "scenario") {
+    options.scenario = value;
+    const bool known =
+        value == "quiet" || value == "rolling" || value == "flapping" || value == "domain";
+    return known ? ""
+                 : "The scenario \"" + value +
+                       "\" is not known; expected quiet, rolling, flapping or domain.";
+  }
+  if (name == "multiple") {
+    return set_multiple(options, value);
+  }
+  const auto parsed = parse_number(name, value);
+  if (const auto* error = std::get_if<std::string>(&parsed)) {
+    return *error;
+  }
+  const std::uint64_t number = std::get<std::uint64_t>(parsed);
+  if (name == "seed") {
+    options.seed = number;
+  } else if (name == "routers") {
+    options.run.shape.routers = number;
+  } else if (name == "endpoints") {
+    options.run.shape.endpoints = number;
+  } else {
+    options.run.callers.chats = static_cast<std::uint32_t>(number);
+  }
+  return "";
+}
+
+std::variant<parsed_line, std::string> parse_line(int count, char** words) {
+  const std::array<option, 9> known{{{"policy", required_argument, nullptr, 0},
+                                     {"seed", required_argument, nullptr, 0},
+                                     {"scenario", required_argument, nullptr, 0},
+                                     {"routers", required_argument, nullptr, 0},
+                                     {"endpoints", required_argument, nullptr, 0},
+                                     {"chats", required_argument, nullptr, 0},
+                                     {"multiple", required_argument, nullptr, 0},
+                                     {"help", no_argument, nullptr, 'h'},
+                                     {nullptr, 0, nullptr, 0}}};
+  parsed_line line;
+  int index = 0;
+  for (int code = 0; (code = getopt_long(count, words, "h", known.data(), &index)) != -1;) {
+    if (code == 'h') {
+      line.help = true;
+      return line;
+    }
+    if (code != 0) {
+      return "The command line is not valid; see chestnut-measure --help.";
+    }
+    const std::string error =
+        set_option(line.options, known.at(static_cast<std::size_t>(index)).name, optarg);
+    if (!error.empty()) {
+      return error;
+    }
+  }
+  if (optind + 1 != count) {
+    return "Exactly one measure is expected; see chestnut-measure --help.";
+  }
+  line.measure = words[optind];
+  return line;
+}
+
+int run_measure(parsed_line line) {
+  const auto policy = policy_of(line.options.policy);
+  if (const auto* error = std::get_if<std::string>(&policy)) {
+    std::cerr << *error << '\n';
+    return usage_status;
+  }
+  line.options.run.policy = std::get<measured_policy>(policy);
+  line.options.run.seed = line.options.seed;
+  for (const named_measure& known : measures) {
+    if (line.measure == known.name) {
+      std::ostringstream text;
+      known.run(line.options)->stringify(text);
+      std::cout << text.str() << std::endl;
+      return EXIT_SUCCESS;
+    }
+  }
+  std::cerr << "The measure \"" << line.measure
+            << "\" is not known; see chestnut-measure --help.\n";
+  return usage_status;
+}
+
+}  // namespace
+
+}  // namespace chestnuthead
+
+int main(int count, char** words) {
+  using namespace chestnuthead;
+  const auto parsed = parse_line(count, words);
+  if (const auto* error = std::get_if<std::string>(&parsed)) {
+    std::cerr << *error << '\n';
+    return usage_status;
+  }
+  const auto& line = std::get<parsed_line>(parsed);
+  if (line.help) {
+    std::cout << help_text;
+    return EXIT_SUCCESS;
+  }
+  return run_measure(line);
+}
--- /dev/null
+++ b/Source/Measure/fleet.cxx
@@ -0,0 +1,33 @@
+#include "Measure/fleet.h"
+
+namespace chestnuthead {
+
+fleet::fleet(event_queue& events, const fleet_parameters& shape)
+    : queue(events), parameters(shape), begun(shape.endpoints) {
+  for (std::size_t index = 0; index < shape.endpoints; ++index) {
+    this->engine_table.push_back(std::make_unique<engine_model>(events, shape.engine));
+  }
+}
+
+const std::vector<std::unique_ptr<engine_model>>& fleet::engines() const {
+  return this->engine_table;
+}
+
+std::size_t fleet::domain_of(std::size_t endpoint) const {
+  return endpoint % this->parameters.failure_domains;
+}
+
+std::string fleet::name_of_endpoint(std::size_t endpoint) const {
+  return "endpoint-" + std::to_string(endpoint);
+}
+
+steady_time fleet::last_begun(std::size_t endpoint) const {
+  return this->begun.at(endpoint);
+}
+
+void fleet::begin_on_engine(std::size_t endpoint, const engine_call& call) {
+  this->begun.at(endpoint) = this->queue.now();
+  this->engine_table.at(endpoint)->start(call);
+}
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Measure/fleet.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chestnuthead/ids.h"
+
+#include "Measure/engine_model.h"
+#include "Measure/event_queue.h"
+#include "Measure/workload.h"
+
+namespace chestnuthead {
+
+/// Size and shape of a modelled fleet.
+struct fleet_parameters {
+  std::size_t routers = 4;
+  std::size_t endpoints = 12;
+  std::size_t failure_domains = 4;
+  /// One-way time between any two nodes, and to the platform.
+  std::chrono::microseconds link_time{1'000};
+  /// Highest load of one endpoint, as a multiple of the mean, for policies that
+  /// bound it.
+  double load_multiple = 1.25;
+  engine_parameters engine;
+};
+
+/// A fleet before modelled engines: the product's cores or a baseline.
+class fleet {
+ public:
+  fleet(event_queue& queue, const fleet_parameters& parameters);
+  virtual ~fleet() = default;
+  fleet(const fleet&) = delete;
+  fleet& operator=(const fleet&) = delete;
+
+  virtual void submit(const planned_request& request,
+                      std::function<void(const request_outcome&)> done) = 0;
+
+  /// An operator takes a failure domain out, or brings it back.
+  virtual void set_domain_out(std::size_t domain, bool out) = 0;
+  /// Links to an endpoint's VM are cut, or work again.
+  virtual void set_cut(std::size_t endpoint, bool cut) = 0;
+  /// The endpoint's VM is replaced after a planned stop.
+  virtual void restart(std::size_t endpoint) = 0;
+
+  [[nodiscard]] const std::vector<std::unique_ptr<engine_model>>& engines() const;
+  [[nodiscard]] std::size_t domain_of(std::size_t endpoint) const;
+  [[nodiscard]] std::string name_of_endpoint(std::size_t endpoint) const;
+
+  /// When work was last begun on an endpoint.
+  [[nodiscard]] steady_time last_begun(std::size_t endpoint) const;
+
+ protected:
+  /// Begins a call on an engine and notes the time.
+  void begin_on_engine(std::size_t endpoint, const engine_call& call);
+
+  event_queue& queue;
+  fleet_parameters parameters;
+  std::vector<std::unique_ptr<engine_model>> engine_table;
+
+ private:
+  std::vector<steady_time> begun;
+};
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Measure/fleet_run.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "chestnuthead/seeded_random.h"
+
+#include "Measure/baseline_fleet.h"
+#include "Measure/fleet.h"
+#include "Measure/routed_fleet.h"
+#include "Measure/workload.h"
+
+namespace chestnuthead {
+
+/// The product's policy, or the name of a baseline.
+enum class measured_policy : std::uint8_t {
+  ours,
+  random,
+  two_choices,
+  rendezvous,
+  bounded,
+  full_knowledge,
+};
+
+/// The policy of that name, or an error sentence.
+std::variant<measured_policy, std::string> policy_of(const std::string& name);
+
+/// One run of a workload on a fleet.
+struct run_parameters {
+  measured_policy policy = measured_policy::ours;
+  std::uint64_t seed = 1;
+  fleet_parameters shape;
+  workload_parameters callers;
+  /// Left out of all figures, so that caches and limits are warm.
+  std::chrono::seconds warm_up{240};
+  std::chrono::seconds length{1'200};
+};
+
+/// Requests per endpoint at one moment.
+struct load_sample {
+  std::chrono::milliseconds when{0};
+  std::vector<std::uint32_t> in_flight;
+};
+
+/// Counts and samples of one run, from the end of its warm-up.
+struct run_findings {
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t returning_turns = 0;
+  std::uint64_t reusable_tokens = 0;
+  std::uint64_t reused_tokens = 0;
+  std::vector<std::chrono::microseconds> first_bytes;
+  std::vector<load_sample> loads;
+  std::uint64_t engine_crashes = 0;
+  std::size_t peak_while_cold = 0;
+  /// Invariants broken in the cores, all names together.
+  std::uint64_t invariants_broken = 0;
+};
+
+/// Runs one workload; owns queue, random source, fleet and callers.
+class fleet_run {
+ public:
+  explicit fleet_run(const run_parameters& parameters);
+
+  /// Does something at a time after the warm-up's end.
+  void at(std::chrono::milliseconds when, std::function<void(fleet&)> action);
+
+  /// Plays warm-up and run, and gives the findings.
+  run_findings play();
+
+  event_queue queue;
+
+  [[nodiscard]] fleet& modelled_fleet();
+  /// The product's fleet, or nullptr for a baseline.
+  [[nodiscard]] routed_fleet* ours();
+
+ private:
+  void listen(const planned_request& request, const request_outcome& outcome);
+  void sample();
+  void close_findings();
+
+  run_parameters parameters;
+  seeded_random random;
+  std::unique_ptr<fleet> engines;
+  std::unique_ptr<workload> callers;
+  run_findings findings;
+  bool counting = false;
+  steady_time counting_since{};
+};
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Measure/routed_actions.cxx
@@ -0,0 +1,220 @@
+#include <utility>
+
+#include "Measure/routed_nodes.h"
+
+namespace chestnuthead {
+
+namespace {
+
+/// Calls the handler of an action's kind; kinds without one are left alone.
+template <class... Handlers>
+struct overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+}  // namespace
+
+void routed_fleet::carry_out(std::size_t router, const router_action& action) {
+  std::visit(
+      overloaded{
+          [&](const send_attempt& send) { this->offer(router, send); },
+          [&](const send_probe& send) { this->probe(router, send); },
+          [&](const cancel_attempt& cancel) { this->withdraw(cancel); },
+          [&](const answer_error& error) {
+            this->fail_request(error.request, error.kind, error.come_back);
+          },
+          [&](const cut_answer& cut) {
+            this->fail_request(cut.request, cut.kind, std::chrono::milliseconds{0});
+          },
+          [&](const finish_answer& finish) {
+            const auto place = this->requests.find(finish.request);
+            request_outcome outcome;
+            outcome.answered = true;
+            if (place != this->requests.end()) {
+              outcome.cached_tokens = place->second.cached_tokens;
+              outcome.until_first_byte = place->second.until_first_byte;
+            }
+            this->finish_request(finish.request, outcome);
+          },
+          [&](const router_submit_table& submit) {
+            this->queue.after(this->parameters.link_time, [this, router, submit] {
+              const table_reply reply = this->table.apply(submit.request);
+              this->to_router(router, router_table_replied{submit.ticket, reply});
+            });
+          },
+          [&](const router_read_vm_list&) {
+            this->to_router(router, router_vm_list_replied{this->list_vms()});
+          },
+          [&](const router_send_gossip& send) { this->route_gossip(send.to, send.message, false); },
+          [&](const router_invariant_broken& found) { ++this->broken[found.name]; },
+          [](const auto&) {},
+      },
+      action);
+}
+
+void routed_fleet::carry_out_agent(std::size_t endpoint, const agent_action& action) {
+  const auto reply = [&](const attempt_id& attempt, auto make) {
+    const auto place = this->attempts.find(attempt);
+    if (place != this->attempts.end()) {
+      this->send_to_router(endpoint, place->second.router, make(place->second.request));
+    }
+  };
+  std::visit(overloaded{
+                 [&](const accept_attempt& accept) {
+                   reply(accept.attempt, [&](const request_id& request) {
+                     return attempt_accepted{request, accept.attempt, accept.load};
+                   });
+                 },
+                 [&](const refuse_attempt& refuse) {
+                   ++this->refused[refuse.why];
+                   reply(refuse.attempt, [&](const request_id& request) {
+                     return attempt_refused{request, refuse.attempt, refuse.why, refuse.come_back,
+                                            refuse.load};
+                   });
+                   this->attempts.erase(refuse.attempt);
+                 },
+                 [&](const run_on_endpoint& run) { this->run(endpoint, run); },
+                 [&](const cancel_on_endpoint& cancel) {
+                   this->engine_table.at(endpoint)->cancel(cancel.attempt);
+                 },
+                 [&](const end_attempt& ended) { this->end(endpoint, ended); },
+                 [&](const answer_probe& answer) {
+                   const std::size_t router = this->index_of(answer.router);
+                   const node_id self{this->name_of_endpoint(endpoint)};
+                   this->send_to_router(endpoint, router,
+                                        probe_answered{answer.request, self, answer.load});
+                 },
+                 [&](const agent_submit_table& submit) {
+                   this->queue.after(this->parameters.link_time, [this, endpoint, submit] {
+                     const table_reply result = this->table.apply(submit.request);
+                     this->to_agent(endpoint, agent_table_replied{submit.ticket, result});
+                   });
+                 },
+                 [&](const agent_read_vm_list&) {
+                   this->to_agent(endpoint, agent_vm_list_replied{this->list_vms()});
+                 },
+                 [&](const agent_send_gossip& send) {
+                   this->route_gossip(send.to, send.message, this->agents.at(endpoint)->cut);
+                 },
+                 [&](const agent_stop_now&) { this->replace_agent(endpoint); },
+                 [&](const agent_invariant_broken& found) { ++this->broken[found.name]; },
+                 [](const auto&) {},
+             },
+             action);
+}
+
+void routed_fleet::route_gossip(const node_id& to, const gossip_message& message, bool sender_cut) {
+  const std::size_t index = this->index_of(to);
+  if (sender_cut) {
+    return;
+  }
+  if (to.value.starts_with("router-")) {
+    this->to_router(index, router_gossip_received{message});
+  } else if (!this->agents.at(index)->cut) {
+    this->to_agent(index, agent_gossip_received{message});
+  }
+}
+
+void routed_fleet::offer(std::size_t router, const send_attempt& action) {
+  const std::size_t endpoint = this->index_of(action.agent);
+  if (this->agents.at(endpoint)->cut) {
+    this->to_router(router, router_link_lost{action.agent});
+    this->to_router(
+        router, attempt_ended{action.facts.request, action.attempt, attempt_outcome::lost, 0, {}});
+    return;
+  }
+  this->attempts[action.attempt] = {action.facts.request, router, endpoint, false};
+  attempt_offered event;
+  event.facts = action.facts;
+  event.attempt = action.attempt;
+  event.terms = action.terms;
+  event.router = node_id{router_name(router)};
+  event.time_left = action.time_left;
+  event.configuration_version = action.configuration_version;
+  this->to_agent(endpoint, event);
+}
+
+void routed_fleet::probe(std::size_t router, const send_probe& action) {
+  const std::size_t endpoint = this->index_of(action.agent);
+  if (this->agents.at(endpoint)->cut) {
+    this->to_router(router, router_link_lost{action.agent});
+    return;
+  }
+  this->to_agent(endpoint, probe_asked{action.request, node_id{router_name(router)}, action.chat});
+}
+
+void routed_fleet::withdraw(const cancel_attempt& action) {
+  const std::size_t endpoint = this->index_of(action.agent);
+  this->to_agent(endpoint, attempt_withdrawn{action.attempt});
+  this->attempts.erase(action.attempt);
+}
+
+routed_fleet::live_request* routed_fleet::request_of(const attempt_id& attempt) {
+  const auto live = this->attempts.find(attempt);
+  if (live == this->attempts.end()) {
+    return nullptr;
+  }
+  const auto request = this->requests.find(live->second.request);
+  return request == this->requests.end() ? nullptr : &request->second;
+}
+
+// What the caller has seen first counts, also when it is resumed elsewhere.
+void routed_fleet::note_first_byte(const attempt_id& attempt) {
+  live_request* request = this->request_of(attempt);
+  if (request == nullptr) {
+    return;
+  }
+  this->attempts.at(attempt).first_byte = true;
+  if (request->first_byte) {
+    return;
+  }
+  request->first_byte = true;
+  request->until_first_byte =
+      std::chrono::duration_cast<std::chrono::microseconds>(this->queue.now() - request->arrived);
+}
+
+void routed_fleet::run(std::size_t endpoint, const run_on_endpoint& action) {
+  const live_request* request = this->request_of(action.attempt);
+  if (request == nullptr) {
+    return;
+  }
+  const request_facts& facts = request->planned.facts;
+  this->begin_on_engine(endpoint,
+                        {action.attempt, facts.chat, facts.prompt_tokens, facts.answer_tokens});
+}
+
+void routed_fleet::end(std::size_t endpoint, const end_attempt& action) {
+  const auto place = this->attempts.find(action.attempt);
+  if (place == this->attempts.end()) {
+    return;
+  }
+  const live_attempt live = place->second;
+  this->attempts.erase(place);
+  const std::uint64_t passed = live.first_byte ? 1 : 0;
+  this->send_to_router(
+      endpoint, live.router,
+      attempt_ended{live.request, action.attempt, action.outcome, passed, action.load});
+}
+
+void routed_fleet::wire_engine(std::size_t index) {
+  engine_model& engine = *this->engine_table.at(index);
+  engine.on_ready = [this, index] { this->to_agent(index, endpoint_ready{true}); };
+  engine.on_failed = [this, index](const attempt_id& attempt) {
+    this->to_agent(index, endpoint_failed{attempt, true, false});
+  };
+  engine.on_first_byte = [this, index](const attempt_id& attempt) {
+    this->note_first_byte(attempt);
+    this->to_agent(index, endpoint_first_byte{attempt});
+  };
+  engine.on_finished = [this, index](const engine_call& call, std::uint32_t cached) {
+    if (live_request* request = this->request_of(call.attempt)) {
+      request->cached_tokens = cached;
+    }
+    this->to_agent(
+        index, endpoint_finished{call.attempt, cached, call.prompt_tokens, call.answer_tokens, ""});
+  };
+}
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Measure/routed_fleet.cxx
@@ -0,0 +1,256 @@
+#include "Measure/routed_fleet.h"
+
+#include <utility>
+
+#include "Measure/routed_nodes.h"
+
+namespace chestnuthead {
+
+routed_fleet::routed_fleet(event_queue& events, const fleet_parameters& shape,
+                           const configuration_document& configuration, std::uint64_t seed)
+    : fleet(events, shape), document(configuration), random(seed) {
+  this->write_configuration();
+  for (std::size_t index = 0; index < shape.endpoints; ++index) {
+    this->agents.push_back(std::make_unique<agent_node>());
+    this->wire_engine(index);
+    this->start_agent(index);
+  }
+  for (std::size_t index = 0; index < shape.routers; ++index) {
+    this->routers.push_back(std::make_unique<router_node>());
+    this->start_router(index);
+  }
+}
+
+routed_fleet::~routed_fleet() = default;
+
+void routed_fleet::submit(const planned_request& request,
+                          std::function<void(const request_outcome&)> done) {
+  const std::size_t router = next_below(this->random, this->routers.size());
+  live_request& live = this->requests[request.facts.request];
+  live.planned = request;
+  live.done = std::move(done);
+  live.arrived = this->queue.now();
+  request_arrived event;
+  event.facts = request.facts;
+  event.body_bytes = request.facts.prompt_tokens;
+  this->step_router(router, event);
+}
+
+void routed_fleet::set_domain_out(std::size_t domain, bool out) {
+  const failure_domain_id name{domain_name(domain)};
+  if (out) {
+    this->document.failure_domains_out.insert(name);
+  } else {
+    this->document.failure_domains_out.erase(name);
+  }
+  this->write_configuration();
+}
+
+void routed_fleet::set_cut(std::size_t endpoint, bool cut) {
+  this->agents.at(endpoint)->cut = cut;
+  if (!cut) {
+    return;
+  }
+  // Both ends see that the link is gone.
+  std::vector<attempt_id> lost;
+  for (const auto& [attempt, live] : this->attempts) {
+    if (live.endpoint == endpoint) {
+      lost.push_back(attempt);
+    }
+  }
+  for (const attempt_id& attempt : lost) {
+    const live_attempt live = this->attempts.at(attempt);
+    const std::uint64_t passed = live.first_byte ? 1 : 0;
+    const attempt_ended ended{live.request, attempt, attempt_outcome::lost, passed, {}};
+    this->to_router(live.router, ended);
+    this->to_agent(endpoint, attempt_withdrawn{attempt});
+    this->attempts.erase(attempt);
+  }
+}
+
+void routed_fleet::restart(std::size_t endpoint) {
+  this->step_agent(endpoint, agent_stop_requested{});
+}
+
+router_summary routed_fleet::router_summary_of(std::size_t router) const {
+  return summarise(*this->routers.at(router)->state);
+}
+
+agent_summary routed_fleet::agent_summary_of(std::size_t endpoint) const {
+  return summarise(*this->agents.at(endpoint)->state);
+}
+
+const std::map<std::string, std::uint64_t>& routed_fleet::broken_invariants() const {
+  return this->broken;
+}
+
+const std::map<refusal_kind, std::uint64_t>& routed_fleet::refusals() const {
+  return this->refused;
+}
+
+void routed_fleet::start_router(std::size_t index) {
+  router_settings settings;
+  settings.self = node_id{router_name(index)};
+  settings.failure_domain =
+      failure_domain_id{domain_name(index % this->parameters.failure_domains)};
+  settings.region = region_id{"region"};
+  this->routers.at(index)->state = make_router_state(settings, this->random);
+  this->tick_router(index);
+}
+
+void routed_fleet::start_agent(std::size_t index) {
+  agent_node& node = *this->agents.at(index);
+  agent_settings settings;
+  settings.self = node_id{this->name_of_endpoint(index)};
+  settings.endpoint = endpoint_id{settings.self.value};
+  settings.pool = pool_id{"model"};
+  settings.failure_domain = failure_domain_id{domain_name(this->domain_of(index))};
+  settings.region = region_id{"region"};
+  node.state = make_agent_state(settings, this->random);
+  ++node.incarnation;
+  this->tick_agent(index, node.incarnation);
+  const bool cold = this->engine_table.at(index)->cold();
+  this->to_agent(index, endpoint_ready{cold});
+}
+
+void routed_fleet::tick_router(std::size_t index) {
+  this->step_router(index, router_tick{});
+  this->queue.after(router_tick_interval, [this, index] { this->tick_router(index); });
+}
+
+void routed_fleet::tick_agent(std::size_t index, std::uint64_t incarnation) {
+  if (this->agents.at(index)->incarnation != incarnation) {
+    return;
+  }
+  this->step_agent(index, agent_tick{});
+  this->queue.after(agent_tick_interval,
+                    [this, index, incarnation] { this->tick_agent(index, incarnation); });
+}
+
+void routed_fleet::to_router(std::size_t index, router_event event) {
+  this->queue.after(this->parameters.link_time,
+                    [this, index, event = std::move(event)] { this->step_router(index, event); });
+}
+
+void routed_fleet::to_agent(std::size_t index, agent_event event) {
+  const std::uint64_t incarnation = this->agents.at(index)->incarnation;
+  this->queue.after(this->parameters.link_time,
+                    [this, index, incarnation, event = std::move(event)] {
+                      if (this->agents.at(index)->incarnation == incarnation) {
+                        this->step_agent(index, event);
+                      }
+                    });
+}
+
+void routed_fleet::send_to_router(std::size_t endpoint, std::size_t router, router_event event) {
+  if (!this->agents.at(endpoint)->cut) {
+    this->to_router(router, std::move(event));
+  }
+}
+
+void routed_fleet::step_router(std::size_t index, const router_event& event) {
+  for (const router_action& action :
+       step(*this->routers.at(index)->state, event, this->queue.now())) {
+    if (this->on_router_action) {
+      this->on_router_action(index, action);
+    }
+    this->carry_out(index, action);
+  }
+}
+
+void routed_fleet::step_agent(std::size_t index, const agent_event& event) {
+  for (const agent_action& action :
+       step(*this->agents.at(index)->state, event, this->queue.now())) {
+    this->carry_out_agent(index, action);
+  }
+}
+
+void routed_fleet::finish_request(const request_id& request, const request_outcome& outcome) {
+  const auto place = this->requests.find(request);
+  if (place == this->requests.end()) {
+    ++this->broken["request_answered_twice"];
+    return;
+  }
+  const auto done = std::move(place->second.done);
+  this->requests.erase(place);
+  done(outcome);
+}
+
+void routed_fleet::fail_request(const request_id& request, error_kind kind,
+                                std::chrono::milliseconds back) {
+  request_outcome outcome;
+  outcome.error = kind;
+  outcome.come_back = back;
+  this->finish_request(request, outcome);
+}
+
+// The planned stop is done: the VM goes, and a new one takes its place.
+void routed_fleet::replace_agent(std::size_t index) {
+  ++this->agents.at(index)->incarnation;
+  engine_model& engine = *this->engine_table.at(index);
+  // Begins the new agent from the queue: wiring replaces this very callback.
+  engine.on_ready = [this, index] {
+    this->queue.after(std::chrono::microseconds{0}, [this, index] {
+      this->wire_engine(index);
+      this->start_agent(index);
+    });
+  };
+  engine.replace();
+}
+
+void routed_fleet::write_configuration() {
+  const table_write write{configuration_row_key, this->configuration_row_version,
+                          format_configuration(this->document)};
+  this->table.apply(table_write_group{{write}});
+  ++this->configuration_row_version;
+}
+
+vm_snapshot routed_fleet::list_vms() const {
+  vm_snapshot snapshot;
+  snapshot.version = this->list_version;
+  for (std::size_t index = 0; index < this->parameters.endpoints; ++index) {
+    vm_entry vm;
+    vm.node = node_id{this->name_of_endpoint(index)};
+    vm.role = vm_role::agent;
+    vm.pool = pool_id{"model"};
+    vm.failure_domain = failure_domain_id{domain_name(this->domain_of(index))};
+    vm.region = region_id{"region"};
+    vm.address = vm.node.value;
+    snapshot.vms.push_back(vm);
+  }
+  for (std::size_t index = 0; index < this->parameters.routers; ++index) {
+    vm_entry vm;
+    vm.node = node_id{router_name(index)};
+    vm.failure_domain = failure_domain_id{domain_name(index % this->parameters.failure_domains)};
+    vm.region = region_id{"region"};
+    vm.address = vm.node.value;
+    snapshot.vms.push_back(vm);
+  }
+  return snapshot;
+}
+
+std::size_t routed_fleet::index_of(const node_id& node) const {
+  return std::stoul(node.value.substr(node.value.find('-') + 1));
+}
+
+configuration_document measured_document(const fleet_parameters& parameters) {
+  configuration_document document;
+  document.operation = "measure";
+  pool_configuration pool;
+  pool.name = pool_id{"model"};
+  pool.load_multiple = parameters.load_multiple;
+  pool.concurrency = parameters.engine.batch_limit;
+  pool.warm_limit = 2 * parameters.engine.batch_limit;
+  pool.cold_limit = parameters.engine.cold_bears;
+  document.pools.push_back(pool);
+  constexpr int customers = 10;
+  for (int index = 0; index < customers; ++index) {
+    document.customers.push_back({customer_id{"customer-" + std::to_string(index)}, 1.0});
+  }
+  for (std::size_t index = 0; index < parameters.failure_domains; ++index) {
+    document.failure_domains.push_back(failure_domain_id{domain_name(index)});
+  }
+  return document;
+}
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Measure/routed_fleet.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chestnuthead/agent_core.h"
+#include "chestnuthead/memory_table.h"
+#include "chestnuthead/router_core.h"
+#include "chestnuthead/seeded_random.h"
+
+#include "Measure/fleet.h"
+
+namespace chestnuthead {
+
+/// The product's own cores before modelled engines: routers and agents that
+/// exchange messages over links with delays, with the platform's table and VM
+/// list in memory.
+class routed_fleet : public fleet {
+ public:
+  routed_fleet(event_queue& queue, const fleet_parameters& parameters,
+               const configuration_document& document, std::uint64_t seed);
+  ~routed_fleet() override;
+  routed_fleet(const routed_fleet&) = delete;
+  routed_fleet& operator=(const routed_fleet&) = delete;
+
+  void submit(const planned_request& request,
+              std::function<void(const request_outcome&)> done) override;
+  void set_domain_out(std::size_t domain, bool out) override;
+  void set_cut(std::size_t endpoint, bool cut) override;
+  void restart(std::size_t endpoint) override;
+
+  /// Sees each action of a router's core before it is carried out.
+  std::function<void(std::size_t, const router_action&)> on_router_action;
+
+  [[nodiscard]] router_summary router_summary_of(std::size_t router) const;
+  [[nodiscard]] agent_summary agent_summary_of(std::size_t endpoint) const;
+  /// Invariants broken on any node, by name.
+  [[nodiscard]] const std::map<std::string, std::uint64_t>& broken_invariants() const;
+  /// Refusals by agents, by kind.
+  [[nodiscard]] const std::map<refusal_kind, std::uint64_t>& refusals() const;
+
+ private:
+  struct router_node;
+  struct agent_node;
+  struct live_attempt;
+  struct live_request;
+
+  void start_router(std::size_t index);
+  void start_agent(std::size_t index);
+  void tick_router(std::size_t index);
+  void tick_agent(std::size_t index, std::uint64_t incarnation);
+  void to_router(std::size_t index, router_event event);
+  void to_agent(std::size_t index, agent_event event);
+  /// Over the link between a router and an agent; lost if the link is cut.
+  void send_to_router(std::size_t endpoint, std::size_t router, router_event event);
+  void step_router(std::size_t index, const router_event& event);
+  void step_agent(std::size_t index, const agent_event& event);
+  void carry_out(std::size_t router, const router_action& action);
+  void carry_out_agent(std::size_t endpoint, const agent_action& action);
+  void route_gossip(const node_id& to, const gossip_message& message, bool sender_cut);
+  void offer(std::size_t router, const send_attempt& action);
+  void probe(std::size_t router, const send_probe& action);
+  void withdraw(const cancel_attempt& action);
+  void run(std::size_t endpoint, const run_on_endpoint& action);
+  void end(std::size_t endpoint, const end_attempt& action);
+  void finish_request(const request_id& request, const request_outcome& outcome);
+  void fail_request(const request_id& request, error_kind kind, std::chrono::milliseconds back);
+  live_request* request_of(const attempt_id& attempt);
+  void note_first_byte(const attempt_id& attempt);
+  void wire_engine(std::size_t index);
+  void replace_agent(std::size_t index);
+  void write_configuration();
+  [[nodiscard]] vm_snapshot list_vms() const;
+  [[nodiscard]] std::size_t index_of(const node_id& node) const;
+
+  configuration_document document;
+  std::uint64_t configuration_row_version = 0;
+  seeded_random random;
+  memory_table table;
+  std::uint64_t list_version = 1;
+  std::vector<std::unique_ptr<router_node>> routers;
+  std::vector<std::unique_ptr<agent_node>> agents;
+  std::map<attempt_id, live_attempt> attempts;
+  std::map<request_id, live_request> requests;
+  std::map<std::string, std::uint64_t> broken;
+  std::map<refusal_kind, std::uint64_t> refused;
+};
+
+/// A document for a model pool and ten customers, with one region's failure
+/// domains named as `fleet_parameters` numbers them.
+configuration_document measured_document(const fleet_parameters& parameters);
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Measure/workload.cxx
@@ -0,0 +1,139 @@
+#include "Measure/workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace chestnuthead {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// Pause before a caller asks again when the answer names none.
+constexpr milliseconds default_come_back{1'000};
+constexpr std::uint32_t long_pause_one_in = 10;
+constexpr int long_pause_factor = 5;
+
+double exponential(random_source& random, double mean) {
+  return -mean * std::log1p(-next_unit(random));
+}
+
+// A few customers are large: the first has half of the chats, the next half of
+// the rest, and so on; the last takes what is left.
+std::uint32_t some_customer(random_source& random, std::uint32_t customers) {
+  std::uint32_t customer = 0;
+  while (customer + 1 < customers && next_below(random, 2) == 0) {
+    ++customer;
+  }
+  return customer;
+}
+
+}  // namespace
+
+workload::workload(event_queue& events, random_source& numbers, const workload_parameters& plan,
+                   request_sender sender, outcome_listener listener)
+    : queue(events),
+      random(numbers),
+      parameters(plan),
+      send(std::move(sender)),
+      listen(std::move(listener)),
+      chats(plan.chats) {}
+
+void workload::begin() {
+  for (std::size_t index = 0; index < this->chats.size(); ++index) {
+    const double delay =
+        next_unit(this->random) * static_cast<double>(this->parameters.mean_pause.count());
+    this->queue.after(milliseconds{std::llround(delay)},
+                      [this, index] { this->begin_chat(index); });
+  }
+  if (this->parameters.surge_requests_per_second > 0.0) {
+    this->queue.after(this->parameters.surge_begin, [this] { this->surge(); });
+  }
+}
+
+void workload::begin_chat(std::size_t index) {
+  chat& fresh = this->chats.at(index);
+  fresh = chat{};
+  fresh.id = chat_id{"chat-" + std::to_string(++this->chats_begun)};
+  const std::uint32_t customer = some_customer(this->random, this->parameters.customers);
+  fresh.customer = customer_id{"customer-" + std::to_string(customer)};
+  // The first turn brings a long plan's or a lesson's text with it.
+  this->take_turn(index, this->some_tokens(300, 1'500));
+}
+
+void workload::take_turn(std::size_t index, std::uint32_t new_tokens) {
+  const chat& now = this->chats.at(index);
+  planned_request request;
+  request.facts.request = this->next_request();
+  request.facts.customer = now.customer;
+  request.facts.pool = pool_id{"model"};
+  request.facts.chat = now.id;
+  request.facts.fingerprint = this->random.next();
+  request.facts.prompt_tokens = now.history_tokens + new_tokens;
+  request.facts.answer_tokens = this->some_tokens(60, 300);
+  request.facts.returning = now.turn > 0;
+  request.reusable_tokens = now.history_tokens;
+  this->send(request, [this, index, request, new_tokens](const request_outcome& outcome) {
+    this->turn_ended(index, request, outcome, new_tokens);
+  });
+}
+
+void workload::turn_ended(std::size_t index, const planned_request& request,
+                          const request_outcome& outcome, std::uint32_t new_tokens) {
+  this->listen(request, outcome);
+  chat& now = this->chats.at(index);
+  if (!outcome.answered) {
+    const milliseconds pause = std::max(outcome.come_back, default_come_back);
+    this->queue.after(pause, [this, index, new_tokens] { this->take_turn(index, new_tokens); });
+    return;
+  }
+  now.history_tokens = request.facts.prompt_tokens + request.facts.answer_tokens;
+  ++now.turn;
+  const bool over = now.turn >= this->parameters.turns_per_chat;
+  this->queue.after(this->some_pause(), [this, index, over] {
+    if (over) {
+      this->begin_chat(index);
+      return;
+    }
+    this->take_turn(index, this->some_tokens(30, 200));
+  });
+}
+
+void workload::surge() {
+  const steady_time begin{std::chrono::hours{1}};
+  if (this->queue.now() >= begin + this->parameters.surge_end) {
+    return;
+  }
+  planned_request request;
+  request.facts.request = this->next_request();
+  request.facts.customer = customer_id{"customer-0"};
+  request.facts.pool = pool_id{"model"};
+  request.facts.fingerprint = this->random.next();
+  request.facts.prompt_tokens = this->some_tokens(100, 500);
+  request.facts.answer_tokens = this->some_tokens(60, 300);
+  this->send(request,
+             [this, request](const request_outcome& outcome) { this->listen(request, outcome); });
+  constexpr double microseconds_per_second = 1e6;
+  const double gap = microseconds_per_second / this->parameters.surge_requests_per_second;
+  this->queue.after(microseconds{std::llround(exponential(this->random, gap))},
+                    [this] { this->surge(); });
+}
+
+microseconds workload::some_pause() {
+  const auto mean = static_cast<double>(microseconds{this->parameters.mean_pause}.count());
+  const bool is_long = next_below(this->random, long_pause_one_in) == 0;
+  const double factor = is_long ? long_pause_factor : 1;
+  return microseconds{std::llround(exponential(this->random, mean) * factor)};
+}
+
+std::uint32_t workload::some_tokens(std::uint32_t least, std::uint32_t most) {
+  return least + static_cast<std::uint32_t>(next_below(this->random, most - least + 1));
+}
+
+request_id workload::next_request() {
+  return request_id{"request-" + std::to_string(++this->requests)};
+}
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Measure/workload.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "chestnuthead/ids.h"
+#include "chestnuthead/random_source.h"
+#include "chestnuthead/request.h"
+
+#include "Measure/event_queue.h"
+
+namespace chestnuthead {
+
+/// What callers do in a run.
+struct workload_parameters {
+  /// Chats that are alive at once; one that ends is followed by a new one.
+  std::uint32_t chats = 1'200;
+  std::uint32_t turns_per_chat = 8;
+  /// Mean pause between a chat's turns; one in ten is five times as long.
+  std::chrono::milliseconds mean_pause{40'000};
+  std::uint32_t customers = 10;
+  /// Extra requests without a chat that one customer sends while it surges.
+  double surge_requests_per_second = 0.0;
+  std::chrono::seconds surge_begin{0};
+  std::chrono::seconds surge_end{0};
+};
+
+/// One request that the workload asks for.
+struct planned_request {
+  request_facts facts;
+  /// Prompt tokens that an endpoint with the chat's whole prefix need not
+  /// compute.
+  std::uint32_t reusable_tokens = 0;
+};
+
+/// What came of it, as its caller saw it.
+struct request_outcome {
+  bool answered = false;
+  error_kind error = error_kind::no_endpoint;
+  std::chrono::milliseconds come_back{0};
+  std::uint32_t cached_tokens = 0;
+  std::chrono::microseconds until_first_byte{0};
+};
+
+/// Sends one request into the fleet; the callback is called once.
+using request_sender =
+    std::function<void(const planned_request&, std::function<void(const request_outcome&)>)>;
+
+/// Is told of every request that has come to its end.
+using outcome_listener = std::function<void(const planned_request&, const request_outcome&)>;
+
+/// Callers with chats that return after pauses, and a customer that surges.
+class workload {
+ public:
+  workload(event_queue& queue, random_source& random, const workload_parameters& parameters,
+           request_sender sender, outcome_listener listener);
+
+  /// Begins all chats, spread over one mean pause.
+  void begin();
+
+ private:
+  struct chat {
+    chat_id id;
+    customer_id customer;
+    std::uint32_t turn = 0;
+    std::uint32_t history_tokens = 0;
+  };
+
+  void begin_chat(std::size_t index);
+  void take_turn(std::size_t index, std::uint32_t new_tokens);
+  void turn_ended(std::size_t index, const planned_request& request, const request_outcome& outcome,
+                  std::uint32_t new_tokens);
+  void surge();
+  std::chrono::microseconds some_pause();
+  std::uint32_t some_tokens(std::uint32_t least, std::uint32_t most);
+  request_id next_request();
+
+  event_queue& queue;
+  random_source& random;
+  workload_parameters parameters;
+  request_sender send;
+  outcome_listener listen;
+  std::vector<chat> chats;
+  std::uint64_t chats_begun = 0;
+  std::uint64_t requests = 0;
+};
+
+}  // namespace chestnuthead
