--- a/Tests/Router/router_fixture.cxx
+++ b/Tests/Router/router_fixture.cxx
@@ -1,5 +1,7 @@
 #include "Router/router_fixture.h"
 
+#include "Base/table_ask.h"
+
 namespace chestnuthead {
 
 namespace {
@@ -89,7 +91,9 @@
   for (std::size_t at = 0; at < actions.size(); ++at) {
     // A copy, since answers add to the list.
     const router_action action = actions[at];
-    if (const auto* ask = std::get_if<router_submit_table>(&action)) {
+    const auto* ask = std::get_if<router_submit_table>(&action);
+    const bool held = ask != nullptr && this->hold_seals && (ask->ticket & control_ticket_bit) == 0;
+    if (ask != nullptr && !held) {
       append(actions, this->answer_table(*ask));
     } else if (std::holds_alternative<router_read_vm_list>(action)) {
       append(actions, step(*this->state, router_vm_list_replied{this->vms}, this->now));
