Rank only usable members, and judge deadlines after each tick

Cause: a choice by load ranked the whole pool for nothing, a router that was paused for seconds would have reported overdue requests that its next tick was about to end, and a chat's first choice counted twice against the limit of attempts when it was asked under the condition first. Change: untried members are gathered once and ranked only where the order matters; overdue requests are looked for after the tick that ends them; a router that the platform's list shows as leaving begins its stop by itself.

--- a/Source/Router/choice.cxx
+++ b/Source/Router/choice.cxx
@@ -20,15 +20,31 @@
   return !row.facts.key.empty() || (row.model_engine && !row.facts.chat.empty());
 }
 
+// The untried members with good links, or, if there is none, all untried ones.
+std::vector<const pool_member*> untried_members(const router_state& state, const request_row& row,
+                                                steady_time now) {
+  std::vector<const pool_member*> untried;
+  std::vector<const pool_member*> with_good_links;
+  for (const pool_member& member : members_of(state.placement, row.facts.pool)) {
+    if (!takes_work(state, member, now) || was_tried(row, member.node)) {
+      continue;
+    }
+    untried.push_back(&member);
+    if (!avoided(*state.plane, member, now)) {
+      with_good_links.push_back(&member);
+    }
+  }
+  return with_good_links.empty() ? untried : with_good_links;
+}
+
 // Two random choices, the less loaded one taken.
 const pool_member* choose_by_load(router_state& state, const request_row& row, steady_time now) {
-  const auto& pool = members_of(state.placement, row.facts.pool);
-  const auto usable = best_untried(state, row, pool.size(), now);
-  if (usable.empty()) {
+  const auto untried = untried_members(state, row, now);
+  if (untried.empty()) {
     return nullptr;
   }
-  const pool_member* one = usable[next_below(*state.random, usable.size())];
-  const pool_member* other = usable[next_below(*state.random, usable.size())];
+  const pool_member* one = untried[next_below(*state.random, untried.size())];
+  const pool_member* other = untried[next_below(*state.random, untried.size())];
   const double one_load = known_load(state.loads, one->node, now);
   return known_load(state.loads, other->node, now) < one_load ? other : one;
 }
@@ -44,18 +60,7 @@
 
 std::vector<const pool_member*> best_untried(const router_state& state, const request_row& row,
                                              std::size_t count, steady_time now) {
-  const auto& pool = members_of(state.placement, row.facts.pool);
-  const std::uint64_t key_hash = placement_hash(row.facts);
-  const auto untried = [&](const pool_member& member) {
-    return takes_work(state, member, now) && !was_tried(row, member.node);
-  };
-  auto order = preference_order(pool, key_hash, count, [&](const pool_member& member) {
-    return untried(member) && !avoided(*state.plane, member, now);
-  });
-  if (order.empty()) {
-    order = preference_order(pool, key_hash, count, untried);
-  }
-  return order;
+  return preference_order(untried_members(state, row, now), placement_hash(row.facts), count);
 }
 
 const pool_member* next_choice(router_state& state, const request_row& row, steady_time now) {
--- a/Source/Router/invariants.cxx
+++ b/Source/Router/invariants.cxx
@@ -1,7 +1,6 @@
 #include "Router/invariants.h"
 
 #include <algorithm>
-#include <chrono>
 
 #include "Ledger/sealer.h"
 #include "Router/load_memory.h"
@@ -15,10 +14,6 @@
 /// that fetches a stored answer.
 constexpr std::uint32_t extra_attempts = 2;
 
-/// How long after its deadline a request may still be in the table: the seal's
-/// patience, the wait of one tick before it and one after it.
-constexpr std::chrono::milliseconds deadline_slack = seal_patience + 3 * router_tick_interval;
-
 bool waits_for_something(const request_row& row) {
   switch (row.phase) {
     case request_phase::attempting:
@@ -32,6 +27,14 @@
   return false;
 }
 
+// To be asked after a tick, which ends what is due however late it comes.
+bool is_overdue(const request_row& row, steady_time now) {
+  if (row.phase == request_phase::sealing) {
+    return now >= row.sealed_at + seal_patience;
+  }
+  return now >= row.deadline;
+}
+
 bool known_to_be_out(const control_plane& plane, const node_id& node) {
   const auto& known = members(plane);
   const auto found =
@@ -86,7 +89,7 @@
     if (!waits_for_something(row)) {
       report_broken(state, "request_forgotten", request.value, actions);
     }
-    if (now > row.deadline + deadline_slack) {
+    if (is_overdue(row, now)) {
       report_broken(state, "request_past_deadline", request.value, actions);
     }
   }
--- a/Source/Router/placement.cxx
+++ b/Source/Router/placement.cxx
@@ -20,6 +20,17 @@
   return entry;
 }
 
+struct ranked_member {
+  std::uint64_t weight = 0;
+  const pool_member* member = nullptr;
+};
+
+bool ranks_before(const ranked_member& left, const ranked_member& right) {
+  // Equal weights fall back on the members' names.
+  return left.weight != right.weight ? left.weight > right.weight
+                                     : left.member->node < right.member->node;
+}
+
 }  // namespace
 
 void refresh(placement_cache& cache, const control_plane& plane) {
@@ -74,4 +85,22 @@
   return known[member.position].avoid_until > now;
 }
 
+std::vector<const pool_member*> preference_order(const std::vector<const pool_member*>& pool,
+                                                 std::uint64_t key_hash, std::size_t count) {
+  std::vector<ranked_member> ranks;
+  ranks.reserve(pool.size());
+  for (const pool_member* member : pool) {
+    ranks.push_back({rendezvous_weight(key_hash, member->hash), member});
+  }
+  const std::size_t wanted = std::min(count, ranks.size());
+  const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(wanted);
+  std::partial_sort(ranks.begin(), end, ranks.end(), ranks_before);
+  std::vector<const pool_member*> order;
+  order.reserve(wanted);
+  for (auto rank = ranks.begin(); rank != end; ++rank) {
+    order.push_back(rank->member);
+  }
+  return order;
+}
+
 }  // namespace chestnuthead::routing
--- a/Source/Router/placement.h
+++ b/Source/Router/placement.h
@@ -11,7 +11,6 @@
 #include "chestnuthead/request.h"
 
 #include "Gossip/control_plane.h"
-#include "Router/preference_order.h"
 
 /// Rendezvous placement: every router ranks the members of a pool in the same
 /// order for the same chat, whichever of them are in service at the moment.
@@ -54,4 +53,9 @@
 /// True if links to the member failed a short while ago.
 bool avoided(const control_plane& plane, const pool_member& member, steady_time now);
 
+/// The members in the order of preference of one key, best first, `count` at
+/// most. The order of any two members does not depend on the others.
+std::vector<const pool_member*> preference_order(const std::vector<const pool_member*>& pool,
+                                                 std::uint64_t key_hash, std::size_t count);
+
 }  // namespace chestnuthead::routing
--- a/Source/Router/refusals.cxx
+++ b/Source/Router/refusals.cxx
@@ -94,6 +94,8 @@
   note_come_back(row.refusals, refusal.come_back);
   switch (refusal.why) {
     case refusal_kind::not_resident:
+      // The endpoint may still get the request, so it is not counted as tried.
+      --row.counted_attempts;
       start_probes(state, row, agent, now, actions);
       return;
     case refusal_kind::key_in_progress:
--- a/Source/Router/request_table.h
+++ b/Source/Router/request_table.h
@@ -97,6 +97,8 @@
   /// When a waiting request asks again, and how long it waited last.
   steady_time wake{};
   std::chrono::milliseconds waited{0};
+  /// When the table was first asked what became of the call.
+  steady_time sealed_at{};
   /// Why the request was given up, while it is sealed or its stored answer is
   /// fetched.
   error_kind reason = error_kind::retries_exhausted;
--- a/Source/Router/seals.cxx
+++ b/Source/Router/seals.cxx
@@ -61,6 +61,7 @@
 void begin_seal(router_state& state, request_row& row, error_kind why, steady_time now,
                 router_actions& actions) {
   row.phase = request_phase::sealing;
+  row.sealed_at = now;
   row.reason = why;
   const request_facts& facts = row.facts;
   carry_out(state, seal(*state.seals, facts.request, facts.key, facts.pool, now), now, actions);
--- a/Source/Router/service.cxx
+++ b/Source/Router/service.cxx
@@ -40,6 +40,9 @@
 }
 
 void update_service(router_state& state, steady_time now, router_actions& actions) {
+  if (listed_as_leaving(*state.plane)) {
+    begin_stop(state, now, actions);
+  }
   const bool ready = should_be_ready(state);
   if (ready != state.service.ready) {
     state.service.ready = ready;
--- a/Source/Router/service.h
+++ b/Source/Router/service.h
@@ -19,7 +19,8 @@
 /// Begins the planned stop: not ready first, then the news to the peers.
 void begin_stop(router_state& state, steady_time now, router_actions& actions);
 
-/// Reports a change of readiness, and the end of a planned stop.
+/// Reports a change of readiness, and the end of a planned stop. A router that
+/// the platform's list shows as leaving begins its stop by itself.
 void update_service(router_state& state, steady_time now, router_actions& actions);
 
 }  // namespace chestnuthead::routing
