--- a/Source/Router/attempts.cxx
+++ b/Source/Router/attempts.cxx
@@ -18,6 +18,16 @@
   return state.requests.attempts.at(row.current);
 }
 
+// The request if the event concerns its current attempt, else nullptr.
+request_row* find_addressed(router_state& state, const request_id& request,
+                            const attempt_id& attempt) {
+  if (state.switches.drop_stale_events) {
+    return find_current(state.requests, request, attempt);
+  }
+  request_row* row = find_request(state.requests, request);
+  return row == nullptr || row->current.empty() ? nullptr : row;
+}
+
 void note_agent(router_state& state, const node_id& agent, const load_report& load,
                 steady_time now) {
   remember_load(state.loads, agent, load, now);
@@ -86,11 +96,11 @@
 }  // namespace
 
 void take_accepted(router_state& state, const attempt_accepted& event, steady_time now) {
-  const request_row* row = find_current(state.requests, event.request, event.attempt);
+  const request_row* row = find_addressed(state, event.request, event.attempt);
   if (row == nullptr) {
     return;
   }
-  attempt_row& attempt = state.requests.attempts.at(event.attempt);
+  attempt_row& attempt = state.requests.attempts.at(row->current);
   attempt.state = attempt_state::accepted;
   note_agent(state, attempt.agent, event.load, now);
   if (row->model_engine && !row->facts.chat.empty()) {
@@ -100,20 +110,20 @@
 
 void take_refused(router_state& state, const attempt_refused& event, steady_time now,
                   router_actions& actions) {
-  request_row* row = find_current(state.requests, event.request, event.attempt);
+  request_row* row = find_addressed(state, event.request, event.attempt);
   if (row == nullptr) {
     return;
   }
-  const node_id agent = current_attempt(state, *row).agent;
-  note_agent(state, agent, event.load, now);
-  record(*row, "attempt_refused", agent, std::string(name_of(event.why)), actions);
+  const attempt_row refused = current_attempt(state, *row);
+  note_agent(state, refused.agent, event.load, now);
+  record(*row, "attempt_refused", refused.agent, std::string(name_of(event.why)), actions);
   close_current(state.requests, *row, attempt_state::refused);
-  act_on_refusal(state, *row, agent, event, now, actions);
+  act_on_refusal(state, *row, refused, event, now, actions);
 }
 
 void take_ended(router_state& state, const attempt_ended& event, steady_time now,
                 router_actions& actions) {
-  request_row* row = find_current(state.requests, event.request, event.attempt);
+  request_row* row = find_addressed(state, event.request, event.attempt);
   if (row == nullptr) {
     return;
   }
--- a/Source/Router/refusals.cxx
+++ b/Source/Router/refusals.cxx
@@ -89,20 +89,23 @@
   return "unknown";
 }
 
-void act_on_refusal(router_state& state, request_row& row, const node_id& agent,
+void act_on_refusal(router_state& state, request_row& row, const attempt_row& attempt,
                     const attempt_refused& refusal, steady_time now, router_actions& actions) {
   note_come_back(row.refusals, refusal.come_back);
   switch (refusal.why) {
     case refusal_kind::not_resident:
+      if (!attempt.only_if_resident) {
+        break;
+      }
       // The endpoint may still get the request, so it is not counted as tried.
       --row.counted_attempts;
-      start_probes(state, row, agent, now, actions);
+      start_probes(state, row, attempt.agent, now, actions);
       return;
     case refusal_kind::key_in_progress:
       wait_for_key(row, now);
       return;
     case refusal_kind::ledger_unavailable:
-      act_on_ledger(state, row, agent, now, actions);
+      act_on_ledger(state, row, attempt.agent, now, actions);
       return;
     case refusal_kind::crashes:
       give_up(state, row, error_kind::request_refused_after_crashes, now, actions);
@@ -119,7 +122,7 @@
     default:
       break;
   }
-  try_next(state, row, agent, now, actions);
+  try_next(state, row, attempt.agent, now, actions);
 }
 
 }  // namespace chestnuthead::routing
--- a/Source/Router/refusals.h
+++ b/Source/Router/refusals.h
@@ -17,7 +17,7 @@
 
 /// Goes on to the next choice, waits, asks others or gives up. The row may be
 /// gone afterwards.
-void act_on_refusal(router_state& state, request_row& row, const node_id& agent,
+void act_on_refusal(router_state& state, request_row& row, const attempt_row& attempt,
                     const attempt_refused& refusal, steady_time now, router_actions& actions);
 
 }  // namespace chestnuthead::routing
--- a/Tests/Router/router_fixture.cxx
+++ b/Tests/Router/router_fixture.cxx
@@ -75,6 +75,9 @@
 std::vector<router_action> router_fixture::give(const router_event& event) {
   auto actions = this->answer_platform(step(*this->state, event, this->now));
   this->log.insert(this->log.end(), actions.begin(), actions.end());
+  if (this->observer) {
+    this->observer(actions);
+  }
   return actions;
 }
 
--- a/Tests/Router/router_fixture.h
+++ b/Tests/Router/router_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -53,6 +54,8 @@
   vm_snapshot vms;
   steady_time now{std::chrono::hours{1}};
   std::vector<router_action> log;
+  /// Called with the actions of each event as they come, if set.
+  std::function<void(const std::vector<router_action>&)> observer;
   router_state_ptr state;
 
  private:
