Add chestnutctl over the control modules

Cause: operators need one command line for answers, changes, taking parts out, status and the time line.

--- a/Source/Control/change.cxx
+++ b/Source/Control/change.cxx
@@ -15,9 +15,11 @@
 }
 
 change_conflict make_conflict(const configuration_row& base, const table_row& current) {
-  return {current.version, operation_of(current.value),
-          base.version > 0 && base.text.empty() ? std::vector<difference>{}
-                                                : compare_documents(base.text, current.value)};
+  change_conflict conflict{current.version, operation_of(current.value), {}};
+  if (!base.text.empty()) {
+    conflict.differences = compare_documents(base.text, current.value);
+  }
+  return conflict;
 }
 
 // What the row says about a write whose own answer is lost or negative. Empty
--- /dev/null
+++ b/Source/Control/configuration_commands.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+/// Commands about answers and the configuration. Each returns an exit status.
+namespace chestnuthead {
+
+int run_questionnaire(const std::vector<std::string>& words);
+int run_generate(const std::vector<std::string>& words);
+int run_check(const std::vector<std::string>& words);
+int run_show(const std::vector<std::string>& words);
+int run_diff(const std::vector<std::string>& words);
+int run_apply(const std::vector<std::string>& words);
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Control/service_commands.cxx
@@ -0,0 +1,149 @@
+#include "Control/service_commands.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+#include <thread>
+
+#include "Control/change_report.h"
+#include "Control/command.h"
+#include "Control/fleet_access.h"
+#include "Control/service_change.h"
+#include "Net/json_text.h"
+
+namespace chestnuthead {
+
+namespace {
+
+constexpr std::chrono::milliseconds poll_interval{100};
+
+struct service_options {
+  std::string fleet;
+  std::string operation;
+  bool unlisted = false;
+  bool no_wait = false;
+  std::uint64_t timeout_s = 30;
+  bool json = false;
+};
+
+std::vector<option_spec> specs_of(service_options& options) {
+  return {{"fleet", &options.fleet, "Fleet file; the variable CHESTNUT_FLEET if not given."},
+          {"operation", &options.operation, "Unique name of this change; made up if not given."},
+          {"unlisted", &options.unlisted, "Take an endpoint that the VM list does not show."},
+          {"no-wait", &options.no_wait, "Do not wait until every node has it in force."},
+          {"timeout-s", &options.timeout_s, "Longest wait."},
+          {"json", &options.json, "Print JSON in place of text."}};
+}
+
+bool is_listed(platform_access& platform, const std::string& node) {
+  const auto vms = platform.list_vms();
+  return vms && std::any_of(vms->vms.begin(), vms->vms.end(),
+                            [&node](const vm_entry& vm) { return vm.node.value == node; });
+}
+
+int carry_out_order(const service_order& order, const service_options& options) {
+  const auto fleet = read_fleet(options.fleet);
+  if (const auto* failure = std::get_if<command_failure>(&fleet)) {
+    return failure->status;
+  }
+  platform_access platform(std::get<fleet_file>(fleet).platform_address);
+  const bool take_out = order.move == service_move::take_out;
+  if (take_out && order.target == service_target::endpoint && !options.unlisted &&
+      !is_listed(platform, order.name)) {
+    return fail(exit_bad_file, "The VM list does not show the endpoint \"" + order.name +
+                                   "\"; --unlisted takes it out all the same.");
+  }
+  const service_result result = carry_out(platform.table(), order, usual_terms());
+  if (const auto* fault = std::get_if<order_not_valid>(&result)) {
+    return fail(exit_bad_file, fault->sentence);
+  }
+  const report_terms terms{options.json, !options.no_wait, std::chrono::seconds(options.timeout_s)};
+  return report_change(std::get<change_result>(result), std::get<fleet_file>(fleet), platform,
+                       terms);
+}
+
+int run_move(const std::vector<std::string>& words, service_move move, const std::string& name,
+             const std::string& help) {
+  service_options options;
+  const command_words line =
+      read_command(words, name + " failure-domain|endpoint NAME", help, specs_of(options), 2);
+  if (line.done) {
+    return line.status;
+  }
+  const std::string& kind = line.arguments[0];
+  if (kind != "failure-domain" && kind != "endpoint") {
+    return fail(exit_usage,
+                "The word \"" + kind + "\" is not known; failure-domain or endpoint was expected.");
+  }
+  service_order order;
+  order.target = kind == "endpoint" ? service_target::endpoint : service_target::failure_domain;
+  order.move = move;
+  order.name = line.arguments[1];
+  order.operation = options.operation.empty() ? make_operation_name() : options.operation;
+  return carry_out_order(order, options);
+}
+
+// Requests in flight on a node; -1 if it does not answer.
+std::int64_t in_flight_on(const std::string& address) {
+  const auto body = ask_node(address, "/status");
+  const Poco::JSON::Object::Ptr status = body ? parse_json_object(*body) : nullptr;
+  if (status.isNull()) {
+    return -1;
+  }
+  return json_number(*status, "in_flight", json_number(*status, "requests_in_flight", -1));
+}
+
+}  // namespace
+
+int run_take_out(const std::vector<std::string>& words) {
+  return run_move(
+      words, service_move::take_out, "take-out",
+      "Takes a failure domain or an endpoint out of service: it gets no new work, what\n"
+      "is in flight goes on. Waits until every node has that in force, and names the\n"
+      "nodes that have not.");
+}
+
+int run_bring_back(const std::vector<std::string>& words) {
+  return run_move(words, service_move::bring_back, "bring-back",
+                  "Brings a failure domain or an endpoint back into service.");
+}
+
+int run_stop(const std::vector<std::string>& words) {
+  service_options options;
+  const command_words line = read_command(
+      words, "stop NODE",
+      "Empties the endpoint of an agent for a planned stop: takes it out of service and waits\n"
+      "until nothing is in flight there. Then the VM can be stopped with SIGTERM; bring-back\n"
+      "brings the endpoint back. A router needs no emptying: SIGTERM alone stops it without\n"
+      "cutting off a request.",
+      specs_of(options), 1);
+  if (line.done) {
+    return line.status;
+  }
+  const std::string& node = line.arguments.front();
+  const auto fleet = read_fleet(options.fleet);
+  if (const auto* failure = std::get_if<command_failure>(&fleet)) {
+    return failure->status;
+  }
+  const auto& nodes = std::get<fleet_file>(fleet).nodes;
+  if (!nodes.contains(node)) {
+    return fail(exit_bad_file, "The fleet file does not list the node \"" + node + "\".");
+  }
+  service_order order{service_target::endpoint, service_move::take_out, node,
+                      options.operation.empty() ? make_operation_name() : options.operation};
+  const int status = carry_out_order(order, options);
+  if (status != exit_done) {
+    return status;
+  }
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(options.timeout_s);
+  while (in_flight_on(nodes.at(node)) != 0) {
+    if (std::chrono::steady_clock::now() >= end) {
+      return fail(exit_negative, "The node " + node + " still has requests in flight.");
+    }
+    std::this_thread::sleep_for(poll_interval);
+  }
+  std::cout << "Nothing is in flight on " << node << "; SIGTERM stops it.\n";
+  return exit_done;
+}
+
+}  // namespace chestnuthead
