--- a/Source/Agent/attempt_flow.cxx
+++ b/Source/Agent/attempt_flow.cxx
@@ -38,7 +38,7 @@
   // The ledger may still refuse an at-most-once attempt, so that one is
   // accepted when its claim stands.
   if (!is_at_most_once(row)) {
-    accept(state, row, now);
+    accept(state, row);
   }
 }
 
@@ -54,25 +54,25 @@
 }
 
 // The attempt has not been given to the endpoint and never will be.
-void give_up(agent_state& state, attempt_row& row, steady_time now) {
+void give_up(agent_state& state, attempt_row& row) {
   if (row.accepted) {
-    end(state, row.offer.attempt, attempt_outcome::cancelled, now);
+    end(state, row.offer.attempt, attempt_outcome::cancelled);
     return;
   }
-  refuse(state, row.offer, refusal_kind::deadline, std::chrono::milliseconds{0}, now);
+  refuse(state, row.offer, refusal_kind::deadline, std::chrono::milliseconds{0});
 }
 
 void stop_attempt(agent_state& state, attempt_row& row, steady_time now) {
   const attempt_id attempt = row.offer.attempt;
   switch (row.phase) {
     case attempt_phase::queued:
-      give_up(state, row, now);
+      give_up(state, row);
       return;
     case attempt_phase::claiming:
       withdraw_claim(state, attempt, now);
       return;
     case attempt_phase::granted:
-      give_up(state, row, now);
+      give_up(state, row);
       release_claim(state, attempt, now);
       return;
     case attempt_phase::running:
@@ -87,6 +87,17 @@
   }
 }
 
+// Sends calls on that got no slot, so that another endpoint may have them.
+void send_on_waiting_calls(agent_state& state, steady_time now) {
+  for (const attempt_id& attempt : attempts_in(state.attempts, attempt_phase::queued)) {
+    const attempt_row& row = *find_attempt(state.attempts, attempt);
+    if (!row.accepted && now - row.admitted_at > call_queue_wait) {
+      const auto come_back = time_to_next_end(state.rate, slots_held(state.attempts));
+      refuse(state, row.offer, refusal_kind::full, come_back);
+    }
+  }
+}
+
 bool time_is_up(const attempt_row& row, steady_time now) {
   // The ledger keeps the deadline of a claim itself.
   return row.phase != attempt_phase::claiming && row.deadline <= now;
@@ -104,7 +115,7 @@
     note_version(*state.control, offer.router, offer.configuration_version);
   }
   if (const auto why = reason_to_refuse(state, offer, now)) {
-    refuse(state, offer, why->why, why->come_back, now);
+    refuse(state, offer, why->why, why->come_back);
     return;
   }
   admit(state, offer, now);
@@ -132,6 +143,7 @@
       stop_attempt(state, *row, now);
     }
   }
+  send_on_waiting_calls(state, now);
   std::erase_if(state.attempts.rows, [now](const auto& entry) {
     const attempt_row& row = entry.second;
     return row.phase == attempt_phase::cancelling && now - row.cancelled_at > cancel_wait;
