--- /dev/null
+++ b/Tests/Processes/fleet.sh
@@ -0,0 +1,248 @@
+# Functions that start a small fleet of real processes on 127.0.0.1, for the
+# demo and the process tests. To be sourced. All waiting is on conditions.
+#
+#   fleet_begin NAME      makes a folder for logs and files, and cleans up at exit
+#   start_platform, start_engine, start_service, start_agent, start_router
+#   apply_answers FILE    writes the fleet file, applies, waits until in force
+#   stop_fleet            stops all gracefully and checks the exit statuses
+
+fleet_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+fleet_bin=${CHESTNUT_BIN:-$fleet_root/build/bin}
+poll_seconds=0.05
+declare -A process_ids=()
+declare -A status_addresses=()
+declare -A killed=()
+routers=()
+
+fleet_begin() {
+  fleet_dir=$(mktemp -d "${TMPDIR:-/tmp}/chestnuthead-$1.XXXXXX")
+  trap fleet_end EXIT
+}
+
+# Ends what is left, by the ids of the processes that were started here.
+fleet_end() {
+  local status=$? name
+  for name in "${!process_ids[@]}"; do
+    kill -KILL "${process_ids[$name]}" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  if [ "$status" -eq 0 ]; then
+    rm -rf "$fleet_dir"
+  else
+    echo "Failed with status $status; the logs are in $fleet_dir." >&2
+  fi
+}
+
+fail() {
+  echo "$*" >&2
+  exit 1
+}
+
+# wait_until SECONDS WHAT COMMAND...: polls until the command succeeds.
+wait_until() {
+  local end=$((SECONDS + $1)) what=$2
+  shift 2
+  until "$@"; do
+    [ "$SECONDS" -lt "$end" ] || fail "Waited too long for: $what."
+    sleep "$poll_seconds"
+  done
+}
+
+# http METHOD ADDRESS PATH [BODY]: prints the answer's body.
+http() {
+  local host=${2%:*} port=${2##*:} body=${4:-}
+  {
+    exec 9<>"/dev/tcp/$host/$port" || return 1
+  } 2>/dev/null
+  printf '%s %s HTTP/1.0\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s' \
+    "$1" "$3" "$2" "${#body}" "$body" >&9
+  sed '1,/^\r$/d' <&9
+  exec 9<&- 9>&-
+}
+
+# field FILE KEY: the text under a key of a flat JSON object.
+field() {
+  sed -n "s/.*\"$2\" *: *\"\([^\"]*\)\".*/\1/p" "$1" | head -n 1
+}
+
+# number KEY: the number under a key of the JSON object on the standard input.
+number() {
+  sed -n "s/.*\"$1\" *: *\(-\{0,1\}[0-9.]*\).*/\1/p" | head -n 1
+}
+
+start_process() {
+  local name=$1
+  shift
+  "$@" >"$fleet_dir/$name.out" 2>"$fleet_dir/$name.log" &
+  process_ids[$name]=$!
+}
+
+ready_or_ended() {
+  [ -s "$fleet_dir/$1.ready" ] || ! kill -0 "${process_ids[$1]}" 2>/dev/null
+}
+
+wait_ready() {
+  wait_until 20 "$1 to listen" ready_or_ended "$1"
+  [ -s "$fleet_dir/$1.ready" ] || fail "$1 ended at its start: $(tail -n 3 "$fleet_dir/$1.log")"
+}
+
+# The stand-ins take their switches after the name.
+start_stand_in() {
+  local program=$1 name=$2
+  shift 2
+  start_process "$name" "$fleet_bin/$program" --ready-file "$fleet_dir/$name.ready" "$@"
+  wait_ready "$name"
+}
+
+start_platform() {
+  start_stand_in platform platform "$@"
+  platform=$(field "$fleet_dir/platform.ready" address)
+}
+
+start_engine() {
+  local name=$1
+  shift
+  start_stand_in model-engine "$name" --name "$name" "$@"
+}
+
+start_service() {
+  start_stand_in plain-service "$@"
+}
+
+address_of() {
+  field "$fleet_dir/$1.ready" "${2:-address}"
+}
+
+list_vm() {
+  local vm="{\"node\":\"$1\",\"role\":\"$2\",\"pool\":\"$3\",\"failure_domain\":\"$4\""
+  vm+=",\"region\":\"test\",\"address\":\"$(address_of "$1" peer_address)\"}"
+  http POST "$platform" /vms "{\"action\":\"add\",\"vm\":$vm}" >"$fleet_dir/vms.out"
+}
+
+# start_agent NAME POOL KIND DOMAIN STAND_IN
+start_agent() {
+  cat >"$fleet_dir/$1.json" <<SETTINGS
+{"node": "$1", "failure_domain": "$4", "region": "test", "platform_address": "$platform",
+ "pool": "$2", "pool_kind": "$3", "endpoint_address": "$(address_of "$5")",
+ "ready_file": "$fleet_dir/$1.ready"}
+SETTINGS
+  start_process "$1" "$fleet_bin/chestnut-agent" "$fleet_dir/$1.json"
+  wait_ready "$1"
+  status_addresses[$1]=$(address_of "$1" status_address)
+  list_vm "$1" agent "$2" "$4"
+}
+
+# start_router NAME DOMAIN
+start_router() {
+  cat >"$fleet_dir/$1.json" <<SETTINGS
+{"node": "$1", "failure_domain": "$2", "region": "test", "platform_address": "$platform",
+ "ready_file": "$fleet_dir/$1.ready"}
+SETTINGS
+  start_process "$1" "$fleet_bin/chestnut-router" "$fleet_dir/$1.json"
+  wait_ready "$1"
+  status_addresses[$1]=$(address_of "$1" status_address)
+  routers+=("$1")
+  list_vm "$1" router "" "$2"
+}
+
+router_addresses() {
+  local name list=""
+  for name in "${routers[@]}"; do
+    list+="${list:+,}$(address_of "$name" public_address)"
+  done
+  echo "$list"
+}
+
+write_fleet_file() {
+  local name nodes=""
+  for name in "${!status_addresses[@]}"; do
+    nodes+="${nodes:+, }\"$name\": \"${status_addresses[$name]}\""
+  done
+  export CHESTNUT_FLEET=$fleet_dir/fleet.json
+  echo "{\"platform_address\": \"$platform\", \"nodes\": {$nodes}}" >"$CHESTNUT_FLEET"
+}
+
+control() {
+  "$fleet_bin/chestnutctl" "$@"
+}
+
+all_ready() {
+  local name
+  for name in "${!status_addresses[@]}"; do
+    [ -n "${killed[$name]:-}" ] && continue
+    http GET "${status_addresses[$name]}" /status | grep -q '"ready":true' || return 1
+  done
+}
+
+apply_answers() {
+  write_fleet_file
+  control apply "$1" --wait >"$fleet_dir/apply.out" || fail "The configuration was not taken up."
+  wait_until 20 "all nodes to be ready" all_ready
+}
+
+start_load() {
+  local name=$1
+  shift
+  start_process "$name" "$fleet_bin/chestnut-load" --routers "$(router_addresses)" "$@"
+}
+
+# Waits for a load and leaves its exit status in load_status.
+finish_load() {
+  load_status=0
+  wait "${process_ids[$1]}" || load_status=$?
+  unset "process_ids[$1]"
+}
+
+load_running() {
+  kill -0 "${process_ids[$1]}" 2>/dev/null
+}
+
+in_flight() {
+  http GET "${status_addresses[$1]}" /status | sed 's/requests_in_flight/in_flight/' \
+    | number in_flight
+}
+
+# has_work NODE [COUNT]: true if at least that many requests are in flight there.
+has_work() {
+  [ "$(in_flight "$1")" -ge "${2:-1}" ]
+}
+
+kill_hard() {
+  kill -KILL "${process_ids[$1]}"
+  wait "${process_ids[$1]}" 2>/dev/null || true
+  killed[$1]=yes
+  unset "process_ids[$1]"
+}
+
+# stop_process NAME: SIGTERM, and the exit status has to be 0.
+stop_process() {
+  local status=0
+  kill -TERM "${process_ids[$1]}" 2>/dev/null || true
+  wait "${process_ids[$1]}" || status=$?
+  unset "process_ids[$1]"
+  [ "$status" -eq 0 ] || fail "$1 ended with status $status when it was asked to stop."
+}
+
+# No invariant may have broken on any node that still runs.
+check_invariants() {
+  local name broken
+  for name in "${!status_addresses[@]}"; do
+    [ -n "${process_ids[$name]:-}" ] || continue
+    broken=$(http GET "${status_addresses[$name]}" /status | number invariants_broken)
+    [ "$broken" = 0 ] || fail "$name counts $broken broken invariants."
+  done
+}
+
+stop_fleet() {
+  local name
+  check_invariants
+  for name in "${routers[@]}"; do
+    [ -n "${process_ids[$name]:-}" ] && stop_process "$name"
+  done
+  for name in "${!status_addresses[@]}"; do
+    [ -n "${process_ids[$name]:-}" ] && stop_process "$name"
+  done
+  for name in "${!process_ids[@]}"; do
+    stop_process "$name"
+  done
+}
