--- a/Source/Ledger/ledger_state.h
+++ b/Source/Ledger/ledger_state.h
@@ -23,7 +23,7 @@
 /// Refusals of the table in a row after which a claim is given up.
 inline constexpr std::uint32_t claim_refusal_limit = 3;
 /// How long a claim is tried when the table gives no answer.
-inline constexpr std::chrono::milliseconds claim_patience{2'000};
+inline constexpr std::chrono::milliseconds claim_patience{4'000};
 /// How long an answer is held back for its result to be recorded.
 inline constexpr std::chrono::milliseconds result_patience{300};
 /// How long a write that no caller waits for is tried.
--- a/Source/Measure/fleet.cxx
+++ b/Source/Measure/fleet.cxx
@@ -3,8 +3,8 @@
 namespace chestnuthead {
 
 fleet::fleet(event_queue& events, const fleet_parameters& shape)
-    : queue(events), parameters(shape), begun(shape.endpoints) {
-  for (std::size_t index = 0; index < shape.endpoints; ++index) {
+    : queue(events), parameters(shape), begun(shape.endpoints + shape.services) {
+  for (std::size_t index = 0; index < shape.endpoints + shape.services; ++index) {
     this->engine_table.push_back(std::make_unique<engine_model>(events, shape.engine));
   }
 }
--- a/Source/Measure/fleet.h
+++ b/Source/Measure/fleet.h
@@ -19,7 +19,10 @@
 /// Size and shape of a modelled fleet.
 struct fleet_parameters {
   std::size_t routers = 4;
+  /// Model engines, all of one pool.
   std::size_t endpoints = 12;
+  /// Plain services, all of one pool; numbered after the model engines.
+  std::size_t services = 0;
   std::size_t failure_domains = 4;
   /// One-way time between any two nodes, and to the platform.
   std::chrono::microseconds link_time{1'000};
@@ -29,6 +32,10 @@
   engine_parameters engine;
 };
 
+/// Names of the two pools of a modelled fleet.
+inline constexpr const char* model_pool_name = "model";
+inline constexpr const char* service_pool_name = "orders";
+
 /// A fleet before modelled engines: the product's cores or a baseline.
 class fleet {
  public:
--- a/Source/Measure/fleet_run.cxx
+++ b/Source/Measure/fleet_run.cxx
@@ -125,7 +125,7 @@
   sample.when = std::chrono::duration_cast<std::chrono::milliseconds>(this->queue.now() -
                                                                       this->counting_since);
   routed_fleet* cores = this->ours();
-  for (std::size_t index = 0; index < this->engines->engines().size(); ++index) {
+  for (std::size_t index = 0; index < this->parameters.shape.endpoints; ++index) {
     // With the cores, work that waits at the agent is load of its endpoint.
     const std::size_t load = cores != nullptr ? cores->agent_summary_of(index).in_flight
                                               : this->engines->engines().at(index)->in_flight();
--- /dev/null
+++ b/Source/Measure/payment_callers.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chestnuthead/ids.h"
+#include "chestnuthead/random_source.h"
+
+#include "Measure/event_queue.h"
+#include "Measure/workload.h"
+
+namespace chestnuthead {
+
+/// What callers of at-most-once calls do.
+struct payment_parameters {
+  double calls_per_second = 2.0;
+  /// How often a caller asks the same key again before it gives up.
+  std::uint32_t repeats = 4;
+};
+
+/// What the callers were told, held against what was executed.
+struct payment_findings {
+  std::uint64_t keys = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t told_not_run = 0;
+  std::uint64_t told_unknown = 0;
+  std::uint64_t executions = 0;
+  /// Keys that were executed more than once.
+  std::uint64_t duplicates = 0;
+  /// Requests that were executed though their caller was told "not run".
+  std::uint64_t false_not_run = 0;
+  /// Keys that were answered though nothing was executed.
+  std::uint64_t answered_without_execution = 0;
+  /// Requests without an outcome so far.
+  std::uint64_t open = 0;
+};
+
+/// Callers of at-most-once calls that ask the same key again, as people do who
+/// were not told that it ran.
+class payment_callers {
+ public:
+  payment_callers(event_queue& queue, random_source& random, const payment_parameters& parameters,
+                  request_sender sender);
+
+  /// Begins to call, and goes on until `end`.
+  void begin(steady_time end);
+
+  /// Is to be told of each execution at an endpoint.
+  void note_execution(const request_facts& facts);
+
+  /// Findings so far.
+  [[nodiscard]] payment_findings findings() const;
+
+ private:
+  void next_call();
+  void ask(const idempotency_key& key, std::uint64_t fingerprint, std::uint32_t repeats_left);
+  void answered(const request_facts& facts, const request_outcome& outcome,
+                std::uint32_t repeats_left);
+
+  event_queue& queue;
+  random_source& random;
+  payment_parameters parameters;
+  request_sender send;
+  steady_time end{};
+  std::uint64_t requests = 0;
+  payment_findings counts;
+  std::map<idempotency_key, std::uint32_t> executions;
+  std::set<request_id> executed;
+  std::set<request_id> not_run;
+};
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Measure/platform_model.cxx
@@ -0,0 +1,65 @@
+#include "Measure/platform_model.h"
+
+#include <utility>
+
+namespace chestnuthead {
+
+namespace {
+
+constexpr std::chrono::milliseconds slow_answer{1'500};
+/// After this time a caller of the table takes an answer for lost.
+constexpr std::chrono::milliseconds call_timeout{1'000};
+
+}  // namespace
+
+platform_model::platform_model(event_queue& events, random_source& numbers,
+                               std::chrono::microseconds link)
+    : queue(events), random(numbers), link_time(link) {}
+
+void platform_model::set_mood(table_mood new_mood) {
+  this->mood = new_mood;
+}
+
+void platform_model::call(const table_request& request,
+                          std::function<void(const table_reply&)> done) {
+  switch (this->mood) {
+    case table_mood::up:
+      this->answer_after(this->link_time, request, std::move(done));
+      return;
+    case table_mood::down:
+      this->queue.after(2 * this->link_time, [done] { done(table_failure::refused); });
+      return;
+    case table_mood::slow:
+      // The caller gives up before the write takes effect.
+      this->queue.after(slow_answer, [this, request] { this->rows.apply(request); });
+      this->queue.after(call_timeout, [done] { done(table_failure::no_answer); });
+      return;
+    case table_mood::losing_answers:
+      this->lose(request, std::move(done));
+      return;
+  }
+}
+
+void platform_model::answer_after(std::chrono::microseconds delay, const table_request& request,
+                                  std::function<void(const table_reply&)> done) {
+  this->queue.after(delay, [this, request, done = std::move(done)] {
+    const table_reply reply = this->rows.apply(request);
+    this->queue.after(this->link_time, [done, reply] { done(reply); });
+  });
+}
+
+void platform_model::lose(const table_request& request,
+                          std::function<void(const table_reply&)> done) {
+  constexpr std::uint64_t ways = 4;
+  const std::uint64_t way = next_below(this->random, ways);
+  if (way >= 2) {
+    this->answer_after(this->link_time, request, std::move(done));
+    return;
+  }
+  if (way == 1) {
+    this->queue.after(this->link_time, [this, request] { this->rows.apply(request); });
+  }
+  this->queue.after(call_timeout, [done] { done(table_failure::no_answer); });
+}
+
+}  // namespace chestnuthead
--- /dev/null
+++ b/Source/Measure/platform_model.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+#include "chestnuthead/memory_table.h"
+#include "chestnuthead/random_source.h"
+
+#include "Measure/event_queue.h"
+
+namespace chestnuthead {
+
+/// How the platform's table service behaves at present.
+enum class table_mood : std::uint8_t {
+  up,
+  /// Refuses every call.
+  down,
+  /// Answers seconds late.
+  slow,
+  /// Every second answer is lost, half of them after the write took effect.
+  losing_answers,
+};
+
+/// The platform's table service on a virtual clock.
+class platform_model {
+ public:
+  platform_model(event_queue& queue, random_source& random, std::chrono::microseconds link_time);
+
+  void set_mood(table_mood mood);
+
+  /// Carries out a call; `done` runs when the answer or its absence is known.
+  void call(const table_request& request, std::function<void(const table_reply&)> done);
+
+  /// The rows, without delay or mood.
+  memory_table rows;
+
+ private:
+  void answer_after(std::chrono::microseconds delay, const table_request& request,
+                    std::function<void(const table_reply&)> done);
+  void lose(const table_request& request, std::function<void(const table_reply&)> done);
+
+  event_queue& queue;
+  random_source& random;
+  std::chrono::microseconds link_time;
+  table_mood mood = table_mood::up;
+};
+
+}  // namespace chestnuthead
--- a/Source/Measure/routed_actions.cxx
+++ b/Source/Measure/routed_actions.cxx
@@ -23,10 +23,10 @@
           [&](const send_probe& send) { this->probe(router, send); },
           [&](const cancel_attempt& cancel) { this->withdraw(cancel); },
           [&](const answer_error& error) {
-            this->fail_request(error.request, error.kind, error.come_back);
+            this->fail_request(error.request, error.kind, error.ran, error.come_back);
           },
           [&](const cut_answer& cut) {
-            this->fail_request(cut.request, cut.kind, std::chrono::milliseconds{0});
+            this->fail_request(cut.request, cut.kind, cut.ran, std::chrono::milliseconds{0});
           },
           [&](const finish_answer& finish) {
             const auto place = this->requests.find(finish.request);
@@ -39,9 +39,12 @@
             this->finish_request(finish.request, outcome);
           },
           [&](const router_submit_table& submit) {
-            this->queue.after(this->parameters.link_time, [this, router, submit] {
-              const table_reply reply = this->table.apply(submit.request);
-              this->to_router(router, router_table_replied{submit.ticket, reply});
+            const std::uint64_t ticket = submit.ticket;
+            const std::uint64_t incarnation = this->routers.at(router)->incarnation;
+            this->platform.call(submit.request, [=, this](const table_reply& result) {
+              if (this->routers.at(router)->incarnation == incarnation) {
+                this->to_router(router, router_table_replied{ticket, result});
+              }
             });
           },
           [&](const router_read_vm_list&) {
@@ -56,9 +59,9 @@
 
 void routed_fleet::carry_out_agent(std::size_t endpoint, const agent_action& action) {
   const auto reply = [&](const attempt_id& attempt, auto make) {
-    const auto place = this->attempts.find(attempt);
-    if (place != this->attempts.end()) {
-      this->send_to_router(endpoint, place->second.router, make(place->second.request));
+    const live_attempt* live = this->live(attempt);
+    if (live != nullptr) {
+      this->send_to_router(endpoint, live->router, make(live->facts.request));
     }
   };
   std::visit(overloaded{
@@ -80,6 +83,9 @@
                    this->engine_table.at(endpoint)->cancel(cancel.attempt);
                  },
                  [&](const end_attempt& ended) { this->end(endpoint, ended); },
+                 [&](const answer_from_ledger& stored) {
+                   this->end(endpoint, {stored.attempt, attempt_outcome::complete, stored.load});
+                 },
                  [&](const answer_probe& answer) {
                    const std::size_t router = this->index_of(answer.router);
                    const node_id self{this->name_of_endpoint(endpoint)};
@@ -87,9 +93,12 @@
                                         probe_answered{answer.request, self, answer.load});
                  },
                  [&](const agent_submit_table& submit) {
-                   this->queue.after(this->parameters.link_time, [this, endpoint, submit] {
-                     const table_reply result = this->table.apply(submit.request);
-                     this->to_agent(endpoint, agent_table_replied{submit.ticket, result});
+                   const std::uint64_t ticket = submit.ticket;
+                   const std::uint64_t incarnation = this->agents.at(endpoint)->incarnation;
+                   this->platform.call(submit.request, [=, this](const table_reply& result) {
+                     if (this->agents.at(endpoint)->incarnation == incarnation) {
+                       this->to_agent(endpoint, agent_table_replied{ticket, result});
+                     }
                    });
                  },
                  [&](const agent_read_vm_list&) {
@@ -125,7 +134,8 @@
         router, attempt_ended{action.facts.request, action.attempt, attempt_outcome::lost, 0, {}});
     return;
   }
-  this->attempts[action.attempt] = {action.facts.request, router, endpoint, false};
+  const std::uint64_t incarnation = this->routers.at(router)->incarnation;
+  this->attempts[action.attempt] = {action.facts, router, incarnation, endpoint, false, false};
   attempt_offered event;
   event.facts = action.facts;
   event.attempt = action.attempt;
@@ -148,15 +158,29 @@
 void routed_fleet::withdraw(const cancel_attempt& action) {
   const std::size_t endpoint = this->index_of(action.agent);
   this->to_agent(endpoint, attempt_withdrawn{action.attempt});
-  this->attempts.erase(action.attempt);
+  const auto live = this->attempts.find(action.attempt);
+  if (live != this->attempts.end()) {
+    live->second.link_lost = true;
+  }
+}
+
+// The attempt, if its router can still hear of it.
+const routed_fleet::live_attempt* routed_fleet::live(const attempt_id& attempt) const {
+  const auto place = this->attempts.find(attempt);
+  if (place == this->attempts.end() || place->second.link_lost) {
+    return nullptr;
+  }
+  const live_attempt& found = place->second;
+  const bool same_router = this->routers.at(found.router)->incarnation == found.router_incarnation;
+  return same_router ? &found : nullptr;
 }
 
 routed_fleet::live_request* routed_fleet::request_of(const attempt_id& attempt) {
-  const auto live = this->attempts.find(attempt);
-  if (live == this->attempts.end()) {
+  const live_attempt* found = this->live(attempt);
+  if (found == nullptr) {
     return nullptr;
   }
-  const auto request = this->requests.find(live->second.request);
+  const auto request = this->requests.find(found->facts.request);
   return request == this->requests.end() ? nullptr : &request->second;
 }
 
@@ -175,27 +199,29 @@
       std::chrono::duration_cast<std::chrono::microseconds>(this->queue.now() - request->arrived);
 }
 
+// The endpoint gets the call also if nobody waits for its answer any more.
 void routed_fleet::run(std::size_t endpoint, const run_on_endpoint& action) {
-  const live_request* request = this->request_of(action.attempt);
-  if (request == nullptr) {
+  const auto place = this->attempts.find(action.attempt);
+  if (place == this->attempts.end()) {
+    ++this->broken["run_without_offer"];
     return;
   }
-  const request_facts& facts = request->planned.facts;
+  const request_facts facts = place->second.facts;
+  if (this->on_execution) {
+    this->on_execution(facts);
+  }
   this->begin_on_engine(endpoint,
                         {action.attempt, facts.chat, facts.prompt_tokens, facts.answer_tokens});
 }
 
 void routed_fleet::end(std::size_t endpoint, const end_attempt& action) {
-  const auto place = this->attempts.find(action.attempt);
-  if (place == this->attempts.end()) {
-    return;
+  if (const live_attempt* found = this->live(action.attempt)) {
+    const std::uint64_t passed = found->first_byte ? 1 : 0;
+    this->send_to_router(
+        endpoint, found->router,
+        attempt_ended{found->facts.request, action.attempt, action.outcome, passed, action.load});
   }
-  const live_attempt live = place->second;
-  this->attempts.erase(place);
-  const std::uint64_t passed = live.first_byte ? 1 : 0;
-  this->send_to_router(
-      endpoint, live.router,
-      attempt_ended{live.request, action.attempt, action.outcome, passed, action.load});
+  this->attempts.erase(action.attempt);
 }
 
 void routed_fleet::wire_engine(std::size_t index) {
--- a/Source/Measure/routed_fleet.cxx
+++ b/Source/Measure/routed_fleet.cxx
@@ -8,9 +8,12 @@
 
 routed_fleet::routed_fleet(event_queue& events, const fleet_parameters& shape,
                            const configuration_document& configuration, std::uint64_t seed)
-    : fleet(events, shape), document(configuration), random(seed) {
+    : fleet(events, shape),
+      document(configuration),
+      random(seed),
+      platform(events, this->random, shape.link_time) {
   this->write_configuration();
-  for (std::size_t index = 0; index < shape.endpoints; ++index) {
+  for (std::size_t index = 0; index < this->engine_table.size(); ++index) {
     this->agents.push_back(std::make_unique<agent_node>());
     this->wire_engine(index);
     this->start_agent(index);
@@ -30,44 +33,16 @@
   live.planned = request;
   live.done = std::move(done);
   live.arrived = this->queue.now();
+  live.router = router;
   request_arrived event;
   event.facts = request.facts;
+  event.method = request.method;
+  event.path = request.path;
+  event.key_from_caller = !request.facts.key.empty();
   event.body_bytes = request.facts.prompt_tokens;
   this->step_router(router, event);
 }
 
-void routed_fleet::set_domain_out(std::size_t domain, bool out) {
-  const failure_domain_id name{domain_name(domain)};
-  if (out) {
-    this->document.failure_domains_out.insert(name);
-  } else {
-    this->document.failure_domains_out.erase(name);
-  }
-  this->write_configuration();
-}
-
-void routed_fleet::set_cut(std::size_t endpoint, bool cut) {
-  this->agents.at(endpoint)->cut = cut;
-  if (!cut) {
-    return;
-  }
-  // Both ends see that the link is gone.
-  std::vector<attempt_id> lost;
-  for (const auto& [attempt, live] : this->attempts) {
-    if (live.endpoint == endpoint) {
-      lost.push_back(attempt);
-    }
-  }
-  for (const attempt_id& attempt : lost) {
-    const live_attempt live = this->attempts.at(attempt);
-    const std::uint64_t passed = live.first_byte ? 1 : 0;
-    const attempt_ended ended{live.request, attempt, attempt_outcome::lost, passed, {}};
-    this->to_router(live.router, ended);
-    this->to_agent(endpoint, attempt_withdrawn{attempt});
-    this->attempts.erase(attempt);
-  }
-}
-
 void routed_fleet::restart(std::size_t endpoint) {
   this->step_agent(endpoint, agent_stop_requested{});
 }
@@ -94,8 +69,10 @@
   settings.failure_domain =
       failure_domain_id{domain_name(index % this->parameters.failure_domains)};
   settings.region = region_id{"region"};
-  this->routers.at(index)->state = make_router_state(settings, this->random);
-  this->tick_router(index);
+  router_node& node = *this->routers.at(index);
+  node.state = make_router_state(settings, this->random);
+  ++node.incarnation;
+  this->tick_router(index, node.incarnation);
 }
 
 void routed_fleet::start_agent(std::size_t index) {
@@ -103,7 +80,7 @@
   agent_settings settings;
   settings.self = node_id{this->name_of_endpoint(index)};
   settings.endpoint = endpoint_id{settings.self.value};
-  settings.pool = pool_id{"model"};
+  settings.pool = this->pool_of(index);
   settings.failure_domain = failure_domain_id{domain_name(this->domain_of(index))};
   settings.region = region_id{"region"};
   node.state = make_agent_state(settings, this->random);
@@ -113,35 +90,58 @@
   this->to_agent(index, endpoint_ready{cold});
 }
 
-void routed_fleet::tick_router(std::size_t index) {
+void routed_fleet::tick_router(std::size_t index, std::uint64_t incarnation) {
+  if (this->routers.at(index)->incarnation != incarnation) {
+    return;
+  }
   this->step_router(index, router_tick{});
-  this->queue.after(router_tick_interval, [this, index] { this->tick_router(index); });
+  this->queue.after(router_tick_interval,
+                    [this, index, incarnation] { this->tick_router(index, incarnation); });
 }
 
 void routed_fleet::tick_agent(std::size_t index, std::uint64_t incarnation) {
-  if (this->agents.at(index)->incarnation != incarnation) {
+  const agent_node& node = *this->agents.at(index);
+  if (node.incarnation != incarnation) {
     return;
   }
-  this->step_agent(index, agent_tick{});
+  if (node.frozen_until <= this->queue.now()) {
+    this->step_agent(index, agent_tick{});
+  }
   this->queue.after(agent_tick_interval,
                     [this, index, incarnation] { this->tick_agent(index, incarnation); });
 }
 
 void routed_fleet::to_router(std::size_t index, router_event event) {
-  this->queue.after(this->parameters.link_time,
-                    [this, index, event = std::move(event)] { this->step_router(index, event); });
-}
-
-void routed_fleet::to_agent(std::size_t index, agent_event event) {
-  const std::uint64_t incarnation = this->agents.at(index)->incarnation;
+  const std::uint64_t incarnation = this->routers.at(index)->incarnation;
   this->queue.after(this->parameters.link_time,
                     [this, index, incarnation, event = std::move(event)] {
-                      if (this->agents.at(index)->incarnation == incarnation) {
-                        this->step_agent(index, event);
+                      if (this->routers.at(index)->incarnation == incarnation) {
+                        this->step_router(index, event);
                       }
                     });
 }
 
+void routed_fleet::to_agent(std::size_t index, agent_event event) {
+  const agent_node& node = *this->agents.at(index);
+  const std::uint64_t incarnation = node.incarnation;
+  auto delay = this->parameters.link_time;
+  if (node.frozen_until > this->queue.now()) {
+    delay += std::chrono::ceil<std::chrono::microseconds>(node.frozen_until - this->queue.now());
+  }
+  this->queue.after(delay, [this, index, incarnation, event = std::move(event)] {
+    const agent_node& target = *this->agents.at(index);
+    if (target.incarnation != incarnation) {
+      return;
+    }
+    // The pause may have begun while the message was under way.
+    if (target.frozen_until > this->queue.now()) {
+      this->to_agent(index, event);
+      return;
+    }
+    this->step_agent(index, event);
+  });
+}
+
 void routed_fleet::send_to_router(std::size_t endpoint, std::size_t router, router_event event) {
   if (!this->agents.at(endpoint)->cut) {
     this->to_router(router, std::move(event));
@@ -176,10 +176,11 @@
   done(outcome);
 }
 
-void routed_fleet::fail_request(const request_id& request, error_kind kind,
+void routed_fleet::fail_request(const request_id& request, error_kind kind, run_state ran,
                                 std::chrono::milliseconds back) {
   request_outcome outcome;
   outcome.error = kind;
+  outcome.ran = ran;
   outcome.come_back = back;
   this->finish_request(request, outcome);
 }
@@ -201,18 +202,18 @@
 void routed_fleet::write_configuration() {
   const table_write write{configuration_row_key, this->configuration_row_version,
                           format_configuration(this->document)};
-  this->table.apply(table_write_group{{write}});
+  this->platform.rows.apply(table_write_group{{write}});
   ++this->configuration_row_version;
 }
 
 vm_snapshot routed_fleet::list_vms() const {
   vm_snapshot snapshot;
   snapshot.version = this->list_version;
-  for (std::size_t index = 0; index < this->parameters.endpoints; ++index) {
+  for (std::size_t index = 0; index < this->engine_table.size(); ++index) {
     vm_entry vm;
     vm.node = node_id{this->name_of_endpoint(index)};
     vm.role = vm_role::agent;
-    vm.pool = pool_id{"model"};
+    vm.pool = this->pool_of(index);
     vm.failure_domain = failure_domain_id{domain_name(this->domain_of(index))};
     vm.region = region_id{"region"};
     vm.address = vm.node.value;
@@ -233,16 +234,25 @@
   return std::stoul(node.value.substr(node.value.find('-') + 1));
 }
 
+pool_id routed_fleet::pool_of(std::size_t endpoint) const {
+  return pool_id{endpoint < this->parameters.endpoints ? model_pool_name : service_pool_name};
+}
+
 configuration_document measured_document(const fleet_parameters& parameters) {
   configuration_document document;
   document.operation = "measure";
   pool_configuration pool;
-  pool.name = pool_id{"model"};
+  pool.name = pool_id{model_pool_name};
   pool.load_multiple = parameters.load_multiple;
   pool.concurrency = parameters.engine.batch_limit;
   pool.warm_limit = 2 * parameters.engine.batch_limit;
   pool.cold_limit = parameters.engine.cold_bears;
   document.pools.push_back(pool);
+  pool.name = pool_id{service_pool_name};
+  pool.kind = pool_kind::plain_service;
+  pool.default_deadline = std::chrono::milliseconds{5'000};
+  pool.operations.push_back({"GET", "/", execution_rule::idempotent});
+  document.pools.push_back(pool);
   constexpr int customers = 10;
   for (int index = 0; index < customers; ++index) {
     document.customers.push_back({customer_id{"customer-" + std::to_string(index)}, 1.0});
--- a/Source/Measure/routed_fleet.h
+++ b/Source/Measure/routed_fleet.h
@@ -9,11 +9,11 @@
 #include <vector>
 
 #include "chestnuthead/agent_core.h"
-#include "chestnuthead/memory_table.h"
 #include "chestnuthead/router_core.h"
 #include "chestnuthead/seeded_random.h"
 
 #include "Measure/fleet.h"
+#include "Measure/platform_model.h"
 
 namespace chestnuthead {
 
@@ -34,6 +34,19 @@
   void set_cut(std::size_t endpoint, bool cut) override;
   void restart(std::size_t endpoint) override;
 
+  // More faults than baselines need.
+  void set_table_mood(table_mood mood);
+  /// The router's process dies with all its connections; a new one starts.
+  void kill_router(std::size_t router);
+  /// The agent's process dies, its endpoint lives on; a new agent starts.
+  void kill_agent(std::size_t endpoint);
+  /// The agent's process is paused.
+  void freeze_agent(std::size_t endpoint, std::chrono::milliseconds length);
+  /// An operator's change of the configuration, written at once.
+  void change_configuration(const std::function<void(configuration_document&)>& change);
+
+  /// Sees each request that is given to an endpoint.
+  std::function<void(const request_facts&)> on_execution;
   /// Sees each action of a router's core before it is carried out.
   std::function<void(std::size_t, const router_action&)> on_router_action;
 
@@ -52,12 +65,14 @@
 
   void start_router(std::size_t index);
   void start_agent(std::size_t index);
-  void tick_router(std::size_t index);
+  void tick_router(std::size_t index, std::uint64_t incarnation);
   void tick_agent(std::size_t index, std::uint64_t incarnation);
   void to_router(std::size_t index, router_event event);
   void to_agent(std::size_t index, agent_event event);
   /// Over the link between a router and an agent; lost if the link is cut.
   void send_to_router(std::size_t endpoint, std::size_t router, router_event event);
+  /// Breaks the links of all attempts that `chosen` picks.
+  void break_links(const std::function<bool(const live_attempt&)>& chosen);
   void step_router(std::size_t index, const router_event& event);
   void step_agent(std::size_t index, const agent_event& event);
   void carry_out(std::size_t router, const router_action& action);
@@ -69,7 +84,9 @@
   void run(std::size_t endpoint, const run_on_endpoint& action);
   void end(std::size_t endpoint, const end_attempt& action);
   void finish_request(const request_id& request, const request_outcome& outcome);
-  void fail_request(const request_id& request, error_kind kind, std::chrono::milliseconds back);
+  void fail_request(const request_id& request, error_kind kind, run_state ran,
+                    std::chrono::milliseconds back);
+  [[nodiscard]] const live_attempt* live(const attempt_id& attempt) const;
   live_request* request_of(const attempt_id& attempt);
   void note_first_byte(const attempt_id& attempt);
   void wire_engine(std::size_t index);
@@ -77,11 +94,12 @@
   void write_configuration();
   [[nodiscard]] vm_snapshot list_vms() const;
   [[nodiscard]] std::size_t index_of(const node_id& node) const;
+  [[nodiscard]] pool_id pool_of(std::size_t endpoint) const;
 
   configuration_document document;
   std::uint64_t configuration_row_version = 0;
   seeded_random random;
-  memory_table table;
+  platform_model platform;
   std::uint64_t list_version = 1;
   std::vector<std::unique_ptr<router_node>> routers;
   std::vector<std::unique_ptr<agent_node>> agents;
@@ -91,7 +109,7 @@
   std::map<refusal_kind, std::uint64_t> refused;
 };
 
-/// A document for a model pool and ten customers, with one region's failure
+/// A document for a model pool, a plain service and ten customers, with one region's failure
 /// domains named as `fleet_parameters` numbers them.
 configuration_document measured_document(const fleet_parameters& parameters);
 
--- a/Source/Measure/routed_nodes.h
+++ b/Source/Measure/routed_nodes.h
@@ -11,6 +11,8 @@
 
 struct routed_fleet::router_node {
   router_state_ptr state;
+  /// Grows when the process is replaced: what was sent to an earlier one is lost.
+  std::uint64_t incarnation = 0;
 };
 
 struct routed_fleet::agent_node {
@@ -18,13 +20,18 @@
   /// Grows when the VM is replaced: what was sent to an earlier one is lost.
   std::uint64_t incarnation = 0;
   bool cut = false;
+  /// The process is paused until then; what arrives waits.
+  steady_time frozen_until{};
 };
 
 struct routed_fleet::live_attempt {
-  request_id request;
+  request_facts facts;
   std::size_t router = 0;
+  std::uint64_t router_incarnation = 0;
   std::size_t endpoint = 0;
   bool first_byte = false;
+  /// The link broke under it: what the agent says of it reaches nobody.
+  bool link_lost = false;
 };
 
 struct routed_fleet::live_request {
@@ -34,6 +41,7 @@
   std::uint32_t cached_tokens = 0;
   std::chrono::microseconds until_first_byte{0};
   bool first_byte = false;
+  std::size_t router = 0;
 };
 
 inline std::string domain_name(std::size_t domain) {
--- a/Source/Measure/workload.h
+++ b/Source/Measure/workload.h
@@ -31,6 +31,9 @@
 /// One request that the workload asks for.
 struct planned_request {
   request_facts facts;
+  /// Method and path of a call to a plain service.
+  std::string method;
+  std::string path;
   /// Prompt tokens that an endpoint with the chat's whole prefix need not
   /// compute.
   std::uint32_t reusable_tokens = 0;
@@ -40,6 +43,9 @@
 struct request_outcome {
   bool answered = false;
   error_kind error = error_kind::no_endpoint;
+  /// What the caller was told of an error's execution; "unknown" too if the
+  /// connection broke.
+  run_state ran = run_state::unknown;
   std::chrono::milliseconds come_back{0};
   std::uint32_t cached_tokens = 0;
   std::chrono::microseconds until_first_byte{0};
