--- a/Source/Configuration/json_object_reader.cxx
+++ b/Source/Configuration/json_object_reader.cxx
@@ -52,12 +52,12 @@
 
 void json_object_reader::read(const std::string& key, bool& value, key_presence presence) {
   Var found;
-  constexpr std::string_view expected = "true or false";
+  const auto expected = [] { return std::string("true or false"); };
   if (!this->find(key, presence, expected, found)) {
     return;
   }
   if (!found.isBoolean()) {
-    this->note(key, shown(found), std::string(expected));
+    this->note(key, shown(found), expected());
     return;
   }
   value = found.convert<bool>();
@@ -70,28 +70,28 @@
 void json_object_reader::read(const std::string& key, double& value, const real_range& range,
                               key_presence presence) {
   Var found;
-  const std::string expected = between(range);
+  const auto expected = [&range] { return between(range); };
   if (!this->find(key, presence, expected, found)) {
     return;
   }
   const bool fits = is_number(found) && found.convert<double>() >= range.least &&
                     found.convert<double>() <= range.most;
   if (!fits) {
-    this->note(key, shown(found), expected);
+    this->note(key, shown(found), expected());
     return;
   }
   value = found.convert<double>();
 }
 
 std::vector<std::string> json_object_reader::read_names(const std::string& key) {
-  const std::string expected = "an array of distinct names";
+  const auto expected = [] { return std::string("an array of distinct names"); };
   std::vector<std::string> names;
   Var found;
   if (!this->find(key, key_presence::optional, expected, found)) {
     return names;
   }
   if (found.type() != typeid(array_ptr)) {
-    this->note(key, shown(found), expected);
+    this->note(key, shown(found), expected());
     return names;
   }
   std::set<std::string> seen;
@@ -111,7 +111,8 @@
 
 object_ptr json_object_reader::read_object(const std::string& key) {
   Var found;
-  if (!this->find(key, key_presence::optional, "an object", found)) {
+  if (!this->find(
+          key, key_presence::optional, [] { return std::string("an object"); }, found)) {
     return nullptr;
   }
   if (found.type() != typeid(object_ptr)) {
@@ -124,7 +125,8 @@
 std::vector<object_ptr> json_object_reader::read_objects(const std::string& key) {
   std::vector<object_ptr> objects;
   Var found;
-  if (!this->find(key, key_presence::optional, "an array of objects", found)) {
+  if (!this->find(
+          key, key_presence::optional, [] { return std::string("an array of objects"); }, found)) {
     return objects;
   }
   if (found.type() != typeid(array_ptr)) {
@@ -163,7 +165,7 @@
 bool json_object_reader::read_int64(const std::string& key, std::int64_t& value,
                                     const whole_range& range, key_presence presence) {
   Var found;
-  const std::string expected = between(range);
+  const auto expected = [&range] { return between(range); };
   if (!this->find(key, presence, expected, found)) {
     return false;
   }
@@ -177,14 +179,15 @@
   } catch (const Poco::RangeException&) {
     // The number is past 64 bits with a sign; it is reported as any other.
   }
-  this->note(key, shown(found), expected);
+  this->note(key, shown(found), expected());
   return false;
 }
 
 bool json_object_reader::read_text(const std::string& key, std::string& value,
                                    key_presence presence) {
   Var found;
-  if (!this->find(key, presence, "a text", found)) {
+  if (!this->find(
+          key, presence, [] { return std::string("a text"); }, found)) {
     return false;
   }
   if (!found.isString()) {
@@ -196,17 +199,17 @@
 }
 
 bool json_object_reader::find(const std::string& key, key_presence presence,
-                              std::string_view expected, Var& value) {
+                              const std::function<std::string()>& expected, Var& value) {
   this->known.insert(key);
   if (!this->object->has(key)) {
     if (presence == key_presence::required) {
-      this->note(key, "nothing", std::string(expected));
+      this->note(key, "nothing", expected());
     }
     return false;
   }
   value = this->object->get(key);
   if (value.isEmpty()) {
-    this->note(key, "null", std::string(expected));
+    this->note(key, "null", expected());
     return false;
   }
   return true;
--- a/Source/Configuration/json_object_reader.h
+++ b/Source/Configuration/json_object_reader.h
@@ -2,10 +2,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include <Poco/JSON/Object.h>
@@ -106,8 +106,9 @@
   bool read_int64(const std::string& key, std::int64_t& value, const whole_range& range,
                   key_presence presence);
   bool read_text(const std::string& key, std::string& value, key_presence presence);
-  bool find(const std::string& key, key_presence presence, std::string_view expected,
-            Poco::Dynamic::Var& value);
+  /// `expected` is worked out only if there is a fault.
+  bool find(const std::string& key, key_presence presence,
+            const std::function<std::string()>& expected, Poco::Dynamic::Var& value);
 
   const Poco::JSON::Object* object;
   std::string path;
--- a/Source/Gossip/control_plane.cxx
+++ b/Source/Gossip/control_plane.cxx
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::chrono::seconds ageing_interval{2};
+constexpr std::chrono::seconds member_ageing_interval{10};
 constexpr std::chrono::seconds refutation_pause{1};
 constexpr std::uint32_t history_asks = 3;
 /// Reads whose late answers are still taken in.
@@ -33,6 +34,7 @@
 
 const fleet_shape& shape_of(control_plane& plane) {
   plane.shape.reads_per_second = plane.configuration.document.policy.fleet_reads_per_second;
+  plane.shape.row_bytes = plane.configuration.text.size();
   const member_table& table = plane.members;
   if (!table.list_known || plane.shape_generation == table.generation) {
     return plane.shape;
@@ -100,7 +102,10 @@
   expire_rumors(plane.rumors, now);
   expire_crashes(plane.crashes, plane.configuration.document.policy.crash_memory, now);
   expire_loads(plane.loads, now);
-  age_members(plane.members, now);
+  if (now >= plane.next_member_ageing) {
+    plane.next_member_ageing = now + member_ageing_interval;
+    age_members(plane.members, now);
+  }
 }
 
 void note_adopted(control_plane& plane) {
--- a/Source/Gossip/control_plane.h
+++ b/Source/Gossip/control_plane.h
@@ -132,6 +132,10 @@
   /// Estimated MessagePack bytes.
   std::uint64_t bytes_sent = 0;
   std::uint64_t bytes_received = 0;
+  /// Parts of the bytes sent: the rest is what every message has.
+  std::uint64_t load_bytes_sent = 0;
+  std::uint64_t rumor_bytes_sent = 0;
+  std::uint64_t change_bytes_sent = 0;
   std::uint64_t invariants_broken = 0;
 };
 
--- a/Source/Gossip/control_plane_state.h
+++ b/Source/Gossip/control_plane_state.h
@@ -60,6 +60,7 @@
   std::uint64_t shape_generation = 0;
   steady_time next_gossip{};
   steady_time next_ageing{};
+  steady_time next_member_ageing{};
   steady_time next_refutation{};
   /// Pushes of fresh news that are still to be made, one a tick.
   std::uint32_t pushes_left = 0;
--- a/Source/Gossip/exchange.cxx
+++ b/Source/Gossip/exchange.cxx
@@ -47,6 +47,9 @@
   count_sent(budget, bytes);
   ++plane.counters.messages_sent;
   plane.counters.bytes_sent += bytes;
+  plane.counters.load_bytes_sent += encoded_size(message.loads);
+  plane.counters.rumor_bytes_sent += encoded_size(message.rumors);
+  plane.counters.change_bytes_sent += encoded_size(message.changes);
   output.messages.push_back({to.node, to.address, std::move(message)});
 }
 
@@ -144,14 +147,6 @@
   return changes;
 }
 
-std::size_t size_of_changes(const gossip_message& message) {
-  std::size_t bytes = 0;
-  for (const configuration_change& change : message.changes) {
-    bytes += encoded_size(change);
-  }
-  return bytes;
-}
-
 }  // namespace
 
 void schedule_push(control_plane& plane) {
@@ -183,7 +178,7 @@
     const std::vector<rumor> history = crash_history(plane.crashes, memory, now);
     answer.rumors.insert(answer.rumors.end(), history.begin(), history.end());
   }
-  const bool is_bulk = size_of_changes(answer) > change_bytes_per_push;
+  const bool is_bulk = encoded_size(answer.changes) > change_bytes_per_push;
   send(plane, peer->vm, std::move(answer), is_bulk ? plane.bulk_budget : plane.exchange_budget,
        output);
 }
--- a/Source/Gossip/message_size.cxx
+++ b/Source/Gossip/message_size.cxx
@@ -41,7 +41,7 @@
 
 template <class Items>
 std::size_t size_of_all(const Items& items) {
-  std::size_t bytes = array_bytes;
+  std::size_t bytes = 0;
   for (const auto& item : items) {
     bytes += encoded_size(item);
   }
@@ -65,8 +65,20 @@
          size_of(change.base_version) + size_of(change.checksum);
 }
 
+std::size_t encoded_size(const std::vector<rumor>& rumors) {
+  return size_of_all(rumors);
+}
+
+std::size_t encoded_size(const std::vector<load_entry>& loads) {
+  return size_of_all(loads);
+}
+
+std::size_t encoded_size(const std::vector<configuration_change>& changes) {
+  return size_of_all(changes);
+}
+
 std::size_t encoded_size(const gossip_message& message) {
-  return array_bytes + size_of(message.from.value) + size_of(message.configuration_version) +
+  return 4 * array_bytes + size_of(message.from.value) + size_of(message.configuration_version) +
          2 * flag_bytes + size_of_all(message.rumors) + size_of_all(message.loads) +
          size_of_all(message.changes);
 }
--- a/Source/Gossip/message_size.h
+++ b/Source/Gossip/message_size.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <vector>
 
 #include "chestnuthead/gossip.h"
 
@@ -13,4 +14,9 @@
 std::size_t encoded_size(const configuration_change& change);
 std::size_t encoded_size(const gossip_message& message);
 
+/// Sizes of the entries of one kind together.
+std::size_t encoded_size(const std::vector<rumor>& rumors);
+std::size_t encoded_size(const std::vector<load_entry>& loads);
+std::size_t encoded_size(const std::vector<configuration_change>& changes);
+
 }  // namespace chestnuthead
--- a/Source/Gossip/read_schedule.cxx
+++ b/Source/Gossip/read_schedule.cxx
@@ -12,9 +12,9 @@
 constexpr double ms_per_second = 1'000.0;
 constexpr std::uint32_t longest_doubling = 10;
 
-milliseconds time_for(std::size_t reads, double per_second) {
+milliseconds time_for(std::size_t count, double per_second) {
   return milliseconds{
-      static_cast<std::int64_t>(ms_per_second * static_cast<double>(reads) / per_second)};
+      static_cast<std::int64_t>(ms_per_second * static_cast<double>(count) / per_second)};
 }
 
 milliseconds jittered(milliseconds mean, random_source& random) {
@@ -51,7 +51,8 @@
 
 milliseconds configuration_interval(const fleet_shape& fleet) {
   const double rate = configuration_read_share * fleet.reads_per_second;
-  return std::max(shortest_read_interval, time_for(fleet.nodes, rate));
+  return std::max({shortest_read_interval, time_for(fleet.nodes, rate),
+                   time_for(fleet.row_bytes, row_bytes_per_second)});
 }
 
 milliseconds list_interval(const fleet_shape& fleet) {
--- a/Source/Gossip/read_schedule.h
+++ b/Source/Gossip/read_schedule.h
@@ -19,6 +19,8 @@
 inline constexpr double start_read_share = 0.4;
 
 inline constexpr std::chrono::milliseconds shortest_read_interval{1'000};
+/// Bytes of the configuration's row that one node reads a second at most.
+inline constexpr double row_bytes_per_second = 4'000.0;
 /// A node that has just started reads the list within this time.
 inline constexpr std::chrono::milliseconds first_list_read_window{1'000};
 /// A call without any answer is given up after this time.
@@ -34,6 +36,8 @@
   std::size_t nodes = supposed_fleet_size;
   std::size_t domain_nodes = supposed_domain_size;
   std::uint32_t reads_per_second = 1;
+  /// Size of the configuration's text.
+  std::size_t row_bytes = 0;
 };
 
 struct read_schedule {
--- a/Source/Measure/control_fleet.cxx
+++ b/Source/Measure/control_fleet.cxx
@@ -38,6 +38,9 @@
   sum.messages_received += part.messages_received;
   sum.bytes_sent += part.bytes_sent;
   sum.bytes_received += part.bytes_received;
+  sum.load_bytes_sent += part.load_bytes_sent;
+  sum.rumor_bytes_sent += part.rumor_bytes_sent;
+  sum.change_bytes_sent += part.change_bytes_sent;
   sum.invariants_broken += part.invariants_broken;
 }
 
