--- a/Source/Measure/configuration_measure.cxx
+++ b/Source/Measure/configuration_measure.cxx
@@ -4,11 +4,11 @@
 #include <chrono>
 #include <map>
 #include <memory>
-#include <sstream>
 #include <vector>
 
 #include <Poco/JSON/Object.h>
 
+#include "Measure/figures.h"
 #include "Measure/measured_fleet.h"
 
 namespace chestnuthead {
@@ -108,32 +108,24 @@
 
 }  // namespace
 
-measure_result measure_configuration(const measure_options& options) {
-  if (!is_control_policy(options.policy)) {
-    return measure_fault{"--policy: found " + options.policy + ", expected ours or poll."};
-  }
+Poco::JSON::Object::Ptr measure_configuration(const control_options& options) {
   const std::size_t nodes = options.nodes > 0 ? options.nodes : default_nodes;
   const std::unique_ptr<control_fleet> fleet = make_measured_fleet(options, nodes);
   progress state;
   run_fleet(*fleet, state);
-  Poco::JSON::Object line;
-  line.set("measure", "configuration");
-  line.set("policy", options.policy);
-  line.set("seed", options.seed);
-  line.set("nodes", nodes);
-  line.set("changes_accepted", state.seconds_to_all.size() + state.open.size());
-  line.set("changes_refused_table_down", state.refused);
-  line.set("not_in_force_at_end", state.open.size());
-  line.set("in_force_p50_s", rounded(at_share(state.seconds_to_all, 0.5)));
-  line.set("in_force_max_s", rounded(at_share(state.seconds_to_all, 1.0)));
-  line.set("restarted", state.seconds_to_confirmed.size() + state.restarted.size());
-  line.set("restarted_not_confirmed_at_end", state.restarted.size());
-  line.set("confirmed_p50_s", rounded(at_share(state.seconds_to_confirmed, 0.5)));
-  line.set("confirmed_max_s", rounded(at_share(state.seconds_to_confirmed, 1.0)));
-  line.set("invariants_broken", fleet->broken.size());
-  std::ostringstream text;
-  line.stringify(text);
-  return measure_line{text.str()};
+  Poco::JSON::Object::Ptr line = result_line("configuration", options.policy, options.seed);
+  line->set("nodes", nodes);
+  line->set("changes_accepted", state.seconds_to_all.size() + state.open.size());
+  line->set("changes_refused_table_down", state.refused);
+  line->set("not_in_force_at_end", state.open.size());
+  line->set("in_force_p50_s", rounded(at_share(state.seconds_to_all, 0.5)));
+  line->set("in_force_max_s", rounded(at_share(state.seconds_to_all, 1.0)));
+  line->set("restarted", state.seconds_to_confirmed.size() + state.restarted.size());
+  line->set("restarted_not_confirmed_at_end", state.restarted.size());
+  line->set("confirmed_p50_s", rounded(at_share(state.seconds_to_confirmed, 0.5)));
+  line->set("confirmed_max_s", rounded(at_share(state.seconds_to_confirmed, 1.0)));
+  line->set("invariants_broken", fleet->broken.size());
+  return line;
 }
 
 }  // namespace chestnuthead
--- a/Source/Measure/control_measure.cxx
+++ b/Source/Measure/control_measure.cxx
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
-#include <sstream>
 #include <vector>
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 
+#include "Measure/figures.h"
 #include "Measure/measured_fleet.h"
 
 namespace chestnuthead {
@@ -114,7 +114,7 @@
   const control_counters& sum = counted.sum;
   const auto list_bytes = static_cast<double>(sum.vm_list_reads) * list_entry_bytes *
                           static_cast<double>(counted.nodes.size());
-  Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+  Poco::JSON::Object::Ptr object = new Poco::JSON::Object(Poco::JSON_PRESERVE_KEY_ORDER);
   object->set("nodes", counted.nodes.size());
   object->set("sent_per_node_s", per_node(static_cast<double>(sum.bytes_sent)));
   object->set("received_per_node_s", per_node(static_cast<double>(sum.bytes_received)));
@@ -134,10 +134,7 @@
 
 }  // namespace
 
-measure_result measure_control(const measure_options& options) {
-  if (!is_control_policy(options.policy)) {
-    return measure_fault{"--policy: found " + options.policy + ", expected ours or poll."};
-  }
+Poco::JSON::Object::Ptr measure_control(const control_options& options) {
   std::vector<std::size_t> sizes{60, 240, 960};
   if (options.nodes > 0) {
     sizes = {options.nodes};
@@ -149,15 +146,10 @@
     const auto row = fleet->table.find(configuration_row_key);
     rows->add(describe(counted, row ? row->value.size() : 0));
   }
-  Poco::JSON::Object line;
-  line.set("measure", "control");
-  line.set("policy", options.policy);
-  line.set("seed", options.seed);
-  line.set("unit", "bytes");
-  line.set("sizes", rows);
-  std::ostringstream text;
-  line.stringify(text);
-  return measure_line{text.str()};
+  Poco::JSON::Object::Ptr line = result_line("control", options.policy, options.seed);
+  line->set("unit", "bytes");
+  line->set("sizes", rows);
+  return line;
 }
 
 }  // namespace chestnuthead
--- a/Source/Measure/measured_fleet.cxx
+++ b/Source/Measure/measured_fleet.cxx
@@ -1,5 +1,6 @@
 #include "Measure/measured_fleet.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace chestnuthead {
@@ -11,11 +12,22 @@
 
 }  // namespace
 
+fleet_size fleet_size_for(std::size_t nodes) {
+  constexpr std::size_t target_nodes = 2'750;
+  constexpr std::size_t target_routers = 350;
+  constexpr std::size_t agents_of_a_pool = 160;
+  fleet_size size;
+  size.routers = std::max<std::size_t>(2, nodes * target_routers / target_nodes);
+  size.agents = nodes - size.routers;
+  size.pools = std::max<std::size_t>(1, size.agents / agents_of_a_pool);
+  return size;
+}
+
 bool is_control_policy(const std::string& policy) {
   return policy == "ours" || policy == "poll";
 }
 
-std::unique_ptr<control_fleet> make_measured_fleet(const measure_options& options,
+std::unique_ptr<control_fleet> make_measured_fleet(const control_options& options,
                                                    std::size_t nodes) {
   const fleet_size size = fleet_size_for(nodes);
   control_fleet_settings settings;
