Measure at-most-once calls within the table's budget

Cause: 600 such calls a second with a claim and a result each are past several hundred writes a second one by one.

--- a/Source/Measure/chestnut_measure.cxx
+++ b/Source/Measure/chestnut_measure.cxx
@@ -9,6 +9,7 @@
 
 #include "Measure/configuration_measure.h"
 #include "Measure/control_measure.h"
+#include "Measure/ledger_measure.h"
 #include "Measure/measures.h"
 
 namespace chestnuthead {
@@ -27,18 +28,19 @@
     "  domain         service while a failure domain leaves and returns\n"
     "  control        control bytes a second of each node, by kind\n"
     "  configuration  seconds until a change is in force everywhere\n"
+    "  ledger         at-most-once calls a second within the table's budget\n"
     "\n"
     "Options:\n"
     "  --policy P     ours (default), random, two-choices, rendezvous, bounded\n"
     "                 or full-knowledge; for control and configuration ours or\n"
-    "                 poll\n"
+    "                 poll; for ledger ours or one-by-one\n"
     "  --seed N       seed of all random choices (default 1)\n"
     "  --scenario S   for reuse: quiet (default), rolling, flapping or domain\n"
     "  --routers N    routers (default 4)\n"
     "  --endpoints N  endpoints (default 12)\n"
     "  --chats N      chats alive at once (default 1200)\n"
     "  --multiple M   highest load as a multiple of the mean (default 1.25)\n"
-    "  --nodes N      for control and configuration: nodes of the fleet\n"
+    "  --nodes N      for control, configuration and ledger: nodes\n"
     "  --help         this text\n";
 
 using measure_function = Poco::JSON::Object::Ptr (*)(const measure_options&);
@@ -59,11 +61,13 @@
 struct named_control_measure {
   const char* name;
   control_function run;
+  bool (*knows_policy)(const std::string&);
 };
 
-constexpr std::array<named_control_measure, 2> control_measures{{
-    {"control", measure_control},
-    {"configuration", measure_configuration},
+constexpr std::array<named_control_measure, 3> control_measures{{
+    {"control", measure_control, is_control_policy},
+    {"configuration", measure_configuration, is_control_policy},
+    {"ledger", measure_ledger, is_ledger_policy},
 }};
 
 struct parsed_line {
@@ -173,19 +177,20 @@
   return EXIT_SUCCESS;
 }
 
-int run_control_measure(control_function run, const parsed_line& line) {
-  if (!is_control_policy(line.options.policy)) {
-    std::cerr << "The policy \"" << line.options.policy
-              << "\" is not known; expected ours or poll.\n";
+int run_control_measure(const named_control_measure& measure, const parsed_line& line) {
+  if (!measure.knows_policy(line.options.policy)) {
+    std::cerr << "The policy \"" << line.options.policy << "\" is not one of " << measure.name
+              << "; see chestnut-measure --help.\n";
     return usage_status;
   }
-  return print_line(run(control_options{line.options.policy, line.options.seed, line.nodes}));
+  return print_line(
+      measure.run(control_options{line.options.policy, line.options.seed, line.nodes}));
 }
 
 int run_measure(parsed_line line) {
   for (const named_control_measure& known : control_measures) {
     if (line.measure == known.name) {
-      return run_control_measure(known.run, line);
+      return run_control_measure(known, line);
     }
   }
   const auto policy = policy_of(line.options.policy);
