Compare the loads of two choices for requests without a prefix

Cause: chats placed by hash alone begin at endpoints that are at their bound, and their later turns are refused there; the measurement of reuse under the load bound asks for a way to place first turns by load. Change: a first turn, or a request without a chat, asks its first two choices for their loads and goes to the one that bears less; the number of choices is router_tuning::new_chat_choices, 1 turns it off. Answers of a round are kept until its end and weighed in order of preference, so that the order in which they come has no say.

--- a/Source/Router/dispatch.cxx
+++ b/Source/Router/dispatch.cxx
@@ -6,6 +6,7 @@
 #include "Router/choice.h"
 #include "Router/conclude.h"
 #include "Router/invariants.h"
+#include "Router/probes.h"
 #include "Router/timeline_records.h"
 
 namespace chestnuthead::routing {
@@ -32,9 +33,34 @@
          policy_of(state).crash_limit;
 }
 
-bool seeks_holder(const router_state& state, const request_row& row) {
-  const bool has_prefix = row.model_engine && row.facts.returning && !row.facts.chat.empty();
-  return has_prefix && !row.holder_sought && policy_of(state).prefix_probes > 0;
+bool may_have_holder(const router_state& state, const request_row& row) {
+  const bool returning = row.facts.returning && !row.facts.chat.empty();
+  return returning && policy_of(state).prefix_probes > 0;
+}
+
+// Sends a returning chat to where its prefix should be, if it is there.
+bool ask_holder(router_state& state, request_row& row, steady_time now, router_actions& actions) {
+  const pool_member* holder = remembered_holder(state, row, now);
+  const pool_member* target = holder != nullptr ? holder : next_choice(state, row, now);
+  if (target == nullptr) {
+    return false;
+  }
+  send_to(state, row, *target, true, now, actions);
+  return true;
+}
+
+// True if the first step of a request to a model engine was a question.
+bool ask_first(router_state& state, request_row& row, steady_time now, router_actions& actions) {
+  if (!row.model_engine || row.probed) {
+    return false;
+  }
+  row.probed = true;
+  if (may_have_holder(state, row)) {
+    return ask_holder(state, row, now, actions);
+  }
+  // A chat that was asked for before goes to its first choice unasked.
+  const bool has_prefix = row.facts.returning && !row.facts.chat.empty();
+  return !has_prefix && compare_loads(state, row, now, actions);
 }
 
 const pool_member* last_resort(const router_state& state, request_row& row, steady_time now) {
@@ -115,14 +141,8 @@
     give_up(state, row, error_kind::request_refused_after_crashes, now, actions);
     return;
   }
-  if (seeks_holder(state, row)) {
-    row.holder_sought = true;
-    const pool_member* holder = remembered_holder(state, row, now);
-    const pool_member* target = holder != nullptr ? holder : next_choice(state, row, now);
-    if (target != nullptr) {
-      send_to(state, row, *target, true, now, actions);
-      return;
-    }
+  if (ask_first(state, row, now, actions)) {
+    return;
   }
   const pool_member* target = choose(state, row, now);
   if (target == nullptr) {
--- a/Source/Router/probes.cxx
+++ b/Source/Router/probes.cxx
@@ -11,52 +11,94 @@
 namespace {
 
 void ask(request_row& row, const pool_member& member, router_actions& actions) {
-  row.probes.awaited.push_back(member.node);
+  row.probes.asked.push_back(member.node);
   actions.emplace_back(
       send_probe{row.facts.request, member.node, member.address, row.facts.pool, row.facts.chat});
 }
 
-bool stop_awaiting(probe_round& probes, const node_id& agent) {
-  return std::erase(probes.awaited, agent) > 0;
+void begin_round(request_row& row, probe_purpose purpose, steady_time now) {
+  row.phase = request_phase::probing;
+  row.probes = {};
+  row.probes.purpose = purpose;
+  row.probes.patience_end = now + probe_patience;
 }
 
-void weigh_answer(probe_round& probes, const node_id& agent, const load_report& load) {
-  const bool can_take = !load.leaving && load.in_flight < load.limit;
-  if (!can_take || load.resident_tokens == 0) {
-    return;
-  }
-  if (!probes.best || load.resident_tokens > probes.best->resident_tokens) {
-    probes.best = prefix_holder{agent, load.resident_tokens};
-  }
+bool is_asked(const probe_round& probes, const node_id& agent) {
+  return std::find(probes.asked.begin(), probes.asked.end(), agent) != probes.asked.end();
 }
 
-const pool_member* find_holder(const router_state& state, const request_row& row, steady_time now) {
-  if (!row.probes.best) {
-    return nullptr;
+const load_report* find_result(const probe_round& probes, const node_id& agent) {
+  const auto found =
+      std::find_if(probes.results.begin(), probes.results.end(),
+                   [&agent](const probe_result& each) { return each.agent == agent; });
+  return found == probes.results.end() ? nullptr : &found->load;
+}
+
+bool all_answered(const probe_round& probes) {
+  return probes.results.size() == probes.asked.size();
+}
+
+double share_of_limit(const load_report& load) {
+  return static_cast<double>(load.in_flight) / std::max(1U, load.limit);
+}
+
+// True if `load` is a better answer than the best so far.
+bool is_better(probe_purpose purpose, const load_report& load, const load_report* best) {
+  if (purpose == probe_purpose::compare_loads) {
+    return best == nullptr || share_of_limit(load) < share_of_limit(*best);
   }
+  const bool has_room = load.in_flight < load.limit;
+  const std::uint32_t held = best == nullptr ? 0 : best->resident_tokens;
+  return has_room && load.resident_tokens > held;
+}
+
+// Of equal answers that of the better choice counts, whichever came first.
+const pool_member* best_of(const router_state& state, const request_row& row, steady_time now) {
   const auto& pool = members_of(state.placement, row.facts.pool);
-  const pool_member* holder = find_member(pool, row.probes.best->agent);
-  // It may have been taken out since it answered.
-  return holder != nullptr && takes_work(state, *holder, now) ? holder : nullptr;
+  const pool_member* best = nullptr;
+  const load_report* best_load = nullptr;
+  for (const node_id& agent : row.probes.asked) {
+    const load_report* load = find_result(row.probes, agent);
+    // It may have been taken out since it answered.
+    const pool_member* member = find_member(pool, agent);
+    if (load == nullptr || member == nullptr || !takes_work(state, *member, now)) {
+      continue;
+    }
+    if (is_better(row.probes.purpose, *load, best_load)) {
+      best = member;
+      best_load = load;
+    }
+  }
+  return best;
 }
 
 }  // namespace
 
-void start_probes(router_state& state, request_row& row, const node_id& asked, steady_time now,
-                  router_actions& actions) {
+void seek_holder(router_state& state, request_row& row, const node_id& asked, steady_time now,
+                 router_actions& actions) {
   const std::size_t wanted = current_configuration(*state.plane).policy.prefix_probes;
-  row.probes = {};
-  row.probes.patience_end = now + probe_patience;
+  begin_round(row, probe_purpose::find_holder, now);
   for (const pool_member* member : best_untried(state, row, wanted + 1, now)) {
-    if (member->node != asked && row.probes.awaited.size() < wanted) {
+    if (member->node != asked && row.probes.asked.size() < wanted) {
       ask(row, *member, actions);
     }
   }
-  if (row.probes.awaited.empty()) {
+  if (row.probes.asked.empty()) {
     advance(state, row, now, actions);
-    return;
   }
-  row.phase = request_phase::probing;
+}
+
+bool compare_loads(router_state& state, request_row& row, steady_time now,
+                   router_actions& actions) {
+  const auto choices = best_untried(state, row, state.tuning.new_chat_choices, now);
+  if (choices.size() < 2) {
+    return false;
+  }
+  begin_round(row, probe_purpose::compare_loads, now);
+  for (const pool_member* member : choices) {
+    ask(row, *member, actions);
+  }
+  return true;
 }
 
 void take_probe_answer(router_state& state, const probe_answered& event, steady_time now,
@@ -65,13 +107,14 @@
   note_version(*state.plane, event.agent, event.load.configuration_version);
   request_row* row = find_request(state.requests, event.request);
   const bool expected = row != nullptr && row->phase == request_phase::probing &&
-                        stop_awaiting(row->probes, event.agent);
+                        is_asked(row->probes, event.agent) &&
+                        find_result(row->probes, event.agent) == nullptr;
   if (!expected) {
     ++state.requests.events_dropped;
     return;
   }
-  weigh_answer(row->probes, event.agent, event.load);
-  if (row->probes.awaited.empty()) {
+  row->probes.results.push_back({event.agent, event.load});
+  if (all_answered(row->probes)) {
     end_probes(state, *row, now, actions);
   }
 }
@@ -80,8 +123,9 @@
                   router_actions& actions) {
   std::vector<request_id> answered;
   for (auto& [request, row] : state.requests.requests) {
-    const bool waiting = row.phase == request_phase::probing;
-    if (waiting && stop_awaiting(row.probes, agent) && row.probes.awaited.empty()) {
+    const bool waiting =
+        row.phase == request_phase::probing && find_result(row.probes, agent) == nullptr;
+    if (waiting && std::erase(row.probes.asked, agent) > 0 && all_answered(row.probes)) {
       answered.push_back(request);
     }
   }
@@ -91,13 +135,13 @@
 }
 
 void end_probes(router_state& state, request_row& row, steady_time now, router_actions& actions) {
-  const pool_member* holder = find_holder(state, row, now);
+  const pool_member* found = best_of(state, row, now);
   row.probes = {};
-  if (holder == nullptr || row.deadline - now < std::chrono::milliseconds{1}) {
+  if (found == nullptr || row.deadline - now < std::chrono::milliseconds{1}) {
     advance(state, row, now, actions);
     return;
   }
-  send_to(state, row, *holder, false, now, actions);
+  send_to(state, row, *found, false, now, actions);
 }
 
 }  // namespace chestnuthead::routing
--- a/Source/Router/refusals.cxx
+++ b/Source/Router/refusals.cxx
@@ -99,7 +99,7 @@
       }
       // The endpoint may still get the request, so it is not counted as tried.
       --row.counted_attempts;
-      start_probes(state, row, attempt.agent, now, actions);
+      seek_holder(state, row, attempt.agent, now, actions);
       return;
     case refusal_kind::key_in_progress:
       wait_for_key(row, now);
--- a/Source/Router/request_table.h
+++ b/Source/Router/request_table.h
@@ -49,17 +49,27 @@
   std::uint64_t resume_offset = 0;
 };
 
-/// An endpoint that holds some of the chat's prefix.
-struct prefix_holder {
+/// What agents are asked for before an attempt is sent.
+enum class probe_purpose : std::uint8_t {
+  /// Find the endpoint that holds most of the chat's prefix.
+  find_holder,
+  /// Find the least loaded of the best choices.
+  compare_loads,
+};
+
+/// An agent's answer in a round of questions.
+struct probe_result {
   node_id agent;
-  std::uint32_t resident_tokens = 0;
+  load_report load;
 };
 
 /// The round of questions of one request.
 struct probe_round {
-  std::vector<node_id> awaited;
+  probe_purpose purpose = probe_purpose::find_holder;
+  /// The agents asked, in order of preference.
+  std::vector<node_id> asked;
+  std::vector<probe_result> results;
   steady_time patience_end{};
-  std::optional<prefix_holder> best;
 };
 
 /// What refusals have told so far.
@@ -90,8 +100,8 @@
   std::vector<node_id> failed_at;
   std::uint64_t bytes_passed = 0;
   refusal_notes refusals;
-  /// The question for a holder of the prefix was asked.
-  bool holder_sought = false;
+  /// Agents were asked before the first attempt, or need not be.
+  bool probed = false;
   bool least_loaded_tried = false;
   probe_round probes;
   /// When a waiting request asks again, and how long it waited last.
--- a/Source/Router/router_state.h
+++ b/Source/Router/router_state.h
@@ -31,6 +31,13 @@
   bool stopped = false;
 };
 
+/// Choices that measurements compare.
+struct router_tuning {
+  /// Best choices whose loads are compared for a request that has no prefix
+  /// anywhere yet; 1 turns the question off.
+  std::uint32_t new_chat_choices = 2;
+};
+
 /// Mechanisms that measurements and proofs switch off, one at a time.
 struct router_switches {
   bool use_chat_memory = true;
@@ -57,6 +64,7 @@
   routing::chat_memory chats;
   routing::retry_budget retries;
   routing::service_status service;
+  routing::router_tuning tuning;
   routing::router_switches switches;
   /// Makes the names of attempts unique over restarts of this router.
   std::uint64_t run_number = 0;
--- a/Tests/Router/placement_test.cxx
+++ b/Tests/Router/placement_test.cxx
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(routers_agree_without_talking);
   CPPUNIT_TEST(a_returning_chat_asks_its_first_choice_under_the_condition);
   CPPUNIT_TEST(the_holder_is_found_after_its_domain_was_out);
+  CPPUNIT_TEST(a_new_chat_goes_to_the_less_loaded_of_two_choices);
   CPPUNIT_TEST(silent_probes_end_with_the_first_choice);
   CPPUNIT_TEST(a_chat_that_moved_is_remembered);
   CPPUNIT_TEST(a_domain_that_was_taken_out_gets_no_attempt);
@@ -67,6 +68,22 @@
     CPPUNIT_ASSERT(last_of<send_attempt>(actions).agent == away.agent);
   }
 
+  void a_new_chat_goes_to_the_less_loaded_of_two_choices() {
+    for (const std::uint32_t second_load : {5U, 20U}) {
+      router_fixture router(12);
+      router.state->tuning.new_chat_choices = 2;
+      const auto probes = all_of<send_probe>(router.ask("r1"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, probes.size());
+      load_report load = load_with(0);
+      load.in_flight = second_load;
+      router.give(probe_answered{{"r1"}, probes[1].agent, load});
+      load.in_flight = 10;
+      const auto actions = router.give(probe_answered{{"r1"}, probes[0].agent, load});
+      const auto& expected = second_load < 10 ? probes[1] : probes[0];
+      CPPUNIT_ASSERT(last_of<send_attempt>(actions).agent == expected.agent);
+    }
+  }
+
   void silent_probes_end_with_the_first_choice() {
     router_fixture router(12);
     const auto first = last_of<send_attempt>(router.ask("r1", "chat"));
