Keep arrivals, seals and ends of requests for the time line

Cause: the time line showed attempts only, so that a request could not be followed from its arrival to its answer. Change: request_arrived, request_sealing and request_ended are recorded.

--- a/Source/Router/arrivals.cxx
+++ b/Source/Router/arrivals.cxx
@@ -7,6 +7,7 @@
 #include "Router/dispatch.h"
 #include "Router/seals.h"
 #include "Router/service.h"
+#include "Router/timeline_records.h"
 
 namespace chestnuthead::routing {
 
@@ -83,6 +84,7 @@
   earn_retry(state.retries, current_configuration(*state.plane).policy.retry_ratio);
   request_row& row = state.requests.requests[request];
   row = make_row(state, event, now);
+  record(row, "request_arrived", {}, "", actions);
   advance(state, row, now, actions);
 }
 
--- a/Source/Router/conclude.cxx
+++ b/Source/Router/conclude.cxx
@@ -1,9 +1,11 @@
 #include "Router/conclude.h"
 
 #include <algorithm>
+#include <string>
 
 #include "Router/invariants.h"
 #include "Router/seals.h"
+#include "Router/timeline_records.h"
 
 namespace chestnuthead::routing {
 
@@ -44,6 +46,7 @@
               router_actions& actions) {
   check_run_state(state, row, ran, actions);
   const request_id request = row.facts.request;
+  record(row, "request_ended", {}, std::string(answer_for(why).name), actions);
   if (row.bytes_passed > 0) {
     actions.emplace_back(cut_answer{request, why, ran});
   } else {
@@ -54,6 +57,7 @@
 
 void finish(router_state& state, request_row& row, router_actions& actions) {
   const request_id request = row.facts.request;
+  record(row, "request_ended", {}, "whole", actions);
   actions.emplace_back(finish_answer{request});
   erase_request(state.requests, request);
 }
--- a/Source/Router/seals.cxx
+++ b/Source/Router/seals.cxx
@@ -1,7 +1,11 @@
 #include "Router/seals.h"
 
+#include <string>
+#include <utility>
+
 #include "Router/conclude.h"
 #include "Router/dispatch.h"
+#include "Router/timeline_records.h"
 
 namespace chestnuthead::routing {
 
@@ -62,6 +66,7 @@
                 router_actions& actions) {
   row.phase = request_phase::sealing;
   row.sealed_at = now;
+  record(row, "request_sealing", {}, std::string(answer_for(why).name), actions);
   row.reason = why;
   const request_facts& facts = row.facts;
   carry_out(state, seal(*state.seals, facts.request, facts.key, facts.pool, now), now, actions);
