--- a/Source/Daemons/public_server.h
+++ b/Source/Daemons/public_server.h
@@ -15,6 +15,7 @@
 
 namespace Poco {
 class ThreadPool;
+// NOLINTNEXTLINE(readability-identifier-naming): Poco's own name.
 namespace Net {
 class HTTPServer;
 }
--- a/Source/Daemons/status_server.h
+++ b/Source/Daemons/status_server.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+// NOLINTNEXTLINE(readability-identifier-naming): Poco's own name.
 namespace Poco::Net {
 class HTTPServer;
 }
--- a/Source/Net/client_link.cxx
+++ b/Source/Net/client_link.cxx
@@ -95,7 +95,8 @@
   this->socket.close();
 }
 
-void client_link::send_attempt(attempt_message message, peer_transport::frame_listener listener) {
+void client_link::send_attempt(const attempt_message& message,
+                               peer_transport::frame_listener listener) {
   const std::int32_t stream =
       this->link->request(attempt_path, encode_attempt(message, this->owner.hybrid.tick()));
   attempt_exchange exchange{message.facts.request, message.attempt, std::move(listener), {}, 0, 0};
--- a/Source/Net/client_link.h
+++ b/Source/Net/client_link.h
@@ -26,7 +26,7 @@
   client_link(peer_client& owner, const node_id& node, const std::string& address,
               const Poco::Net::SocketAddress& target, steady_time now);
 
-  void send_attempt(attempt_message message, peer_transport::frame_listener listener);
+  void send_attempt(const attempt_message& message, peer_transport::frame_listener listener);
   void cancel_attempt(const attempt_id& attempt);
   void answer_consumed(const attempt_id& attempt, std::size_t bytes);
   void send_probe(const probe_message& message, peer_transport::probe_listener listener);
--- a/Source/Net/http2_link.cxx
+++ b/Source/Net/http2_link.cxx
@@ -19,9 +19,9 @@
 /// The link's own window never holds streams back: each has its own.
 constexpr std::int32_t link_window_bytes = 1 << 30;
 constexpr std::uint32_t streams_limit = 65'536;
-constexpr std::size_t read_size_bytes = 64 * 1024;
+constexpr std::size_t read_size_bytes = 64U << 10U;
 /// Output kept ready for the socket; beyond it bodies stay in their queues.
-constexpr std::size_t output_target_bytes = 256 * 1024;
+constexpr std::size_t output_target_bytes = 256U << 10U;
 
 nghttp2_nv header(const char* name, const std::string& value) {
   nghttp2_nv entry{};
@@ -96,7 +96,7 @@
       body.deferred = true;
       return NGHTTP2_ERR_DEFERRED;
     }
-    std::memcpy(target, body.bytes.data() + body.start, size);
+    std::copy_n(body.bytes.data() + body.start, size, target);
     body.start += size;
     if (body.start == body.bytes.size()) {
       body.bytes.clear();
@@ -116,8 +116,8 @@
   }
 };
 
-void http2_link::session_deleter::operator()(nghttp2_session* session) const {
-  nghttp2_session_del(session);
+void http2_link::session_deleter::operator()(nghttp2_session* ended) const {
+  nghttp2_session_del(ended);
 }
 
 namespace {
--- a/Source/Net/http_endpoint.h
+++ b/Source/Net/http_endpoint.h
@@ -34,6 +34,8 @@
  public:
   explicit http_endpoint(const http_endpoint_settings& settings);
   ~http_endpoint() override;
+  http_endpoint(const http_endpoint&) = delete;
+  http_endpoint& operator=(const http_endpoint&) = delete;
 
   void run(endpoint_call call, std::shared_ptr<endpoint_listener> listener) override;
   void cancel(const attempt_id& attempt) override;
--- a/Source/Net/peer_client.cxx
+++ b/Source/Net/peer_client.cxx
@@ -59,7 +59,7 @@
                    listener = std::move(listener)]() mutable {
     const auto link = this->link_to(agent, address);
     if (link != nullptr) {
-      link->send_attempt(std::move(message), std::move(listener));
+      link->send_attempt(message, std::move(listener));
       return;
     }
     listener(
--- a/Source/Net/peer_client.h
+++ b/Source/Net/peer_client.h
@@ -35,6 +35,8 @@
   peer_client(hybrid_clock& hybrid, peer_traffic& traffic, lost_listener lost,
               const peer_client_limits& limits = {});
   ~peer_client() override;
+  peer_client(const peer_client&) = delete;
+  peer_client& operator=(const peer_client&) = delete;
 
   void start();
   void stop();
--- a/Source/Net/server_link.cxx
+++ b/Source/Net/server_link.cxx
@@ -10,7 +10,7 @@
 namespace {
 
 /// Queued bytes of one answer above which its source has to wait.
-constexpr std::size_t queue_limit_bytes = 256 * 1024;
+constexpr std::size_t queue_limit_bytes = 256U << 10U;
 
 bool is_last(const attempt_frame& frame) {
   return std::holds_alternative<refused_frame>(frame) || std::holds_alternative<ended_frame>(frame);
