Take an endpoint without an instance name as the same one

A healthy endpoint whose health answer names no instance counted as restarted at every poll, so that running at-most-once calls ended as outcome_unknown (seen in process tests: 6-10 of 150 with a 20 ms service).

--- a/Source/Daemons/agent_node.cxx
+++ b/Source/Daemons/agent_node.cxx
@@ -286,9 +286,10 @@
   bool restarted = false;
   {
     const std::lock_guard guard(this->lock);
-    const bool same = health.instance == this->endpoint_instance && !health.instance.empty();
+    const bool same = health.instance == this->endpoint_instance;
     came_up = health.healthy && (!this->endpoint_healthy || !same);
-    restarted = !same;
+    // An endpoint that names no instance may have begun anew while it was away.
+    restarted = !same || health.instance.empty();
     this->endpoint_healthy = health.healthy;
     if (health.healthy) {
       this->endpoint_instance = health.instance;
