Hold engines to the multiple of the mean despite its age

Cause: agents kept to the whole multiple of a mean that is some gossip intervals old. And a surge from idle was turned away: the mean known everywhere was that of before. Change: admission uses 0.4 of the multiple above one, the rest is kept for the mean's age. An attempt brings along the loads of the endpoints that refused the request before (attempt_terms.refused_loads, additive), so that the pool learns of a surge from the requests themselves.

--- a/Source/Agent/admission.cxx
+++ b/Source/Agent/admission.cxx
@@ -22,6 +22,14 @@
   return refusal{why, come_back};
 }
 
+std::optional<std::uint32_t> bound_at(const agent_state& state, double load_multiple) {
+  const auto mean = mean_with(state.pool, in_flight(state));
+  if (own_pool(state).kind != pool_kind::model_engine || !mean) {
+    return std::nullopt;
+  }
+  return bound_by_mean(load_multiple, *mean, state.pool.endpoints);
+}
+
 verdict refused_by_service(const agent_state& state, const attempt_offered& offer) {
   if (state.switches.heed_taken_out && is_leaving(state)) {
     return refused(refusal_kind::out_of_service);
@@ -58,7 +66,7 @@
     const bool is_cold = warm < pool.warm_limit;
     return refused(is_cold ? refusal_kind::cold : refusal_kind::full, come_back);
   }
-  const auto bound = mean_bound(state);
+  const auto bound = admission_bound(state);
   if (state.switches.bound_by_mean && bound && load >= *bound) {
     return refused(refusal_kind::above_mean, come_back);
   }
@@ -93,17 +101,17 @@
   return static_cast<std::uint32_t>(std::ceil(load_multiple * std::max(next_mean, 1.0)));
 }
 
-std::optional<std::uint32_t> mean_bound(const agent_state& state) {
-  const pool_configuration& pool = own_pool(state);
-  const auto mean = mean_with(state.pool, in_flight(state));
-  if (pool.kind != pool_kind::model_engine || !mean) {
-    return std::nullopt;
-  }
-  return bound_by_mean(pool.load_multiple, *mean, state.pool.endpoints);
+std::optional<std::uint32_t> promised_bound(const agent_state& state) {
+  return bound_at(state, own_pool(state).load_multiple);
+}
+
+std::optional<std::uint32_t> admission_bound(const agent_state& state) {
+  const double above_one = own_pool(state).load_multiple - 1.0;
+  return bound_at(state, 1.0 + used_part_of_multiple * above_one);
 }
 
 std::uint32_t load_limit(const agent_state& state) {
-  return std::min(state.warm.limit, mean_bound(state).value_or(state.warm.limit));
+  return std::min(state.warm.limit, admission_bound(state).value_or(state.warm.limit));
 }
 
 bool is_leaving(const agent_state& state) {
--- a/Source/Agent/admission.h
+++ b/Source/Agent/admission.h
@@ -22,11 +22,18 @@
 /// on average: the multiple of what the mean will be with one request more.
 std::uint32_t bound_by_mean(double load_multiple, double mean, std::uint32_t endpoints);
 
-/// The bound that applies to this endpoint; empty for plain services and while
-/// the mean is not known.
-std::optional<std::uint32_t> mean_bound(const agent_state& state);
+/// Part of the multiple above one that admission uses. The rest is kept for
+/// the mean's age: it is some gossip intervals old, and may have fallen since.
+inline constexpr double used_part_of_multiple = 0.4;
 
-/// Highest load that this agent may admit up to at present.
+/// The bound that must hold at this endpoint by the mean as it is known here;
+/// empty for plain services and while the mean is not known.
+std::optional<std::uint32_t> promised_bound(const agent_state& state);
+
+/// The bound that admission keeps to: at most the promised one.
+std::optional<std::uint32_t> admission_bound(const agent_state& state);
+
+/// Highest load that this agent admits up to at present.
 std::uint32_t load_limit(const agent_state& state);
 
 /// True if the endpoint takes no new work: operators took it or its failure
--- a/Source/Agent/attempt_flow.cxx
+++ b/Source/Agent/attempt_flow.cxx
@@ -5,6 +5,7 @@
 
 #include "Agent/admission.h"
 #include "Agent/attempt_answers.h"
+#include "Agent/control_link.h"
 #include "Agent/ledger_link.h"
 
 namespace chestnuthead {
@@ -18,7 +19,8 @@
 // Holds whatever the switches say: the bound and the orders in force are looked
 // up anew.
 void check_admitted(agent_state& state, const attempt_id& attempt) {
-  if (in_flight(state) > load_limit(state)) {
+  const std::uint32_t warm = state.warm.limit;
+  if (in_flight(state) > std::min(warm, promised_bound(state).value_or(warm))) {
     break_invariant(state, "load_above_bound", attempt);
   }
   if (is_leaving(state)) {
@@ -114,6 +116,7 @@
   if (offer.configuration_version > configuration_of(state).version) {
     note_version(*state.control, offer.router, offer.configuration_version);
   }
+  take_refused_loads(state, offer, now);
   if (const auto why = reason_to_refuse(state, offer, now)) {
     refuse(state, offer, why->why, why->come_back);
     return;
--- a/Source/Agent/control_link.cxx
+++ b/Source/Agent/control_link.cxx
@@ -38,6 +38,18 @@
   fit_limit(state.warm, own_pool(state));
 }
 
+void take_refused_loads(agent_state& state, const attempt_offered& offer, steady_time now) {
+  if (offer.terms.refused_loads.empty()) {
+    return;
+  }
+  gossip_message message;
+  message.from = offer.router;
+  message.configuration_version = configuration_of(state).version;
+  message.loads = offer.terms.refused_loads;
+  apply(state, take_gossip(*state.control, message, now));
+  refresh_pool(state, now);
+}
+
 void refresh_pool(agent_state& state, steady_time now) {
   measure_pool(state.pool, *state.control, state.settings.pool, in_flight(state), load_limit(state),
                now);
--- a/Tests/Agent/agent_bench.cxx
+++ b/Tests/Agent/agent_bench.cxx
@@ -100,6 +100,10 @@
   this->pass(agent_tick_interval);
 }
 
+void agent_bench::list_vms(const vm_snapshot& list) {
+  this->vms = list;
+}
+
 void agent_bench::restart() {
   this->orphans.insert(this->orphans.end(), this->held.begin(), this->held.end());
   this->held.clear();
@@ -123,6 +127,9 @@
     if (const auto* fault = std::get_if<agent_invariant_broken>(&action)) {
       this->broken.push_back(*fault);
     }
+    if (const auto* gossip = std::get_if<agent_send_gossip>(&action)) {
+      this->outbox.push_back(*gossip);
+    }
     if (std::holds_alternative<agent_read_vm_list>(action)) {
       this->take_in(step(*this->state, agent_vm_list_replied{this->vms}, this->now), all);
     }
--- a/Tests/Agent/agent_bench.h
+++ b/Tests/Agent/agent_bench.h
@@ -54,6 +54,9 @@
   /// Names `count` peers with this load in the VM list and in gossip.
   void hear_peers(std::uint32_t count, std::uint32_t load);
 
+  /// The VM list that the agent is given from now on.
+  void list_vms(const vm_snapshot& list);
+
   /// Starts anew, as after kill -9. Calls that were held may still take effect.
   void restart();
 
@@ -69,6 +72,8 @@
   steady_time now{std::chrono::hours{1}};
   table_mode mode = table_mode::up;
   std::vector<agent_invariant_broken> broken;
+  /// Gossip that the agent sent and nobody has taken yet.
+  std::vector<agent_send_gossip> outbox;
 
  private:
   void take_in(const actions& taken, actions& all);
--- a/include/chestnuthead/request.h
+++ b/include/chestnuthead/request.h
@@ -3,9 +3,11 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "chestnuthead/clock.h"
 #include "chestnuthead/error_kind.h"
+#include "chestnuthead/gossip.h"
 #include "chestnuthead/ids.h"
 
 /// Requests and attempts as the cores know them: without their bodies, which
@@ -126,6 +128,9 @@
   std::uint64_t resume_offset = 0;
   /// How many attempts of this request came before.
   std::uint32_t earlier_attempts = 0;
+  /// Loads of the endpoints that refused this request before, as they said
+  /// then; spares the agents of a pool a wait for gossip.
+  std::vector<load_entry> refused_loads{};
 };
 
 }  // namespace chestnuthead
