--- a/Tests/Router/router_fixture.h
+++ b/Tests/Router/router_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -48,9 +49,13 @@
   configuration_document document;
   memory_table table;
   bool table_down = false;
+  /// Calls of the table by seals are returned instead of answered.
+  bool hold_seals = false;
   vm_snapshot vms;
   steady_time now{std::chrono::hours{1}};
   std::vector<router_action> log;
+  /// Called with the actions of each event as they come, if set.
+  std::function<void(const std::vector<router_action>&)> observer;
   router_state_ptr state;
 
  private:
