--- a/Source/Load/runner.cxx
+++ b/Source/Load/runner.cxx
@@ -65,9 +65,9 @@
     return next_step::repeat;
   }
   if (result.ran == "not run") {
-    return result.retry_after.count() > 0 ? next_step::repeat_with_new_key : next_step::give_up;
+    return result.may_come_back ? next_step::repeat_with_new_key : next_step::give_up;
   }
-  return result.retry_after.count() > 0 ? next_step::repeat : next_step::give_up;
+  return result.may_come_back ? next_step::repeat : next_step::give_up;
 }
 
 next_step decide(const session& caller, const load_options& options, const verdict& result) {
--- a/Source/Load/tally.cxx
+++ b/Source/Load/tally.cxx
@@ -64,12 +64,12 @@
   total.cached_tokens += std::min(reusable, result.cached_tokens);
 }
 
-std::string error_name(const verdict& result) {
+std::string error_name(const exchange_reply& reply, const verdict& result) {
   switch (result.kind) {
     case verdict_kind::cut:
       return "answer_cut";
     case verdict_kind::no_reply:
-      return "no_reply";
+      return reply.never_sent ? "not_connected" : "no_reply";
     default:
       return result.error;
   }
@@ -92,7 +92,7 @@
     case verdict_kind::cut:
     case verdict_kind::error:
     case verdict_kind::no_reply:
-      ++total.errors[error_name(result)];
+      ++total.errors[error_name(reply, result)];
       return;
   }
 }
@@ -147,6 +147,7 @@
   line.set("unread_services", total.unread_services);
   line.set("cache_reuse", rounded(reuse_of(total)));
   line.set("skew", rounded(skew_of(total, endpoints)));
+  line.set("served", counts(total.served_by_endpoint));
   line.set("first_byte_ms", quantiles(total.first_bytes));
   line.set("whole_ms", quantiles(total.wholes));
   line.set("elapsed_ms", elapsed.count());
--- a/Source/Load/verdict.cxx
+++ b/Source/Load/verdict.cxx
@@ -110,17 +110,18 @@
   return result;
 }
 
-std::chrono::milliseconds read_retry_after(const exchange_reply& reply) {
+void read_retry_after(const exchange_reply& reply, verdict& result) {
   const std::string text = header_of(reply, "Retry-After");
   std::int64_t seconds = 0;
   std::from_chars(text.data(), text.data() + text.size(), seconds);
-  return std::chrono::seconds(seconds);
+  result.may_come_back = !text.empty();
+  result.retry_after = std::chrono::seconds(seconds);
 }
 
 verdict judge_error(const exchange_reply& reply) {
   verdict result;
   result.kind = verdict_kind::error;
-  result.retry_after = read_retry_after(reply);
+  read_retry_after(reply, result);
   const Object::Ptr error = member_object(parse_object(reply.body), "error");
   if (error) {
     result.error = error->optValue<std::string>("kind", "");
--- a/Source/Load/verdict.h
+++ b/Source/Load/verdict.h
@@ -32,7 +32,8 @@
   /// "unknown".
   std::string error;
   std::string ran;
-  /// When to come back; zero if the answer does not say.
+  /// True if the answer says when to come back.
+  bool may_come_back = false;
   std::chrono::milliseconds retry_after{0};
   /// Endpoint that gave the answer, if the answer names it.
   std::string endpoint;
--- a/Tests/Processes/fleet.sh
+++ b/Tests/Processes/fleet.sh
@@ -24,6 +24,7 @@
   local status=$? name
   for name in "${!process_ids[@]}"; do
     kill -KILL "${process_ids[$name]}" 2>/dev/null || true
+    [ ! -e "$fleet_dir/$name.child" ] || kill -KILL "$(<"$fleet_dir/$name.child")" || true
   done
   wait 2>/dev/null || true
   if [ "$status" -eq 0 ]; then
@@ -48,14 +49,16 @@
   done
 }
 
-# http METHOD ADDRESS PATH [BODY]: prints the answer's body.
+# http METHOD ADDRESS PATH [BODY]: prints the answer's body. Further header
+# lines are taken from http_headers, each with its line end.
+http_headers=""
 http() {
   local host=${2%:*} port=${2##*:} body=${4:-}
   {
     exec 9<>"/dev/tcp/$host/$port" || return 1
   } 2>/dev/null
-  printf '%s %s HTTP/1.0\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s' \
-    "$1" "$3" "$2" "${#body}" "$body" >&9
+  printf '%s %s HTTP/1.0\r\nHost: %s\r\n%bContent-Length: %d\r\n\r\n%s' \
+    "$1" "$3" "$2" "$http_headers" "${#body}" "$body" >&9
   sed '1,/^\r$/d' <&9
   exec 9<&- 9>&-
 }
@@ -105,6 +108,32 @@
   start_stand_in model-engine "$name" --name "$name" "$@"
 }
 
+# Runs an engine on one port and starts it again whenever it has crashed; each
+# crash adds a line to NAME.crashes. To be run in the background.
+supervise_engine() {
+  local name=$1 port=0 child
+  shift
+  trap 'kill -TERM "$child" 2>/dev/null; wait "$child"; exit 0' TERM
+  while true; do
+    "$fleet_bin/model-engine" --name "$name" --port "$port" \
+      --ready-file "$fleet_dir/$name.ready" "$@" &
+    child=$!
+    echo "$child" >"$fleet_dir/$name.child"
+    wait "$child" || echo "crashed with status $?" >>"$fleet_dir/$name.crashes"
+    port=$(address_of "$name")
+    port=${port##*:}
+  done
+}
+
+start_supervised_engine() {
+  start_process "$1" supervise_engine "$@"
+  wait_ready "$1"
+}
+
+crashes() {
+  cat "$fleet_dir"/*.crashes 2>/dev/null | wc -l
+}
+
 start_service() {
   start_stand_in plain-service "$@"
 }
@@ -193,8 +222,20 @@
   unset "process_ids[$1]"
 }
 
-load_running() {
-  kill -0 "${process_ids[$1]}" 2>/dev/null
+# expect_true_load NAME: the load has ended with status 0.
+expect_true_load() {
+  finish_load "$1"
+  tail -n 1 "$fleet_dir/$1.out"
+  [ "$load_status" -eq 0 ] || fail "The load $1 saw an outcome that was not whole, own and true."
+}
+
+# load_number NAME KEY: a number of the load's summary.
+load_number() {
+  tail -n 1 "$fleet_dir/$1.out" | number "$2"
+}
+
+table_fault() {
+  http POST "$platform" /fault "$1" >"$fleet_dir/fault.out"
 }
 
 in_flight() {
@@ -214,13 +255,20 @@
   unset "process_ids[$1]"
 }
 
-# stop_process NAME: SIGTERM, and the exit status has to be 0.
-stop_process() {
-  local status=0
-  kill -TERM "${process_ids[$1]}" 2>/dev/null || true
-  wait "${process_ids[$1]}" || status=$?
-  unset "process_ids[$1]"
-  [ "$status" -eq 0 ] || fail "$1 ended with status $status when it was asked to stop."
+# stop_processes NAME...: SIGTERM to all; each exit status has to be 0. Names of
+# processes that do not run any more are passed over.
+stop_processes() {
+  local name status
+  for name in "$@"; do
+    [ -z "${process_ids[$name]:-}" ] || kill -TERM "${process_ids[$name]}" 2>/dev/null || true
+  done
+  for name in "$@"; do
+    [ -n "${process_ids[$name]:-}" ] || continue
+    status=0
+    wait "${process_ids[$name]}" || status=$?
+    unset "process_ids[$name]"
+    [ "$status" -eq 0 ] || fail "$name ended with status $status when it was asked to stop."
+  done
 }
 
 # No invariant may have broken on any node that still runs.
@@ -233,16 +281,31 @@
   done
 }
 
+# Routers first, so that agents and endpoints finish what is in flight.
 stop_fleet() {
-  local name
   check_invariants
-  for name in "${routers[@]}"; do
-    [ -n "${process_ids[$name]:-}" ] && stop_process "$name"
-  done
-  for name in "${!status_addresses[@]}"; do
-    [ -n "${process_ids[$name]:-}" ] && stop_process "$name"
-  done
-  for name in "${!process_ids[@]}"; do
-    stop_process "$name"
+  stop_processes "${routers[@]}"
+  stop_processes "${!status_addresses[@]}"
+  stop_processes "${!process_ids[@]}"
+}
+
+# start_small_fleet [ENGINE SWITCHES]: four engines and two plain services over
+# the failure domains north and south, their agents, and two routers.
+start_small_fleet() {
+  local number domain engine=${engine_starter:-start_engine}
+  start_platform --vm-lag-ms 200
+  for number in 1 2 3 4; do
+    domain=$([ "$number" -le 2 ] && echo north || echo south)
+    "$engine" "engine-$number" "$@"
+    start_agent "agent-$number" chestnut-llm model_engine "$domain" "engine-$number"
   done
+  start_service orders-1 --delay-ms 20
+  start_service orders-2 --delay-ms 20
+  start_agent agent-orders-1 kit-orders plain_service north orders-1
+  start_agent agent-orders-2 kit-orders plain_service south orders-2
+  start_router router-1 north
+  start_router router-2 south
+  apply_answers "$fleet_root/docs/examples/demo.answers.json"
+  executions="--executions-from $(address_of orders-1),$(address_of orders-2)"
+  load_switches="--customers schools,families $executions"
 }
--- a/Tests/StandIns/verdict_test.cxx
+++ b/Tests/StandIns/verdict_test.cxx
@@ -79,6 +79,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("overloaded"), result.error);
     CPPUNIT_ASSERT_EQUAL(std::string("not run"), result.ran);
     CPPUNIT_ASSERT(result.retry_after == std::chrono::seconds(2));
+    CPPUNIT_ASSERT(result.may_come_back);
   }
 
   void checks_the_answer_of_a_plain_service() {
