--- /dev/null
+++ b/Tests/Control/command_line.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# Runs chestnutctl where no fleet is needed: the examples are generated and
+# checked, faults get one sentence and a status, and the page of commands is
+# what --help prints.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+control=${CHESTNUT_BIN:-build/bin}/chestnutctl
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+
+# expect STATUS PATTERN COMMAND...: exit status, and one line that matches.
+expect() {
+  local wanted=$1 pattern=$2 status=0
+  shift 2
+  "$@" >"$folder/out" 2>&1 || status=$?
+  if [ "$status" -ne "$wanted" ] || ! grep -q -- "$pattern" "$folder/out"; then
+    echo "$*: status $status, expected $wanted and \"$pattern\"; it printed:" >&2
+    cat "$folder/out" >&2
+    exit 1
+  fi
+}
+
+for example in docs/examples/*.answers.json; do
+  "$control" generate "$example" >"$folder/configuration.json"
+  expect 0 "is valid" "$control" check "$folder/configuration.json"
+  expect 0 '"valid":true' "$control" check --json "$example"
+done
+
+"$control" questionnaire >"$folder/form.json"
+expect 3 "form.json: key failure_domains holds no name, but a list of at least one name" \
+  "$control" check "$folder/form.json"
+expect 3 "no-such.json: the file can't be read" "$control" check "$folder/no-such.json"
+echo '{"services": ' >"$folder/half.json"
+expect 3 "half.json: key (document)" "$control" generate "$folder/half.json"
+expect 2 "has the form: chestnutctl generate ANSWERS" "$control" generate
+expect 2 'The command "aply" is not known' "$control" aply
+expect 2 "The option --waite is not known" "$control" apply "$folder/form.json" --waite
+expect 2 'The option --base has the value "two", but a number' \
+  "$control" apply "$folder/form.json" --base two
+expect 2 "CHESTNUT_FLEET is not set" env -u CHESTNUT_FLEET "$control" status
+echo '{"platform_address": "here", "node": {}}' >"$folder/fleet.json"
+expect 3 "fleet.json: key platform_address holds \"here\", but an IP number and a port" \
+  "$control" status --fleet "$folder/fleet.json"
+expect 3 "fleet.json: key node" "$control" status --fleet "$folder/fleet.json"
+echo '{"platform_address": "127.0.0.1:1", "nodes": {"router-1": "127.0.0.1:1"}}' \
+  >"$folder/fleet.json"
+expect 1 "router-1 .*no answer" "$control" status --fleet "$folder/fleet.json"
+expect 2 "failure-domain or endpoint was expected" "$control" take-out zone north
+expect 2 "One of the options --request and --chat" "$control" explain
+
+Utilities/command-pages.sh "$control" >"$folder/commands.md"
+diff docs/commands.md "$folder/commands.md" \
+  || { echo "docs/commands.md differs from --help; run Utilities/command-pages.sh." >&2; exit 1; }
