--- a/Source/Measure/chestnut_measure.cxx
+++ b/Source/Measure/chestnut_measure.cxx
@@ -39,6 +39,8 @@
     "  --routers N    routers (default 4)\n"
     "  --endpoints N  endpoints (default 12)\n"
     "  --chats N      chats alive at once (default 1200)\n"
+    "  --new-chat-choices N  choices of a new chat's first turn (default 2)\n"
+    "  --forgetful    routers do not remember where chats are\n"
     "  --multiple M   highest load as a multiple of the mean (default 1.25)\n"
     "  --nodes N      for control, configuration and ledger: nodes\n"
     "  --help         this text\n";
@@ -114,6 +116,10 @@
                  : "The scenario \"" + value +
                        "\" is not known; expected quiet, rolling, flapping or domain.";
   }
+  if (name == "forgetful") {
+    options.run.shape.use_chat_memory = false;
+    return "";
+  }
   if (name == "multiple") {
     return set_multiple(options, value);
   }
@@ -126,6 +132,8 @@
     options.seed = number;
   } else if (name == "nodes") {
     line.nodes = number;
+  } else if (name == "new-chat-choices") {
+    options.run.shape.new_chat_choices = static_cast<std::uint32_t>(number);
   } else if (name == "routers") {
     options.run.shape.routers = number;
   } else if (name == "endpoints") {
@@ -137,13 +145,15 @@
 }
 
 std::variant<parsed_line, std::string> parse_line(int count, char** words) {
-  const std::array<option, 10> known{{{"policy", required_argument, nullptr, 0},
+  const std::array<option, 12> known{{{"policy", required_argument, nullptr, 0},
                                       {"seed", required_argument, nullptr, 0},
                                       {"scenario", required_argument, nullptr, 0},
                                       {"routers", required_argument, nullptr, 0},
                                       {"endpoints", required_argument, nullptr, 0},
                                       {"chats", required_argument, nullptr, 0},
                                       {"nodes", required_argument, nullptr, 0},
+                                      {"new-chat-choices", required_argument, nullptr, 0},
+                                      {"forgetful", no_argument, nullptr, 0},
                                       {"multiple", required_argument, nullptr, 0},
                                       {"help", no_argument, nullptr, 'h'},
                                       {nullptr, 0, nullptr, 0}}};
@@ -157,8 +167,8 @@
     if (code != 0) {
       return "The command line is not valid; see chestnut-measure --help.";
     }
-    const std::string error =
-        set_option(line, known.at(static_cast<std::size_t>(index)).name, optarg);
+    const std::string error = set_option(line, known.at(static_cast<std::size_t>(index)).name,
+                                         optarg != nullptr ? optarg : "");
     if (!error.empty()) {
       return error;
     }
--- a/Source/Measure/fleet.h
+++ b/Source/Measure/fleet.h
@@ -29,6 +29,10 @@
   /// Highest load of one endpoint, as a multiple of the mean, for policies that
   /// bound it.
   double load_multiple = 1.25;
+  /// Choices among which a new chat's first turn is placed by load.
+  std::uint32_t new_chat_choices = 2;
+  /// Routers remember where the chats they served are.
+  bool use_chat_memory = true;
   engine_parameters engine;
 };
 
--- a/Source/Measure/routed_fleet.cxx
+++ b/Source/Measure/routed_fleet.cxx
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Measure/routed_nodes.h"
+#include "Router/router_state.h"
 
 namespace chestnuthead {
 
@@ -71,6 +72,8 @@
   settings.region = region_id{"region"};
   router_node& node = *this->routers.at(index);
   node.state = make_router_state(settings, this->random);
+  node.state->tuning.new_chat_choices = this->parameters.new_chat_choices;
+  node.state->switches.use_chat_memory = this->parameters.use_chat_memory;
   ++node.incarnation;
   this->tick_router(index, node.incarnation);
 }
