Play orders, planned stops and chats in the agents' random run

Cause: the run had no planned stop, no order of the operators and no model engine. Change: both kinds of pool, classes, chats, orders for the failure domain, and planned stops with a check that no accepted attempt is cut off. An agent makes itself known once when it is first ready. The test bench gave the actions of a nested step before the rest of the outer step's, which at length 4000 showed as a stop before an end; it now keeps each step's actions together. The check itself is unchanged. Conclusion: with draining off the run sees attempts cut off by a stop.

--- a/Source/Agent/agent_state.h
+++ b/Source/Agent/agent_state.h
@@ -56,6 +56,8 @@
   bool stop_told = false;
   /// What `agent_set_ready` said last.
   bool ready_told = false;
+  /// The other nodes were told that this agent serves.
+  bool announced = false;
   std::uint64_t invariants_broken = 0;
 
   /// What the step at work will return.
--- a/Source/Agent/agent_step.cxx
+++ b/Source/Agent/agent_step.cxx
@@ -94,7 +94,7 @@
   }
   std::visit([&state, now](const auto& what) { take(state, what, now); }, event);
   start_waiting(state, now);
-  tell_ready(state);
+  tell_ready(state, now);
   finish_stop(state, now);
   audit_step(state, now);
   return std::exchange(state.actions, {});
--- a/Source/Agent/planned_stop.cxx
+++ b/Source/Agent/planned_stop.cxx
@@ -11,6 +11,14 @@
   return !state.attempts.rows.empty() || unsettled(*state.book) > 0;
 }
 
+// The VM list lags, so a new agent makes itself known.
+void announce_once(agent_state& state, steady_time now) {
+  if (state.ready_told && !state.announced) {
+    state.announced = true;
+    start_rumor(*state.control, rumor_kind::node_serving, state.settings.self.value, "", now);
+  }
+}
+
 }  // namespace
 
 void begin_stop(agent_state& state, steady_time now) {
@@ -23,12 +31,13 @@
   record_event(state, "stop_begun", "");
 }
 
-void tell_ready(agent_state& state) {
+void tell_ready(agent_state& state, steady_time now) {
   const bool ready =
       state.endpoint_up && !is_leaving(state) && configuration_confirmed(*state.control);
   if (ready != state.ready_told) {
     state.ready_told = ready;
     state.actions.emplace_back(agent_set_ready{ready});
+    announce_once(state, now);
   }
 }
 
--- a/Tests/Agent/agent_bench.cxx
+++ b/Tests/Agent/agent_bench.cxx
@@ -122,8 +122,9 @@
 }
 
 void agent_bench::take_in(const actions& taken, actions& all) {
+  // All of a step's actions stand before those of the steps that they lead to.
+  all.insert(all.end(), taken.begin(), taken.end());
   for (const agent_action& action : taken) {
-    all.push_back(action);
     if (const auto* fault = std::get_if<agent_invariant_broken>(&action)) {
       this->broken.push_back(*fault);
     }
@@ -134,16 +135,20 @@
       this->take_in(step(*this->state, agent_vm_list_replied{this->vms}, this->now), all);
     }
     if (const auto* call = std::get_if<agent_submit_table>(&action)) {
-      if (this->mode == table_mode::held) {
-        this->held.push_back(*call);
-        continue;
-      }
-      const agent_table_replied reply{call->ticket, this->call_table(call->request)};
-      this->take_in(step(*this->state, reply, this->now), all);
+      this->take_in(this->submit(*call), all);
     }
   }
 }
 
+actions agent_bench::submit(const agent_submit_table& call) {
+  if (this->mode == table_mode::held) {
+    this->held.push_back(call);
+    return {};
+  }
+  const agent_table_replied reply{call.ticket, this->call_table(call.request)};
+  return step(*this->state, reply, this->now);
+}
+
 table_reply agent_bench::call_table(const table_request& request) {
   if (this->mode == table_mode::down) {
     return table_failure::refused;
--- a/Tests/Agent/agent_bench.h
+++ b/Tests/Agent/agent_bench.h
@@ -77,6 +77,7 @@
 
  private:
   void take_in(const actions& taken, actions& all);
+  actions submit(const agent_submit_table& call);
   table_reply call_table(const table_request& request);
 
   std::deque<agent_submit_table> held;
--- a/Tests/Agent/agent_run.cxx
+++ b/Tests/Agent/agent_run.cxx
@@ -17,7 +17,7 @@
 }  // namespace
 
 agent_run::agent_run(std::uint64_t seed, const run_options& run) : options(run), random(seed) {
-  agent_bench::store(this->table, small_document(pool_kind::plain_service));
+  agent_bench::store(this->table, small_document(run.kind));
   for (std::size_t index = 0; index < agent_count; ++index) {
     agent_at_work agent;
     agent.bench = std::make_unique<agent_bench>(this->table, "agent-" + std::to_string(index));
@@ -66,6 +66,9 @@
   if (this->chance(2)) {
     event = payment(name, "key-" + std::to_string(this->pick(key_count)));
   }
+  event.facts.importance = static_cast<request_class>(this->pick(request_class_count));
+  event.facts.chat = chat_id{"chat-" + std::to_string(this->pick(key_count))};
+  event.terms.only_if_resident = this->chance(10);
   event.time_left = std::chrono::milliseconds{500 + 100 * this->pick(100)};
   attempt_fate fate;
   fate.agent = this->pick(agent_count);
@@ -105,8 +108,7 @@
   }
   const auto place =
       std::next(running.begin(), static_cast<std::ptrdiff_t>(this->pick(running.size())));
-  const std::string name = *place;
-  running.erase(place);
+  const std::string name = running.extract(place).value();
   if (!this->chance(8)) {
     this->send(index, finished(name));
     return;
@@ -122,7 +124,7 @@
 
 void agent_run::play_fault() {
   const std::size_t index = this->pick(agent_count);
-  switch (this->pick(6)) {
+  switch (this->pick(8)) {
     case 0:
       this->kill(index);
       return;
@@ -136,6 +138,13 @@
     case 3:
       this->agents.at(index).bench->apply_orphans();
       return;
+    case 4:
+      this->change_orders();
+      return;
+    case 5:
+      ++this->seen["planned stops"];
+      this->send(index, agent_stop_requested{});
+      return;
     default:
       this->change_table(index);
       return;
@@ -149,6 +158,7 @@
   agent.at_endpoint.clear();
   agent.mailbox.clear();
   agent.paused = 0;
+  agent.stopped = false;
   for (auto& [name, fate] : this->fates) {
     fate.excused = fate.excused || fate.agent == index;
   }
@@ -158,6 +168,7 @@
   agent.bench->state->warm.limit = 8;
   agent.bench->state->book->claims_needed = this->options.claims;
   agent.bench->state->switches.remember_attempts = this->options.memory;
+  agent.bench->state->switches.drain_before_stop = this->options.drain;
 }
 
 void agent_run::crash_engine(std::size_t index) {
@@ -179,6 +190,26 @@
   }
 }
 
+// The operators take the agents' failure domain out or bring it back.
+void agent_run::change_orders() {
+  ++this->seen["orders"];
+  this->domain_out = !this->domain_out;
+  configuration_document document = small_document(this->options.kind);
+  if (this->domain_out) {
+    document.failure_domains_out = {failure_domain_id{"domain-1"}};
+  }
+  agent_bench::store(this->table, document);
+}
+
+void agent_run::take_stop(std::size_t index) {
+  this->agents.at(index).stopped = true;
+  for (const auto& [name, fate] : this->fates) {
+    if (fate.agent == index && !fate.excused && fate.ended < fate.accepted) {
+      this->fault("cut off by a planned stop", name);
+    }
+  }
+}
+
 void agent_run::pass_time() {
   const std::chrono::milliseconds time{50 * (1 + this->pick(20))};
   for (std::size_t index = 0; index < agent_count; ++index) {
@@ -192,6 +223,9 @@
       continue;
     }
     this->take_in(index, agent.bench->pass(time));
+    if (agent.stopped) {
+      this->kill(index);
+    }
   }
 }
 
@@ -264,6 +298,8 @@
     } else if (const auto* stored = std::get_if<answer_from_ledger>(&action)) {
       ++this->seen["stored answers"];
       ++this->fates.at(stored->attempt.value).ended;
+    } else if (std::holds_alternative<agent_stop_now>(action)) {
+      this->take_stop(index);
     } else if (const auto* broken = std::get_if<agent_invariant_broken>(&action)) {
       this->fault(broken->name, broken->detail);
     }
--- a/Tests/Agent/agent_run.h
+++ b/Tests/Agent/agent_run.h
@@ -18,8 +18,10 @@
 /// What a random run plays with; each switch turns a mechanism off.
 struct run_options {
   int steps = 400;
+  pool_kind kind = pool_kind::plain_service;
   bool claims = true;
   bool memory = true;
+  bool drain = true;
 };
 
 /// Some agents before one table. Attempts are offered, repeated, withdrawn and
@@ -57,6 +59,8 @@
     /// Rounds of time for which the process is paused, and what waits for it.
     int paused = 0;
     std::deque<agent_event> mailbox;
+    /// It has ended its planned stop.
+    bool stopped = false;
   };
 
   void play_step();
@@ -68,6 +72,8 @@
   void kill(std::size_t index);
   void crash_engine(std::size_t index);
   void change_table(std::size_t index);
+  void change_orders();
+  void take_stop(std::size_t index);
   void pass_time();
   void settle();
   void check_ends();
@@ -84,6 +90,7 @@
   run_options options;
   seeded_random random;
   memory_table table;
+  bool domain_out = false;
   std::vector<agent_at_work> agents;
   std::map<std::string, attempt_fate> fates;
   /// The attempts that reached an endpoint, by key.
--- a/Tests/Agent/agent_run_test.cxx
+++ b/Tests/Agent/agent_run_test.cxx
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(the_faults_were_played);
   CPPUNIT_TEST(without_claims_a_key_runs_twice);
   CPPUNIT_TEST(without_memory_an_attempt_is_answered_twice);
+  CPPUNIT_TEST(without_draining_a_planned_stop_cuts_off);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -19,7 +20,9 @@
 
   void attempts_keep_their_promises_under_faults() {
     check_randomly("attempts keep their promises under faults", [](std::uint64_t seed) {
-      agent_run run(seed, run_options{});
+      run_options options;
+      options.kind = seed % 2 == 0 ? pool_kind::plain_service : pool_kind::model_engine;
+      agent_run run(seed, options);
       run.play();
       for (const std::string& fault : run.faults) {
         std::cerr << "seed " << seed << ": " << fault << '\n';
@@ -33,8 +36,9 @@
     options.steps = 4'000;
     agent_run run(fixed_seed, options);
     run.play();
-    for (const char* name : {"killed", "paused", "engine crashed", "offered again", "withdrawn",
-                             "never sent", "stored answers", "unknown outcomes", "keys run"}) {
+    for (const char* name :
+         {"killed", "paused", "engine crashed", "offered again", "withdrawn", "never sent",
+          "stored answers", "unknown outcomes", "keys run", "orders", "planned stops"}) {
       CPPUNIT_ASSERT_MESSAGE(name, run.seen[name] > 0);
     }
   }
@@ -64,6 +68,12 @@
     options.memory = false;
     CPPUNIT_ASSERT(shows(options, "attempt_answered_twice"));
   }
+
+  void without_draining_a_planned_stop_cuts_off() {
+    run_options options;
+    options.drain = false;
+    CPPUNIT_ASSERT(shows(options, "cut off by a planned stop"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(agent_run_test);
