--- a/Source/Agent/agent_state.h
+++ b/Source/Agent/agent_state.h
@@ -59,6 +59,8 @@
   /// The other nodes were told that this agent serves.
   bool announced = false;
   std::uint64_t invariants_broken = 0;
+  /// Count of the ledger's broken invariants as last told.
+  std::uint64_t claims_overtaken_told = 0;
 
   /// What the step at work will return.
   std::vector<agent_action> actions;
--- a/Source/Agent/agent_step.cxx
+++ b/Source/Agent/agent_step.cxx
@@ -1,3 +1,4 @@
+#include <string>
 #include <utility>
 
 #include "Agent/admission.h"
@@ -76,7 +77,17 @@
   forget_old_suspects(state.suspects, now);
 }
 
+void check_ledger(agent_state& state) {
+  const std::uint64_t overtaken = claims_overtaken(*state.book);
+  if (overtaken > state.claims_overtaken_told) {
+    state.claims_overtaken_told = overtaken;
+    state.actions.emplace_back(
+        agent_invariant_broken{"claim_overtaken", std::to_string(overtaken) + " in all"});
+  }
+}
+
 void audit_step(agent_state& state, steady_time now) {
+  check_ledger(state);
   for (agent_invariant_broken& fault : check_actions(state.audit, state.actions, now)) {
     state.actions.emplace_back(std::move(fault));
   }
