--- a/Source/Agent/agent_state.h
+++ b/Source/Agent/agent_state.h
@@ -56,7 +56,11 @@
   bool stop_told = false;
   /// What `agent_set_ready` said last.
   bool ready_told = false;
+  /// The other nodes were told that this agent serves.
+  bool announced = false;
   std::uint64_t invariants_broken = 0;
+  /// Count of the ledger's broken invariants as last told.
+  std::uint64_t claims_overtaken_told = 0;
 
   /// What the step at work will return.
   std::vector<agent_action> actions;
