Pass on the loads of agents that refused an attempt

Cause: when load rises from idle the agents of a pool refuse above a mean that is a gossip round old; the router hears their loads with each refusal and kept them to itself. Change: each further attempt carries the loads of the endpoints that refused it for want of room, with their ages.

--- a/Source/Router/dispatch.cxx
+++ b/Source/Router/dispatch.cxx
@@ -102,6 +102,16 @@
   return std::chrono::duration_cast<milliseconds>(row.deadline - now);
 }
 
+std::vector<load_entry> loads_of_refusals(const request_row& row, steady_time now) {
+  std::vector<load_entry> loads;
+  for (const refused_load& refused : row.refusals.loads) {
+    const auto age = std::chrono::duration_cast<milliseconds>(now - refused.heard_at);
+    // An endpoint is named after the VM that its agent runs on.
+    loads.push_back({endpoint_id{refused.agent.value}, refused.in_flight, refused.limit, age});
+  }
+  return loads;
+}
+
 }  // namespace
 
 void send_to(router_state& state, request_row& row, const pool_member& target,
@@ -112,6 +122,7 @@
   order.terms.only_if_resident = only_if_resident;
   order.terms.resume_offset = row.bytes_passed;
   order.terms.earlier_attempts = static_cast<std::uint32_t>(row.attempts.size());
+  order.terms.refused_loads = loads_of_refusals(row, now);
   order.agent = target.node;
   order.address = target.address;
   order.time_left = time_left(state, row, now);
--- a/Source/Router/refusals.cxx
+++ b/Source/Router/refusals.cxx
@@ -28,6 +28,11 @@
   notes.come_back = first ? come_back : std::min(notes.come_back, come_back);
 }
 
+void note_load(refusal_notes& notes, const node_id& agent, const load_report& load,
+               steady_time now) {
+  notes.loads.push_back({agent, load.in_flight, load.limit, now});
+}
+
 void try_next(router_state& state, request_row& row, const node_id& agent, steady_time now,
               router_actions& actions) {
   row.tried.push_back(agent);
@@ -119,6 +124,11 @@
     case refusal_kind::customer_over_share:
       row.refusals.customer_over_share = true;
       break;
+    case refusal_kind::full:
+    case refusal_kind::above_mean:
+    case refusal_kind::cold:
+      note_load(row.refusals, attempt.agent, refusal.load, now);
+      break;
     default:
       break;
   }
--- a/Source/Router/request_table.h
+++ b/Source/Router/request_table.h
@@ -72,8 +72,19 @@
   steady_time patience_end{};
 };
 
+/// The load of an agent at the moment when it refused for want of room.
+struct refused_load {
+  node_id agent;
+  std::uint32_t in_flight = 0;
+  std::uint32_t limit = 0;
+  steady_time heard_at{};
+};
+
 /// What refusals have told so far.
 struct refusal_notes {
+  /// Passed on with the next attempt, so that its agent sees what its pool
+  /// bears at present.
+  std::vector<refused_load> loads;
   /// Shortest time to come back that an agent named; zero if none did.
   std::chrono::milliseconds come_back{0};
   bool customer_over_share = false;
--- a/Tests/Router/request_flow_test.cxx
+++ b/Tests/Router/request_flow_test.cxx
@@ -61,6 +61,8 @@
       actions =
           router.refuse(last_of<send_attempt>(actions), refusal_kind::full, milliseconds{wait});
     }
+    // Each attempt carries the loads of the agents that refused before.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, last_of<send_attempt>(actions).terms.refused_loads.size());
     actions = router.refuse(last_of<send_attempt>(actions), refusal_kind::full, milliseconds{20});
     const auto answer = last_of<answer_error>(actions);
     CPPUNIT_ASSERT(error_kind::overloaded == answer.kind);
