--- a/Source/Control/chestnutctl.cxx
+++ b/Source/Control/chestnutctl.cxx
@@ -19,7 +19,7 @@
     {"apply", "put a configuration in force", chestnuthead::run_apply},
     {"take-out", "take a failure domain or an endpoint out", chestnuthead::run_take_out},
     {"bring-back", "bring it back", chestnuthead::run_bring_back},
-    {"stop", "empty a node for a planned stop", chestnuthead::run_stop},
+    {"stop", "stop a router or an agent gracefully", chestnuthead::run_stop},
     {"status", "show all nodes", chestnuthead::run_status},
     {"timeline", "merge the events of all nodes", chestnuthead::run_timeline},
     {"explain", "say why a request or chat landed where it did", chestnuthead::run_explain},
--- a/Source/Control/fleet_access.cxx
+++ b/Source/Control/fleet_access.cxx
@@ -25,6 +25,20 @@
 constexpr std::uint32_t calls_at_most = 25;
 constexpr std::chrono::milliseconds node_timeout{1000};
 constexpr int status_ok = 200;
+constexpr int status_accepted = 202;
+
+std::optional<http_answer> call_node(const std::string& method, const std::string& address,
+                                     const std::string& path) {
+  http_request request;
+  request.address = address;
+  request.method = method;
+  request.path = path;
+  request.connect_timeout = node_timeout;
+  request.read_timeout = node_timeout;
+  const auto reply = fetch_http(request);
+  const auto* answer = std::get_if<http_answer>(&reply);
+  return answer == nullptr ? std::nullopt : std::optional(*answer);
+}
 
 }  // namespace
 
@@ -122,20 +136,18 @@
 }
 
 std::optional<std::string> ask_node(const std::string& address, const std::string& path) {
-  http_request request;
-  request.address = address;
-  request.method = "GET";
-  request.path = path;
-  request.connect_timeout = node_timeout;
-  request.read_timeout = node_timeout;
-  const auto reply = fetch_http(request);
-  const auto* answer = std::get_if<http_answer>(&reply);
-  if (answer == nullptr || answer->status != status_ok) {
+  const std::optional<http_answer> answer = call_node("GET", address, path);
+  if (!answer || answer->status != status_ok) {
     return std::nullopt;
   }
   return answer->body;
 }
 
+bool order_node(const std::string& address, const std::string& path) {
+  const std::optional<http_answer> answer = call_node("POST", address, path);
+  return answer && (answer->status == status_ok || answer->status == status_accepted);
+}
+
 std::map<std::string, Poco::JSON::Object::Ptr> ask_status(const fleet_file& fleet) {
   std::map<std::string, std::future<std::optional<std::string>>> calls;
   for (const auto& [node, address] : fleet.nodes) {
--- a/Source/Control/fleet_access.h
+++ b/Source/Control/fleet_access.h
@@ -64,6 +64,9 @@
 /// What a node answers under `path`; empty if it does not.
 std::optional<std::string> ask_node(const std::string& address, const std::string& path);
 
+/// Posts an order, which is a path alone. True if the node took it.
+bool order_node(const std::string& address, const std::string& path);
+
 /// The answers of all nodes of the fleet file to /status, by node. Null for
 /// those that do not answer.
 std::map<std::string, Poco::JSON::Object::Ptr> ask_status(const fleet_file& fleet);
