--- a/Tests/Router/router_fixture.cxx
+++ b/Tests/Router/router_fixture.cxx
@@ -59,6 +59,8 @@
     this->vms.vms.push_back(make_agent("orders", number));
   }
   this->state = make_router_state({{"router-1"}, {"d0"}, {"region"}}, this->random);
+  // Questions about loads are turned on where they are tested.
+  this->state->tuning.new_chat_choices = 1;
   this->configure();
 }
 
@@ -75,6 +77,9 @@
 std::vector<router_action> router_fixture::give(const router_event& event) {
   auto actions = this->answer_platform(step(*this->state, event, this->now));
   this->log.insert(this->log.end(), actions.begin(), actions.end());
+  if (this->observer) {
+    this->observer(actions);
+  }
   return actions;
 }
 
