--- a/Source/Load/exchange.cxx
+++ b/Source/Load/exchange.cxx
@@ -77,9 +77,11 @@
     const Poco::Timespan limit(std::chrono::microseconds(timeout).count());
     Poco::Net::StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress(address), limit);
+    // The session's own time limits do not reach a socket that is connected.
+    socket.setReceiveTimeout(limit);
+    socket.setSendTimeout(limit);
     reply.never_sent = false;
     Poco::Net::HTTPClientSession session(socket);
-    session.setTimeout(limit);
     session.setKeepAlive(false);
     send(session, address, request);
     receive(session, start, reply);
