--- a/Tests/Net/peer_codec_test.cxx
+++ b/Tests/Net/peer_codec_test.cxx
@@ -22,6 +22,7 @@
   message.facts.fingerprint = 0xFFFF'FFFF'FFFF'FFFF;
   message.attempt = {"a1"};
   message.terms.resume_offset = 7;
+  message.terms.refused_loads.push_back({{"agent-2"}, 3, 8, std::chrono::milliseconds(6)});
   message.time_left = std::chrono::milliseconds(1'234);
   message.path = "/payments";
   message.body = std::make_shared<const std::string>(std::string("\0\xFF{", 3));
@@ -82,6 +83,7 @@
     CPPUNIT_ASSERT(got.message.facts.key == sent.facts.key);
     CPPUNIT_ASSERT_EQUAL(sent.facts.fingerprint, got.message.facts.fingerprint);
     CPPUNIT_ASSERT_EQUAL(sent.terms.resume_offset, got.message.terms.resume_offset);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{8}, got.message.terms.refused_loads.at(0).limit);
     CPPUNIT_ASSERT(got.message.time_left == sent.time_left);
     CPPUNIT_ASSERT_EQUAL(sent.path, got.message.path);
     CPPUNIT_ASSERT_EQUAL(*sent.body, *got.message.body);
