--- a/Tests/Net/http_endpoint_test.cxx
+++ b/Tests/Net/http_endpoint_test.cxx
@@ -90,6 +90,7 @@
   CPPUNIT_TEST_SUITE(http_endpoint_test);
   CPPUNIT_TEST(whole_answers_are_whole);
   CPPUNIT_TEST(cut_answers_are_no_answers);
+  CPPUNIT_TEST(a_silent_server_is_given_up);
   CPPUNIT_TEST(a_closed_endpoint_was_never_sent_the_call);
   CPPUNIT_TEST(usage_and_end_of_a_stream_are_seen);
   CPPUNIT_TEST_SUITE_END();
@@ -116,6 +117,18 @@
     }
   }
 
+  void a_silent_server_is_given_up() {
+    // The machine accepts the connection, but nobody answers. Without a working
+    // timeout this never ends.
+    const Poco::Net::ServerSocket silent(Poco::Net::SocketAddress("127.0.0.1", 0));
+    http_request request;
+    request.address = silent.address().toString();
+    request.method = "GET";
+    request.path = "/";
+    request.read_timeout = std::chrono::milliseconds(50);
+    CPPUNIT_ASSERT(std::get<http_failure>(fetch_http(request)) == http_failure::no_answer);
+  }
+
   void a_closed_endpoint_was_never_sent_the_call() {
     http_endpoint_settings settings;
     settings.address = closed_address();
