Take repeatable calls from a frozen endpoint

The agent now breaks off the calls that may run elsewhere once health answers have failed for 3 s; at-most-once calls go on waiting for their own answer.

--- a/Source/Daemons/agent_node.cxx
+++ b/Source/Daemons/agent_node.cxx
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds watch_interval{200};
+/// Time without a good health answer after which the endpoint counts as frozen.
+constexpr std::chrono::milliseconds frozen_after{3'000};
 /// Longest wait for the last answers to leave.
 constexpr std::chrono::milliseconds drain_timeout{5'000};
 constexpr std::chrono::milliseconds drain_poll_interval{10};
@@ -284,6 +286,8 @@
 void agent_node::take_health(const endpoint_health& health) {
   bool came_up = false;
   bool restarted = false;
+  bool frozen = false;
+  const steady_time now = this->parts.clock.now();
   {
     const std::lock_guard guard(this->lock);
     const bool same = health.instance == this->endpoint_instance;
@@ -293,7 +297,14 @@
     this->endpoint_healthy = health.healthy;
     if (health.healthy) {
       this->endpoint_instance = health.instance;
+      this->endpoint_heard = now;
     }
+    frozen = !health.healthy && now - this->endpoint_heard >= frozen_after;
+  }
+  // A frozen endpoint keeps its connections open. What may run elsewhere is
+  // taken from it; an at-most-once call has to wait for its own answer.
+  if (frozen) {
+    this->endpoint.cancel_idempotent();
   }
   if (came_up) {
     this->parts.log.write(log_level::info, "endpoint_ready", {{"instance", health.instance}});
--- a/Source/Daemons/agent_node.h
+++ b/Source/Daemons/agent_node.h
@@ -89,6 +89,7 @@
   // Of the watcher's questions.
   bool endpoint_healthy = false;
   std::string endpoint_instance;
+  steady_time endpoint_heard;
 
   std::atomic<bool> ready{false};
   std::atomic<bool> stop_now{false};
--- a/Source/Net/http_endpoint.cxx
+++ b/Source/Net/http_endpoint.cxx
@@ -72,20 +72,29 @@
 void http_endpoint::stop() {
   {
     const std::lock_guard guard(this->lock);
-    for (const auto& [attempt, canceller] : this->running) {
-      canceller->cancel();
+    for (const auto& [attempt, call] : this->running) {
+      call.canceller->cancel();
     }
   }
   this->calls.stop();
   this->questions.stop();
 }
 
+void http_endpoint::cancel_idempotent() {
+  const std::lock_guard guard(this->lock);
+  for (const auto& [attempt, call] : this->running) {
+    if (call.rule == execution_rule::idempotent) {
+      call.canceller->cancel();
+    }
+  }
+}
+
 void http_endpoint::run(endpoint_call call, std::shared_ptr<endpoint_listener> listener) {
   const auto canceller = std::make_shared<http_canceller>();
   const attempt_id attempt = call.attempt;
   {
     const std::lock_guard guard(this->lock);
-    this->running[attempt] = canceller;
+    this->running[attempt] = {canceller, call.facts.rule};
   }
   const bool taken = this->calls.submit([this, call = std::move(call), listener, canceller] {
     this->run_call(call, *listener, *canceller);
@@ -103,7 +112,7 @@
   const std::lock_guard guard(this->lock);
   const auto place = this->running.find(attempt);
   if (place != this->running.end()) {
-    place->second->cancel();
+    place->second.canceller->cancel();
   }
 }
 
--- a/Source/Net/http_endpoint.h
+++ b/Source/Net/http_endpoint.h
@@ -42,10 +42,18 @@
   void read_health(std::function<void(endpoint_health)> done) override;
   void read_load(std::function<void(std::optional<endpoint_load_answer>)> done) override;
 
+  /// Breaks off the calls that may be run again elsewhere.
+  void cancel_idempotent();
+
   /// Breaks off all calls and ends the threads.
   void stop();
 
  private:
+  struct running_call {
+    std::shared_ptr<http_canceller> canceller;
+    execution_rule rule = execution_rule::at_most_once;
+  };
+
   void run_call(const endpoint_call& call, endpoint_listener& listener, http_canceller& canceller);
   /// As the last good health answer named it.
   std::string known_instance();
@@ -55,7 +63,7 @@
 
   http_endpoint_settings settings;
   std::mutex lock;
-  std::map<attempt_id, std::shared_ptr<http_canceller>> running;
+  std::map<attempt_id, running_call> running;
   std::string instance;
   worker_pool calls;
   worker_pool questions;
