Mend what the linter found in the operators' tool

Cause: needless copies of shared pointers and a chain of temporary texts. Change: references, and the key's path is put together in place.

--- a/Source/Control/answers.cxx
+++ b/Source/Control/answers.cxx
@@ -39,7 +39,7 @@
   if (value.type() != typeid(Object::Ptr)) {
     return value;
   }
-  const Object::Ptr object = value.extract<Object::Ptr>();
+  const auto& object = value.extract<Object::Ptr>();
   Object::Ptr kept = new Object;
   for (const std::string& key : object->getNames()) {
     if (!key.starts_with('_')) {
--- a/Source/Control/difference.cxx
+++ b/Source/Control/difference.cxx
@@ -23,9 +23,12 @@
     leaves[path] = text.str();
     return;
   }
-  const Object::Ptr object = value.extract<Object::Ptr>();
+  const auto& object = value.extract<Object::Ptr>();
   for (const std::string& key : object->getNames()) {
-    flatten(path.empty() ? key : path + "." + key, object->get(key), leaves);
+    std::string inner = path;
+    inner += path.empty() ? "" : ".";
+    inner += key;
+    flatten(inner, object->get(key), leaves);
   }
 }
 
--- a/Source/Control/timeline_merge.cxx
+++ b/Source/Control/timeline_merge.cxx
@@ -72,7 +72,7 @@
     if (root.type() != typeid(Array::Ptr)) {
       return events;
     }
-    const Array::Ptr list = root.extract<Array::Ptr>();
+    const auto& list = root.extract<Array::Ptr>();
     for (std::size_t index = 0; index < list->size(); ++index) {
       const Object::Ptr object = list->getObject(static_cast<unsigned>(index));
       if (!object.isNull()) {
