--- a/Source/Measure/chestnut_measure.cxx
+++ b/Source/Measure/chestnut_measure.cxx
@@ -9,6 +9,7 @@
 
 #include "Measure/configuration_measure.h"
 #include "Measure/control_measure.h"
+#include "Measure/cost_measure.h"
 #include "Measure/ledger_measure.h"
 #include "Measure/measures.h"
 
@@ -29,6 +30,7 @@
     "  control        control bytes a second of each node, by kind\n"
     "  configuration  seconds until a change is in force everywhere\n"
     "  ledger         at-most-once calls a second within the table's budget\n"
+    "  cost           processor time and memory of one control plane\n"
     "\n"
     "Options:\n"
     "  --policy P     ours (default), random, two-choices, rendezvous, bounded\n"
@@ -64,10 +66,11 @@
   bool (*knows_policy)(const std::string&);
 };
 
-constexpr std::array<named_control_measure, 3> control_measures{{
+constexpr std::array<named_control_measure, 4> control_measures{{
     {"control", measure_control, is_control_policy},
     {"configuration", measure_configuration, is_control_policy},
     {"ledger", measure_ledger, is_ledger_policy},
+    {"cost", measure_cost, is_cost_policy},
 }};
 
 struct parsed_line {
