--- a/Source/Measure/ledger_measure.cxx
+++ b/Source/Measure/ledger_measure.cxx
@@ -58,7 +58,7 @@
   std::uint64_t not_stored_in_time = 0;
 };
 
-void take_output(ledger_run_state& run, std::size_t book, ledger_output output);
+void take_output(ledger_run_state& run, std::size_t book, const ledger_output& output);
 
 void reply_later(ledger_run_state& run, std::size_t book, std::uint64_t ticket,
                  const table_reply& reply, microseconds delay) {
@@ -102,7 +102,7 @@
   }
 }
 
-void take_output(ledger_run_state& run, std::size_t book, ledger_output output) {
+void take_output(ledger_run_state& run, std::size_t book, const ledger_output& output) {
   for (const table_ask& ask : output.asks) {
     submit(run, book, ask);
   }
