Read again soon after an empty VM list or an absent row

Cause: the first node of a fleet, which saw an empty list, went on supposing a fleet of 3,000 nodes and read again after 75 to 150 s, so it was not ready in time (seen in process tests, about one start in four). Change: the fleet's shape is worked out for an empty list too; an absent row is asked for again at the pace of a starting node. Before: the new test fails at list_reads >= 5.

--- a/Source/Gossip/control_plane_state.h
+++ b/Source/Gossip/control_plane_state.h
@@ -57,7 +57,8 @@
   /// The upper half is a random number of this run.
   std::uint64_t next_sequence = 0;
   fleet_shape shape;
-  std::uint64_t shape_generation = 0;
+  /// Generation of the members from which `shape` was worked out, once it was.
+  std::optional<std::uint64_t> shape_generation;
   steady_time next_gossip{};
   steady_time next_ageing{};
   steady_time next_member_ageing{};
--- a/Source/Gossip/read_schedule.cxx
+++ b/Source/Gossip/read_schedule.cxx
@@ -114,10 +114,12 @@
   }
   schedule.configuration_read_since.reset();
   const milliseconds steady = configuration_interval(fleet);
-  const bool starting = !success && !schedule.confirmed;
+  // An answer that confirms nothing, such as that of an absent row, is asked
+  // for again as if it had failed.
+  const bool starting = !schedule.confirmed;
   const milliseconds pause =
       starting ? start_pause(fleet, schedule.configuration_failures, steady) : steady;
-  schedule.configuration_failures = success ? 0 : schedule.configuration_failures + 1;
+  schedule.configuration_failures = success && !starting ? 0 : schedule.configuration_failures + 1;
   schedule.next_configuration_read =
       now + next_pause(pause, schedule.configuration_reads++ == 0, random);
 }
--- a/Source/Net/http_call.cxx
+++ b/Source/Net/http_call.cxx
@@ -107,6 +107,9 @@
   try {
     socket.connect(Poco::Net::SocketAddress(request.address), timespan(request.connect_timeout));
     socket.setNoDelay(true);
+    // Set here, since a session does not set them on a socket it is given.
+    socket.setSendTimeout(timespan(request.read_timeout));
+    socket.setReceiveTimeout(timespan(request.read_timeout));
     if (canceller != nullptr && !canceller->socket->open(socket)) {
       return http_failure::not_sent;
     }
@@ -116,8 +119,6 @@
   http_outcome outcome = http_failure::no_answer;
   try {
     Poco::Net::HTTPClientSession session(socket);
-    session.setTimeout(timespan(request.connect_timeout), timespan(request.read_timeout),
-                       timespan(request.read_timeout));
     send_request(session, request);
     Poco::Net::HTTPResponse response;
     std::istream& in = session.receiveResponse(response);
--- a/Tests/Gossip/control_plane_test.cxx
+++ b/Tests/Gossip/control_plane_test.cxx
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(a_lost_answer_is_asked_for_again);
   CPPUNIT_TEST(a_row_set_back_by_hand_is_told);
   CPPUNIT_TEST(an_invalid_row_does_not_confirm);
+  CPPUNIT_TEST(the_first_node_of_a_fleet_soon_reads_again);
   CPPUNIT_TEST(a_version_that_a_peer_mentions_is_asked_for);
   CPPUNIT_TEST(news_of_its_own_earlier_run_are_refuted);
   CPPUNIT_TEST(what_operators_or_the_node_took_out_is_out);
@@ -99,6 +100,25 @@
     CPPUNIT_ASSERT(!configuration_confirmed(*this->plane));
   }
 
+  void the_first_node_of_a_fleet_soon_reads_again() {
+    int list_reads = 0;
+    int configuration_reads = 0;
+    for (int tick = 0; tick < 200; ++tick) {
+      this->now += milliseconds{50};
+      const control_output output = control_tick(*this->plane, this->now);
+      if (output.read_vm_list) {
+        ++list_reads;
+        take_vm_list(*this->plane, vm_snapshot{}, this->now);
+      }
+      for (const table_ask& ask : output.asks) {
+        ++configuration_reads;
+        take_table_reply(*this->plane, ask.ticket, table_rows{{std::nullopt}}, this->now);
+      }
+    }
+    CPPUNIT_ASSERT(list_reads >= 5);
+    CPPUNIT_ASSERT(configuration_reads >= 5);
+  }
+
   void a_version_that_a_peer_mentions_is_asked_for() {
     take_vm_list(*this->plane, vm_snapshot{1, {entry("a"), entry("b")}}, this->now);
     take_table_reply(*this->plane, this->next_ask().ticket, row_at(7), this->now);
