Tell a stopped endpoint from one whose health answer is late

An endpoint that names no instance counted as begun anew after any failed health question, a late one included, which ends its running at-most-once calls as unknown. Now only a closed port counts. net_tests printed OK (41).

--- a/Source/Daemons/agent_node.cxx
+++ b/Source/Daemons/agent_node.cxx
@@ -292,12 +292,15 @@
     const std::lock_guard guard(this->lock);
     const bool same = health.instance == this->endpoint_instance;
     came_up = health.healthy && (!this->endpoint_healthy || !same);
-    // An endpoint that names no instance may have begun anew while it was away.
-    restarted = !same || health.instance.empty();
+    // An endpoint that names no instance has begun anew if its port was closed;
+    // a health answer that was late alone says nothing.
+    this->endpoint_closed = this->endpoint_closed || health.closed;
+    restarted = !same || (health.instance.empty() && this->endpoint_closed);
     this->endpoint_healthy = health.healthy;
     if (health.healthy) {
       this->endpoint_instance = health.instance;
       this->endpoint_heard = now;
+      this->endpoint_closed = false;
     }
     frozen = !health.healthy && now - this->endpoint_heard >= frozen_after;
   }
--- a/Source/Daemons/agent_node.h
+++ b/Source/Daemons/agent_node.h
@@ -90,6 +90,8 @@
   bool endpoint_healthy = false;
   std::string endpoint_instance;
   steady_time endpoint_heard;
+  /// Its port was closed at some time since the last good answer.
+  bool endpoint_closed = true;
 
   std::atomic<bool> ready{false};
   std::atomic<bool> stop_now{false};
--- a/Source/Net/http_call.cxx
+++ b/Source/Net/http_call.cxx
@@ -11,6 +11,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
@@ -113,6 +114,8 @@
     if (canceller != nullptr && !canceller->socket->open(socket)) {
       return http_failure::not_sent;
     }
+  } catch (const Poco::Net::ConnectionRefusedException&) {
+    return http_failure::port_closed;
   } catch (const Poco::Exception&) {
     return http_failure::not_sent;
   }
@@ -141,6 +144,10 @@
   return outcome;
 }
 
+bool nothing_sent(http_failure failure) {
+  return failure != http_failure::no_answer;
+}
+
 std::variant<http_answer, http_failure> fetch_http(const http_request& request) {
   http_answer answer;
   bool too_large = false;
--- a/Source/Net/http_call.h
+++ b/Source/Net/http_call.h
@@ -32,12 +32,17 @@
 
 /// How a call failed.
 enum class http_failure : std::uint8_t {
-  /// No connection, so no byte was sent.
+  /// Nothing listens at the address, so no byte was sent.
+  port_closed,
+  /// No connection for another reason, so no byte was sent.
   not_sent,
   /// The connection was lost, or no whole answer came in time.
   no_answer,
 };
 
+/// True if the peer never got a byte of the request.
+bool nothing_sent(http_failure failure);
+
 /// Takes in an answer piece by piece.
 struct http_reader {
   std::function<void(int status, const std::string& content_type)> head;
--- a/Source/Net/http_endpoint.cxx
+++ b/Source/Net/http_endpoint.cxx
@@ -149,7 +149,7 @@
   }
   const endpoint_health health = this->ask_health();
   const bool crashed = !health.healthy || health.instance != instance_before;
-  const bool never_sent = failure != nullptr && *failure == http_failure::not_sent;
+  const bool never_sent = failure != nullptr && nothing_sent(*failure);
   listener.done(endpoint_call_failed{crashed, never_sent});
 }
 
@@ -166,11 +166,14 @@
 endpoint_health http_endpoint::ask_health() const {
   const auto outcome = fetch_http(this->get_request("/health"));
   const auto* answer = std::get_if<http_answer>(&outcome);
-  if (answer == nullptr || answer->status != status_ok) {
+  if (answer == nullptr) {
+    return {false, {}, std::get<http_failure>(outcome) == http_failure::port_closed};
+  }
+  if (answer->status != status_ok) {
     return {};
   }
   const Poco::JSON::Object::Ptr object = parse_json_object(answer->body);
-  return {true, object.isNull() ? std::string() : json_text(*object, "instance")};
+  return {true, object.isNull() ? std::string() : json_text(*object, "instance"), false};
 }
 
 std::optional<endpoint_load_answer> http_endpoint::ask_load() const {
--- a/Source/Net/http_ports.cxx
+++ b/Source/Net/http_ports.cxx
@@ -105,7 +105,7 @@
   request.body = body;
   const auto outcome = fetch_http(request);
   if (const auto* failure = std::get_if<http_failure>(&outcome)) {
-    return *failure == http_failure::not_sent ? table_failure::refused : table_failure::no_answer;
+    return nothing_sent(*failure) ? table_failure::refused : table_failure::no_answer;
   }
   const auto& answer = std::get<http_answer>(outcome);
   if (answer.status != status_ok) {
--- a/Tests/Fakes/fake_endpoint.h
+++ b/Tests/Fakes/fake_endpoint.h
@@ -27,7 +27,7 @@
 
   /// Calls in the order of their arrival, ended ones included.
   std::deque<endpoint_call> calls;
-  endpoint_health health{true, "first"};
+  endpoint_health health{true, "first", false};
 
  private:
   std::shared_ptr<endpoint_listener> take(const attempt_id& attempt);
--- a/Tests/Net/http_endpoint_test.cxx
+++ b/Tests/Net/http_endpoint_test.cxx
@@ -71,6 +71,19 @@
   return Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)).address().toString();
 }
 
+endpoint_health health_of(const std::string& address) {
+  http_endpoint_settings settings;
+  settings.address = address;
+  settings.threads = 1;
+  settings.health_timeout = std::chrono::milliseconds(50);
+  http_endpoint endpoint(settings);
+  mailbox<endpoint_health> answers;
+  endpoint.read_health([&answers](const endpoint_health& health) { answers.push(health); });
+  const auto health = answers.pop_until(std::chrono::steady_clock::now() + patience);
+  CPPUNIT_ASSERT(health.has_value());
+  return *health;
+}
+
 class recording_listener : public endpoint_listener {
  public:
   void head(int /*status*/, const std::string& /*content_type*/) override {}
@@ -92,6 +105,7 @@
   CPPUNIT_TEST(cut_answers_are_no_answers);
   CPPUNIT_TEST(a_silent_server_is_given_up);
   CPPUNIT_TEST(a_closed_endpoint_was_never_sent_the_call);
+  CPPUNIT_TEST(a_closed_endpoint_is_told_from_a_silent_one);
   CPPUNIT_TEST(usage_and_end_of_a_stream_are_seen);
   CPPUNIT_TEST_SUITE_END();
 
@@ -145,6 +159,14 @@
     CPPUNIT_ASSERT(failed.crashed && failed.never_sent);
   }
 
+  void a_closed_endpoint_is_told_from_a_silent_one() {
+    const Poco::Net::ServerSocket silent(Poco::Net::SocketAddress("127.0.0.1", 0));
+    const endpoint_health slow = health_of(silent.address().toString());
+    CPPUNIT_ASSERT(!slow.healthy && !slow.closed);
+    const endpoint_health stopped = health_of(closed_address());
+    CPPUNIT_ASSERT(!stopped.healthy && stopped.closed);
+  }
+
   void usage_and_end_of_a_stream_are_seen() {
     const std::string stream =
         "data: {\"choices\":[]}\n\n"
--- a/include/chestnuthead/endpoint_port.h
+++ b/include/chestnuthead/endpoint_port.h
@@ -67,6 +67,8 @@
   bool healthy = false;
   /// Changes each time the endpoint begins anew; empty if it does not say.
   std::string instance;
+  /// True if its port is closed, so that it has stopped and is not just slow.
+  bool closed = false;
 };
 
 /// What an endpoint says of its load.
