Let a stopping router answer the callers whose connection it took

The server now stops accepting and waits up to 2 s for those connected before it breaks connections off.

--- a/Source/Daemons/public_server.cxx
+++ b/Source/Daemons/public_server.cxx
@@ -1,7 +1,9 @@
 #include "Daemons/public_server.h"
 
 #include <array>
+#include <chrono>
 #include <istream>
+#include <thread>
 #include <utility>
 #include <variant>
 
@@ -31,6 +33,9 @@
 constexpr int waiting_callers_limit = 4'096;
 /// Longest silence of a caller that sends a request or takes in an answer.
 constexpr int caller_silence_seconds = 30;
+/// Longest wait for callers that are still connected when the server stops.
+constexpr std::chrono::milliseconds last_callers_timeout{2'000};
+constexpr std::chrono::milliseconds last_callers_poll_interval{10};
 
 /// The whole body, or nothing if it is above the limit or cut short.
 std::variant<std::string, request_fault> read_body(Poco::Net::HTTPServerRequest& request) {
@@ -144,8 +149,19 @@
   return true;
 }
 
+bool public_server::busy() const {
+  return this->server->currentConnections() > 0 || this->server->queuedConnections() > 0;
+}
+
 void public_server::stop() {
   if (this->server != nullptr) {
+    // Callers whose connection was taken get an answer, if only that the router
+    // is stopping. Idle connections are not waited for any longer.
+    this->server->stop();
+    const steady_time latest = std::chrono::steady_clock::now() + last_callers_timeout;
+    while (this->busy() && std::chrono::steady_clock::now() < latest) {
+      std::this_thread::sleep_for(last_callers_poll_interval);
+    }
     this->server->stopAll(true);
     this->pool->joinAll();
     this->server.reset();
--- a/Source/Daemons/public_server.h
+++ b/Source/Daemons/public_server.h
@@ -66,6 +66,8 @@
   [[nodiscard]] std::string address() const;
 
  private:
+  [[nodiscard]] bool busy() const;
+
   caller_service& service;
   std::uint32_t threads;
   std::unique_ptr<Poco::ThreadPool> pool;
