--- a/Tests/Net/fake_transport_test.cxx
+++ b/Tests/Net/fake_transport_test.cxx
@@ -124,7 +124,7 @@
 
   void send(attempt_message message) {
     this->transport.send_attempt({"agent"}, "agent", std::move(message),
-                                 [this](attempt_frame frame) {
+                                 [this](const attempt_frame& frame) {
                                    this->last = frame;
                                    this->take_any(frame);
                                  });
