Send no modelled request to a router that is down

Cause: the scenario with killed processes left one payment without an outcome: the model handed requests to a killed router's old tables during the second before its successor starts, which no caller could do. Ruled out: the cores; the lost request was never seen by a live router. Conclusion: the model was wrong, the check stays as it was.

--- a/Source/Measure/routed_faults.cxx
+++ b/Source/Measure/routed_faults.cxx
@@ -68,6 +68,7 @@
 void routed_fleet::kill_router(std::size_t index) {
   router_node& node = *this->routers.at(index);
   ++node.incarnation;
+  node.running = false;
   this->break_links([index](const live_attempt& live) { return live.router == index; });
   std::vector<request_id> lost;
   for (const auto& [request, live] : this->requests) {
--- a/Source/Measure/routed_fleet.cxx
+++ b/Source/Measure/routed_fleet.cxx
@@ -29,7 +29,7 @@
 
 void routed_fleet::submit(const planned_request& request,
                           std::function<void(const request_outcome&)> done) {
-  const std::size_t router = next_below(this->random, this->routers.size());
+  const std::size_t router = this->running_router();
   live_request& live = this->requests[request.facts.request];
   live.planned = request;
   live.done = std::move(done);
@@ -40,6 +40,13 @@
   event.method = request.method;
   event.path = request.path;
   event.key_from_caller = !request.facts.key.empty();
+  if (!this->routers.at(router)->running) {
+    this->queue.after(this->parameters.link_time, [this, id = request.facts.request] {
+      this->fail_request(id, error_kind::answer_incomplete, run_state::unknown,
+                         std::chrono::milliseconds{0});
+    });
+    return;
+  }
   event.body_bytes = request.facts.prompt_tokens;
   this->step_router(router, event);
 }
@@ -75,6 +82,7 @@
   node.state->tuning.new_chat_choices = this->parameters.new_chat_choices;
   node.state->switches.use_chat_memory = this->parameters.use_chat_memory;
   ++node.incarnation;
+  node.running = true;
   this->tick_router(index, node.incarnation);
 }
 
@@ -237,6 +245,18 @@
   return std::stoul(node.value.substr(node.value.find('-') + 1));
 }
 
+// The balancer's choice: one of the routers that run, at random. The first one
+// stands in when none does, and its callers see their connections break.
+std::size_t routed_fleet::running_router() {
+  std::vector<std::size_t> running;
+  for (std::size_t index = 0; index < this->routers.size(); ++index) {
+    if (this->routers.at(index)->running) {
+      running.push_back(index);
+    }
+  }
+  return running.empty() ? 0 : running.at(next_below(this->random, running.size()));
+}
+
 pool_id routed_fleet::pool_of(std::size_t endpoint) const {
   return pool_id{endpoint < this->parameters.endpoints ? model_pool_name : service_pool_name};
 }
--- a/Source/Measure/routed_fleet.h
+++ b/Source/Measure/routed_fleet.h
@@ -93,6 +93,7 @@
   void replace_agent(std::size_t index);
   void write_configuration();
   [[nodiscard]] vm_snapshot list_vms() const;
+  std::size_t running_router();
   [[nodiscard]] std::size_t index_of(const node_id& node) const;
   [[nodiscard]] pool_id pool_of(std::size_t endpoint) const;
 
--- a/Source/Measure/routed_nodes.h
+++ b/Source/Measure/routed_nodes.h
@@ -13,6 +13,7 @@
   router_state_ptr state;
   /// Grows when the process is replaced: what was sent to an earlier one is lost.
   std::uint64_t incarnation = 0;
+  bool running = false;
 };
 
 struct routed_fleet::agent_node {
