Let agents say that content crashed them, so that copies stop at the limit

Cause: of a request that crashes engines, a copy sent at once through another router overtook the gossiped news of the first crashes: it was placed at other endpoints (by its request id) and crashed 1 or 2 more; and an agent ran content again on the engine it had crashed. Ruled out: lost rumors; the news arrives with the next exchange, within 0.5 s. Ways weighed: pushing news at once to all routers (350 messages a crash, and still a race); asking the table (a read per retry); placing content by its hash, so that copies meet the agents that remember (taken: no message more). Change: requests without a chat are placed by their content's hash at first and after a crash; an agent refuses content that crashed its endpoint with crashed_here; the router counts these refusals with its own failures.

--- a/Source/Agent/admission.cxx
+++ b/Source/Agent/admission.cxx
@@ -30,10 +30,16 @@
   return bound_by_mean(load_multiple, *mean, state.pool.endpoints);
 }
 
-verdict refused_by_service(const agent_state& state, const attempt_offered& offer) {
+verdict refused_by_service(const agent_state& state, const attempt_offered& offer,
+                           steady_time now) {
   if (state.switches.heed_taken_out && is_leaving(state)) {
     return refused(refusal_kind::out_of_service);
   }
+  // Said even while the endpoint is down, so that a router that asks on behalf
+  // of another caller learns of the crash before any news has reached it.
+  if (suspected_here(state.suspects, offer.facts.fingerprint, now)) {
+    return refused(refusal_kind::crashed_here);
+  }
   if (!configuration_confirmed(*state.control) || !state.endpoint_up) {
     return refused(refusal_kind::not_ready, come_back_when_not_ready);
   }
@@ -133,7 +139,7 @@
 
 std::optional<refusal> reason_to_refuse(const agent_state& state, const attempt_offered& offer,
                                         steady_time now) {
-  if (auto why = refused_by_service(state, offer)) {
+  if (auto why = refused_by_service(state, offer, now)) {
     return why;
   }
   if (auto why = refused_by_content(state, offer, now)) {
--- a/Source/Agent/attempt_answers.cxx
+++ b/Source/Agent/attempt_answers.cxx
@@ -52,6 +52,8 @@
       return "key closed";
     case refusal_kind::key_in_progress:
       return "key in progress";
+    case refusal_kind::crashed_here:
+      return "crashed here";
   }
   return "";
 }
--- a/Source/Net/peer_fields.cxx
+++ b/Source/Net/peer_fields.cxx
@@ -233,7 +233,7 @@
 void get(field_reader in, refused_frame& frame) {
   in.get(frame.request);
   in.get(frame.attempt);
-  in.get(frame.why, refusal_kind::key_in_progress);
+  in.get(frame.why, refusal_kind::crashed_here);
   in.get(frame.come_back);
   get(in.array(), frame.load);
 }
--- a/Source/Router/choice.cxx
+++ b/Source/Router/choice.cxx
@@ -16,8 +16,12 @@
 
 bool placed_by_hash(const request_row& row) {
   // A key meets earlier calls with it in one agent's memory, and a chat its
-  // cached prefix; plain services keep nothing of a chat.
-  return !row.facts.key.empty() || (row.model_engine && !row.facts.chat.empty());
+  // cached prefix; plain services keep nothing of a chat. Content that crashes
+  // engines goes on in the order of its own hash, so that its next copy meets
+  // the agents that saw it.
+  const bool suspect = !row.failed_at.empty() || row.refusals.crashed_here > 0;
+  const bool ordered = !row.facts.chat.empty() || suspect;
+  return !row.facts.key.empty() || (row.model_engine && ordered);
 }
 
 // The untried members with good links, or, if there is none, all untried ones.
--- a/Source/Router/dispatch.cxx
+++ b/Source/Router/dispatch.cxx
@@ -29,8 +29,10 @@
   if (!state.switches.refuse_after_crashes || row.fetching) {
     return false;
   }
-  return endpoints_crashed_by(*state.plane, row.facts.fingerprint, now) >=
-         policy_of(state).crash_limit;
+  // What this request met itself counts at once; the news of it may lag.
+  const auto met = static_cast<std::uint32_t>(row.failed_at.size()) + row.refusals.crashed_here;
+  const std::uint32_t heard = endpoints_crashed_by(*state.plane, row.facts.fingerprint, now);
+  return std::max(met, heard) >= policy_of(state).crash_limit;
 }
 
 bool may_have_holder(const router_state& state, const request_row& row) {
--- a/Source/Router/placement.cxx
+++ b/Source/Router/placement.cxx
@@ -74,6 +74,11 @@
   if (!facts.chat.empty()) {
     return hash_text(facts.chat.value);
   }
+  // The same content goes to the same endpoints in the same order, whoever sends
+  // it: so one that crashes engines meets the agents that saw it do so.
+  if (facts.fingerprint != 0) {
+    return rendezvous_weight(facts.fingerprint, 0);
+  }
   return hash_text(facts.request.value);
 }
 
--- a/Source/Router/placement.h
+++ b/Source/Router/placement.h
@@ -46,8 +46,8 @@
 /// The member of that name, or nullptr.
 const pool_member* find_member(const std::vector<pool_member>& pool, const node_id& node);
 
-/// Hash of what a request is placed by: its key, else its chat, else its own
-/// name.
+/// Hash of what a request is placed by: its key, else its chat, else its
+/// content, else its own name.
 std::uint64_t placement_hash(const request_facts& facts);
 
 /// True if links to the member failed a short while ago.
--- a/Source/Router/refusals.cxx
+++ b/Source/Router/refusals.cxx
@@ -90,6 +90,8 @@
       return "key_closed";
     case refusal_kind::key_in_progress:
       return "key_in_progress";
+    case refusal_kind::crashed_here:
+      return "crashed_here";
   }
   return "unknown";
 }
@@ -115,6 +117,9 @@
     case refusal_kind::crashes:
       give_up(state, row, error_kind::request_refused_after_crashes, now, actions);
       return;
+    case refusal_kind::crashed_here:
+      ++row.refusals.crashed_here;
+      break;
     case refusal_kind::key_reused:
       give_up(state, row, error_kind::key_reused, now, actions);
       return;
--- a/Source/Router/request_table.h
+++ b/Source/Router/request_table.h
@@ -89,6 +89,8 @@
   std::chrono::milliseconds come_back{0};
   bool customer_over_share = false;
   std::uint32_t ledger_unavailable = 0;
+  /// Agents whose endpoint crashed earlier while it ran the same content.
+  std::uint32_t crashed_here = 0;
   /// Some other attempt held the key, so what became of the key is not known.
   bool key_contended = false;
 };
--- a/include/chestnuthead/request.h
+++ b/include/chestnuthead/request.h
@@ -101,6 +101,8 @@
   key_closed,
   /// Another attempt holds the key and has not finished.
   key_in_progress,
+  /// This endpoint crashed while it ran this content: try the next choice.
+  crashed_here,
 };
 
 /// How an attempt that was begun came to its end.
