Bring a failure domain back while its VMs are cold

Cause: in the measure domain the VMs were replaced three minutes before the return, so they were warm again and the cold start was not measured at all. Change: they are replaced 15 s before the return.

--- a/Source/Measure/domain_measure.cxx
+++ b/Source/Measure/domain_measure.cxx
@@ -11,7 +11,8 @@
 using std::chrono::seconds;
 
 constexpr seconds out_at{60};
-constexpr seconds replaced_at{120};
+// Just before the return, so that the VMs that come back are cold.
+constexpr seconds replaced_at{285};
 constexpr seconds back_at{300};
 
 // Seconds from the order until work was last begun in the failure domain.
