Add control counters in one place and drop unused hooks of the model

The sum of control_counters stood twice, one copy with two fields missing; the modelled fleet kept a hook for router actions and a table of refusals that nothing reads. Change: control_fleet.h declares the one add(); hook and table are gone.

--- a/Source/Measure/control_fleet.cxx
+++ b/Source/Measure/control_fleet.cxx
@@ -31,6 +31,8 @@
   return vm;
 }
 
+}  // namespace
+
 void add(control_counters& sum, const control_counters& part) {
   sum.configuration_reads += part.configuration_reads;
   sum.vm_list_reads += part.vm_list_reads;
@@ -44,8 +46,6 @@
   sum.invariants_broken += part.invariants_broken;
 }
 
-}  // namespace
-
 control_fleet::control_fleet(const control_fleet_settings& given,
                              const configuration_document& first)
     : settings(given), random(given.seed), accepted(first) {
--- a/Source/Measure/control_fleet.h
+++ b/Source/Measure/control_fleet.h
@@ -23,6 +23,9 @@
 /// the table service and the VM list, for tests and measurements.
 namespace chestnuthead {
 
+/// Adds the counts of `part` to those of `sum`.
+void add(control_counters& sum, const control_counters& part);
+
 /// How large the fleet is and how its links behave.
 struct control_fleet_settings {
   std::size_t routers = 0;
--- a/Source/Measure/control_measure.cxx
+++ b/Source/Measure/control_measure.cxx
@@ -58,17 +58,6 @@
   return part;
 }
 
-void add(control_counters& sum, const control_counters& part) {
-  sum.configuration_reads += part.configuration_reads;
-  sum.vm_list_reads += part.vm_list_reads;
-  sum.messages_sent += part.messages_sent;
-  sum.bytes_sent += part.bytes_sent;
-  sum.bytes_received += part.bytes_received;
-  sum.load_bytes_sent += part.load_bytes_sent;
-  sum.rumor_bytes_sent += part.rumor_bytes_sent;
-  sum.change_bytes_sent += part.change_bytes_sent;
-}
-
 /// Adds one second's traffic of all nodes.
 void count_second(traffic& counted, const std::vector<control_counters>& before,
                   const std::vector<control_counters>& after) {
--- a/Source/Measure/routed_actions.cxx
+++ b/Source/Measure/routed_actions.cxx
@@ -71,7 +71,6 @@
                    });
                  },
                  [&](const refuse_attempt& refuse) {
-                   ++this->refused[refuse.why];
                    reply(refuse.attempt, [&](const request_id& request) {
                      return attempt_refused{request, refuse.attempt, refuse.why, refuse.come_back,
                                             refuse.load};
--- a/Source/Measure/routed_fleet.cxx
+++ b/Source/Measure/routed_fleet.cxx
@@ -71,10 +71,6 @@
   return this->probes_sent;
 }
 
-const std::map<refusal_kind, std::uint64_t>& routed_fleet::refusals() const {
-  return this->refused;
-}
-
 void routed_fleet::start_router(std::size_t index) {
   router_settings settings;
   settings.self = node_id{router_name(index)};
@@ -166,9 +162,6 @@
 void routed_fleet::step_router(std::size_t index, const router_event& event) {
   for (const router_action& action :
        step(*this->routers.at(index)->state, event, this->queue.now())) {
-    if (this->on_router_action) {
-      this->on_router_action(index, action);
-    }
     this->carry_out(index, action);
   }
 }
--- a/Source/Measure/routed_fleet.h
+++ b/Source/Measure/routed_fleet.h
@@ -47,8 +47,6 @@
 
   /// Sees each request that is given to an endpoint.
   std::function<void(const request_facts&)> on_execution;
-  /// Sees each action of a router's core before it is carried out.
-  std::function<void(std::size_t, const router_action&)> on_router_action;
 
   [[nodiscard]] router_summary router_summary_of(std::size_t router) const;
   [[nodiscard]] agent_summary agent_summary_of(std::size_t endpoint) const;
@@ -56,8 +54,6 @@
   [[nodiscard]] const std::map<std::string, std::uint64_t>& broken_invariants() const;
   /// Questions that routers asked agents.
   [[nodiscard]] std::uint64_t probes() const;
-  /// Refusals by agents, by kind.
-  [[nodiscard]] const std::map<refusal_kind, std::uint64_t>& refusals() const;
 
  private:
   struct router_node;
@@ -109,7 +105,6 @@
   std::map<attempt_id, live_attempt> attempts;
   std::map<request_id, live_request> requests;
   std::map<std::string, std::uint64_t> broken;
-  std::map<refusal_kind, std::uint64_t> refused;
   std::uint64_t probes_sent = 0;
 };
 
