--- a/Source/Gateway/admission.cxx
+++ b/Source/Gateway/admission.cxx
@@ -31,6 +31,9 @@
 
 admission_result admit(const gateway_state& state, const caller_request& request,
                        random_source& random, steady_time now) {
+  if (state.closed) {
+    return refusal{error_kind::stopping, shortest_return};
+  }
   if (state.services == nullptr || !state.endpoints_known) {
     return refusal{error_kind::not_ready, spread_return(longest_return, random)};
   }
--- a/Source/Gateway/endpoint_health.cxx
+++ b/Source/Gateway/endpoint_health.cxx
@@ -68,6 +68,10 @@
   }
 }
 
+void note_doubt(endpoint& row) {
+  row.record.needs_check = true;
+}
+
 void note_healthy(endpoint& row) {
   row.record.needs_check = false;
   row.record.set_aside_until = steady_time{};
--- a/Source/Gateway/endpoint_health.h
+++ b/Source/Gateway/endpoint_health.h
@@ -34,6 +34,10 @@
 /// requests over the endpoint's pool: one that fails like all others is kept.
 void note_result(endpoint& row, attempt_result result, double peers_failing, steady_time now);
 
+/// Another gateway can't reach the endpoint: it gets no more requests until it
+/// has answered a health check.
+void note_doubt(endpoint& row);
+
 /// The endpoint has answered a health check.
 void note_healthy(endpoint& row);
 
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -8,7 +8,9 @@
 #include "chestnuthead/ids.h"
 
 #include "Gateway/attempt_rules.h"
+#include "Gateway/crash_suspects.h"
 #include "Gateway/endpoint_table.h"
+#include "Gateway/peer_table.h"
 #include "Gateway/placement.h"
 #include "Gateway/service_map.h"
 
@@ -20,6 +22,8 @@
   service_map_ptr services;
   endpoint_table endpoints;
   fleet_view fleet;
+  peer_table peers;
+  crash_suspects suspects;
   resend_terms resends;
   std::map<pool_id, resend_budget> resend_budgets;
   /// Latest moment at which `services` was known to be the newest version.
@@ -30,6 +34,8 @@
   bool endpoints_known = false;
   /// A planned stop has begun.
   bool stopping = false;
+  /// The planned stop takes no more requests.
+  bool closed = false;
   std::uint64_t requests_in_flight = 0;
 };
 
--- /dev/null
+++ b/Source/Gateway/peer_table.cxx
@@ -0,0 +1,92 @@
+#include "Gateway/peer_table.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace chestnuthead::gateway {
+
+namespace {
+
+/// Shortest time between two messages to a peer.
+constexpr std::chrono::milliseconds shortest_interval{200};
+/// What each further gateway adds to the interval, so that one gateway hears
+/// about 65 messages a second at most.
+constexpr std::chrono::milliseconds interval_a_gateway{15};
+/// The longest interval leaves two messages within `word_life`.
+constexpr std::chrono::milliseconds longest_interval{700};
+
+bool is_newer(const peer_word& word, const peer_word& known) {
+  return word.start > known.start || (word.start == known.start && word.sequence > known.sequence);
+}
+
+bool is_gone(const peer& row, steady_time now) {
+  const bool named_lately = row.listed && now - row.listed_at < peer_life;
+  const bool heard_lately = now - row.heard_at < peer_life && !row.word.leaving;
+  return !named_lately && !heard_lately;
+}
+
+}  // namespace
+
+void list_peer(peer_table& table, const node_id& name, const std::string& address,
+               steady_time now) {
+  peer& row = table.rows[name];
+  row.address = address;
+  row.listed = true;
+  row.listed_at = now;
+}
+
+void unlist_peer(peer_table& table, const node_id& name) {
+  const auto place = table.rows.find(name);
+  if (place != table.rows.end()) {
+    place->second.listed = false;
+  }
+}
+
+bool hear_peer(peer_table& table, const peer_word& word, steady_time now) {
+  peer& row = table.rows[word.sender];
+  if (!is_newer(word, row.word)) {
+    return false;
+  }
+  row.word = word;
+  row.heard_at = now;
+  return true;
+}
+
+std::uint32_t count_gateways(peer_table& table, steady_time now) {
+  std::erase_if(table.rows, [now](const auto& entry) { return is_gone(entry.second, now); });
+  return static_cast<std::uint32_t>(table.rows.size()) + 1;
+}
+
+void apply_peer_loads(const peer_table& table, endpoint_table& endpoints, steady_time now) {
+  std::unordered_map<std::uint64_t, double> totals;
+  for (const auto& [name, row] : table.rows) {
+    if (now - row.heard_at < word_life) {
+      for (const peer_load& load : row.word.loads) {
+        totals[load.endpoint] += load.in_flight;
+      }
+    }
+  }
+  for (auto& [name, row] : endpoints.rows) {
+    const auto place = totals.find(row.hash);
+    row.peers_in_flight = place == totals.end() ? 0.0 : place->second;
+  }
+}
+
+peer_word own_word(const endpoint_table& endpoints, steady_time now) {
+  peer_word word;
+  for (const auto& [name, row] : endpoints.rows) {
+    if (row.in_flight > 0) {
+      word.loads.push_back({row.hash, row.in_flight});
+    }
+    if (row.listed && row.record.needs_check && now < row.record.set_aside_until) {
+      word.unreachable.push_back(row.hash);
+    }
+  }
+  return word;
+}
+
+std::chrono::milliseconds word_interval(std::uint32_t gateways) {
+  return std::clamp(interval_a_gateway * gateways, shortest_interval, longest_interval);
+}
+
+}  // namespace chestnuthead::gateway
--- /dev/null
+++ b/Source/Gateway/peer_table.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "chestnuthead/clock.h"
+#include "chestnuthead/ids.h"
+
+#include "Gateway/endpoint_table.h"
+#include "Gateway/placement.h"
+
+/// What gateways tell each other, so that limits hold over all of them.
+namespace chestnuthead::gateway {
+
+/// Requests that one gateway has in flight at one endpoint.
+struct peer_load {
+  /// `endpoint::hash` of the endpoint.
+  std::uint64_t endpoint = 0;
+  std::uint32_t in_flight = 0;
+};
+
+/// A request that broke off together with its endpoint.
+struct crash_word {
+  /// Fingerprint of the request.
+  std::uint64_t request = 0;
+  /// `endpoint::hash` of the endpoint.
+  std::uint64_t endpoint = 0;
+
+  auto operator<=>(const crash_word&) const = default;  // NOLINT(modernize-use-nullptr)
+};
+
+/// One gateway's news.
+struct peer_word {
+  node_id sender;
+  /// Grows with each message of one start of the sender.
+  std::uint64_t sequence = 0;
+  /// Tells apart the sender's starts.
+  std::uint64_t start = 0;
+  std::vector<peer_load> loads;
+  /// Endpoints that the sender finds unreachable.
+  std::vector<std::uint64_t> unreachable;
+  /// Recent suspicions against requests.
+  std::vector<crash_word> crashes;
+  /// The sender's process ends in order.
+  bool leaving = false;
+};
+
+/// A gateway that this one knows.
+struct peer {
+  /// Where it hears its peers, over UDP; empty while that is not known.
+  std::string address;
+  /// Listed in the platform's store.
+  bool listed = false;
+  steady_time listed_at{};
+  steady_time heard_at{};
+  peer_word word;
+};
+
+struct peer_table {
+  std::map<node_id, peer> rows;
+};
+
+/// News older than this no longer counts as present load.
+inline constexpr std::chrono::milliseconds word_life{1'500};
+/// A gateway is no longer counted once neither the store nor the gateway itself
+/// has named it for this long. Counting one too many only tightens limits.
+inline constexpr std::chrono::seconds peer_life{20};
+
+/// Takes in a gateway's entry in the platform's store.
+void list_peer(peer_table& table, const node_id& name, const std::string& address, steady_time now);
+
+/// The gateway's entry is gone from the store: it has ended in order.
+void unlist_peer(peer_table& table, const node_id& name);
+
+/// Takes in news. False if the news is older than what is known.
+bool hear_peer(peer_table& table, const peer_word& word, steady_time now);
+
+/// Forgets gateways that are gone and returns how many are left, this one
+/// included.
+std::uint32_t count_gateways(peer_table& table, steady_time now);
+
+/// Sets the load that the peers put on each endpoint.
+void apply_peer_loads(const peer_table& table, endpoint_table& endpoints, steady_time now);
+
+/// This gateway's loads and the endpoints that it finds unreachable.
+peer_word own_word(const endpoint_table& endpoints, steady_time now);
+
+/// Time between two messages to each peer: it grows with the fleet, so that a
+/// gateway's control traffic stays bounded.
+std::chrono::milliseconds word_interval(std::uint32_t gateways);
+
+}  // namespace chestnuthead::gateway
--- a/Source/Traffic/caller_link.cxx
+++ b/Source/Traffic/caller_link.cxx
@@ -121,7 +121,8 @@
   this->context.log.write(log_level::info, "request_rejected",
                           {{"reason", std::string(answer.name)},
                            {"request", this->request ? this->request->id : std::string()}});
-  this->send_whole(answer.http_status, "Content-Type: text/plain\r\n", answer.sentence);
+  this->send_whole(this->context.dialect.status_of(kind), "Content-Type: text/plain\r\n",
+                   answer.sentence);
   this->close_in_order();
 }
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -82,6 +82,11 @@
     return;
   }
   this->taken = std::move(std::get<gateway::admission>(result));
+  this->fingerprint = fingerprint_of(this->request, this->body);
+  if (is_refused(this->context.state.suspects, this->fingerprint, this->arrived_at)) {
+    this->answer_error(error_kind::request_refused_after_crashes, gateway::suspicion_life);
+    return;
+  }
   count_request(this->context.state.resend_budgets[this->taken->taken_pool->name],
                 this->context.state.resends, this->arrived_at);
   this->send_to_endpoint();
@@ -339,8 +344,18 @@
   this->conclude("answered", this->stream_status);
 }
 
+void exchange::suspect_crash() {
+  const gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->call.endpoint);
+  if (row != nullptr) {
+    suspect(this->context.state.suspects, {this->fingerprint, row->hash}, this->context.time.now());
+  }
+}
+
 void exchange::on_call_failed(call_failure failure) {
   this->events.partial.clear();
+  if (failure == call_failure::broken) {
+    this->suspect_crash();
+  }
   const bool sent = failure != call_failure::not_sent;
   this->close_call(sent ? attempt_result::broken : attempt_result::unreachable);
   this->after(sent ? attempt_end::unknown : attempt_end::not_executed);
@@ -419,8 +434,9 @@
   }
   const std::string text = R"({"error":")" + std::string(answer.name) + R"(","message":")" +
                            std::string(answer.sentence) + "\"}";
-  this->sink.send_whole(answer.http_status, headers, text);
-  this->conclude(answer.name, answer.http_status);
+  const int status = this->context.dialect.status_of(kind);
+  this->sink.send_whole(status, headers, text);
+  this->conclude(answer.name, status);
 }
 
 void exchange::conclude(std::string_view outcome, int status) {
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -83,6 +83,7 @@
   [[nodiscard]] bool open_call(gateway::endpoint& row, steady_time now);
   [[nodiscard]] std::string encode_call(const endpoint_id& endpoint, steady_time now) const;
   void close_call(gateway::attempt_result result);
+  void suspect_crash();
   void after(gateway::attempt_end end);
   void pass_bytes(std::string_view bytes);
   void take_whole_answer();
@@ -108,6 +109,7 @@
   std::string stream_headers;
   int stream_status = 0;
   steady_time arrived_at{};
+  std::uint64_t fingerprint = 0;
   bool over = false;
 };
 
--- a/Source/Traffic/gateway_server.cxx
+++ b/Source/Traffic/gateway_server.cxx
@@ -11,7 +11,7 @@
 
 /// How long callers may still arrive after a planned stop began: the balancer
 /// asks once a second and needs two answers.
-constexpr std::chrono::milliseconds balancer_lag{3'500};
+constexpr std::chrono::milliseconds balancer_lag{2'600};
 /// Left of the grace for the process's own end.
 constexpr std::chrono::milliseconds exit_margin{600};
 /// Connections taken in one round, so that those that are open get their turn.
@@ -66,6 +66,7 @@
   for (const auto& [key, link] : this->links) {
     present.push_back(key);
   }
+  this->context.state.closed = this->stopping && now >= this->close_idle_at;
   for (caller_link* link : present) {
     link->tick(now);
     if (this->stopping && now >= this->close_idle_at) {
--- /dev/null
+++ b/Source/Traffic/peer_codec.cxx
@@ -0,0 +1,91 @@
+#include "Traffic/peer_codec.h"
+
+#include <cstdint>
+
+#include "Net/msgpack_fields.h"
+
+namespace chestnuthead::traffic {
+
+namespace {
+
+/// Changes when the fields do; gateways ignore messages of another version.
+constexpr std::uint32_t message_version = 1;
+/// Entries of one list that are taken at most.
+constexpr std::size_t list_limit = 4'096;
+
+void check_length(const msgpack::object& list) {
+  if (list.type != msgpack::type::ARRAY || list.via.array.size > list_limit) {
+    throw msgpack::type_error();
+  }
+}
+
+}  // namespace
+
+std::string encode_word(const gateway::peer_word& word) {
+  constexpr std::size_t fields = 8;
+  field_writer out;
+  out.array(fields);
+  out.put(message_version);
+  out.put(word.sender);
+  out.put(word.start);
+  out.put(word.sequence);
+  out.put(word.leaving);
+  out.array(word.loads.size() * 2);
+  for (const gateway::peer_load& load : word.loads) {
+    out.put(load.endpoint);
+    out.put(load.in_flight);
+  }
+  out.array(word.unreachable.size());
+  for (const std::uint64_t endpoint : word.unreachable) {
+    out.put(endpoint);
+  }
+  out.array(word.crashes.size() * 2);
+  for (const gateway::crash_word& crash : word.crashes) {
+    out.put(crash.request);
+    out.put(crash.endpoint);
+  }
+  return out.text();
+}
+
+std::optional<gateway::peer_word> decode_word(std::string_view bytes) {
+  try {
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    field_reader in(handle.get());
+    std::uint32_t version = 0;
+    in.get(version);
+    if (version != message_version) {
+      return std::nullopt;
+    }
+    gateway::peer_word word;
+    in.get(word.sender);
+    in.get(word.start);
+    in.get(word.sequence);
+    in.get(word.leaving);
+    const msgpack::object& loads = in.object();
+    check_length(loads);
+    for (field_reader list(loads); !list.at_end();) {
+      gateway::peer_load load;
+      list.get(load.endpoint);
+      list.get(load.in_flight);
+      word.loads.push_back(load);
+    }
+    const msgpack::object& unreachable = in.object();
+    check_length(unreachable);
+    for (field_reader list(unreachable); !list.at_end();) {
+      list.get(word.unreachable.emplace_back());
+    }
+    const msgpack::object& crashes = in.object();
+    check_length(crashes);
+    for (field_reader list(crashes); !list.at_end();) {
+      gateway::crash_word crash;
+      list.get(crash.request);
+      list.get(crash.endpoint);
+      word.crashes.push_back(crash);
+    }
+    return word;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace chestnuthead::traffic
--- /dev/null
+++ b/Source/Traffic/peer_port.cxx
@@ -0,0 +1,137 @@
+#include "Traffic/peer_port.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Gateway/endpoint_health.h"
+#include "Traffic/peer_codec.h"
+
+namespace chestnuthead::traffic {
+
+namespace {
+
+/// Longest message: what UDP carries over IPv4.
+constexpr std::size_t longest_message = 65'507;
+
+int open_socket(const std::string& address) {
+  try {
+    const Poco::Net::SocketAddress own(address);
+    const int descriptor = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor >= 0 && ::bind(descriptor, own.addr(), own.length()) != 0) {
+      const int fault = errno;
+      ::close(descriptor);
+      errno = fault;
+      return -1;
+    }
+    return descriptor;
+  } catch (const Poco::Exception&) {
+    errno = EINVAL;
+    return -1;
+  }
+}
+
+}  // namespace
+
+peer_port::peer_port(traffic_context& parts, node_id own_name, const std::string& address)
+    : context(parts),
+      self(std::move(own_name)),
+      descriptor(open_socket(address)),
+      start(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                           parts.time.wall_now().time_since_epoch())
+                                           .count())) {
+  if (this->descriptor >= 0) {
+    this->context.loop.watch(this->descriptor, *this, {true, false});
+  }
+}
+
+peer_port::~peer_port() {
+  if (this->descriptor >= 0) {
+    this->context.loop.forget(this->descriptor);
+    ::close(this->descriptor);
+  }
+}
+
+void peer_port::send_word(gateway::peer_word word) {
+  word.sender = this->self;
+  word.start = this->start;
+  word.sequence = ++this->sequence;
+  const std::string bytes = encode_word(word);
+  for (const auto& [name, row] : this->context.state.peers.rows) {
+    if (row.address.empty() || bytes.size() > longest_message) {
+      continue;
+    }
+    const Poco::Net::SocketAddress target(row.address);
+    // A lost message is made good by the next one.
+    ::sendto(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL, target.addr(),
+             target.length());
+  }
+}
+
+void peer_port::tick(steady_time now) {
+  gateway::gateway_state& state = this->context.state;
+  if (now < this->next_at) {
+    return;
+  }
+  state.fleet.gateways = count_gateways(state.peers, now);
+  this->next_at = now + gateway::word_interval(state.fleet.gateways);
+  gateway::peer_word word = own_word(state.endpoints, now);
+  word.crashes = recent_crashes(state.suspects, now);
+  this->send_word(std::move(word));
+  forget_old(state.suspects, now);
+  apply_peer_loads(state.peers, state.endpoints, now);
+}
+
+void peer_port::say_leaving() {
+  gateway::peer_word word;
+  word.leaving = true;
+  this->send_word(std::move(word));
+}
+
+void peer_port::hear(const gateway::peer_word& word, steady_time now) {
+  gateway::gateway_state& state = this->context.state;
+  const auto known = state.peers.rows.find(word.sender);
+  const std::vector<std::uint64_t> before = known == state.peers.rows.end()
+                                                ? std::vector<std::uint64_t>{}
+                                                : known->second.word.unreachable;
+  if (word.sender == this->self || !hear_peer(state.peers, word, now)) {
+    return;
+  }
+  for (const gateway::crash_word& crash : word.crashes) {
+    suspect(state.suspects, crash, now);
+  }
+  for (auto& [name, row] : state.endpoints.rows) {
+    const auto has = [&row](const std::vector<std::uint64_t>& list) {
+      return std::find(list.begin(), list.end(), row.hash) != list.end();
+    };
+    if (has(word.unreachable) && !has(before)) {
+      note_doubt(row);
+    }
+  }
+}
+
+void peer_port::on_ready(bool /*readable*/, bool /*writable*/) {
+  static thread_local std::array<char, longest_message> buffer;
+  // As many as may have come meanwhile, so that the queue does not overflow.
+  constexpr int messages_a_round = 64;
+  for (int count = 0; count < messages_a_round; ++count) {
+    const ssize_t size = ::recv(this->descriptor, buffer.data(), buffer.size(), 0);
+    if (size < 0) {
+      return;
+    }
+    const auto word = decode_word({buffer.data(), static_cast<std::size_t>(size)});
+    if (word) {
+      this->hear(*word, this->context.time.now());
+    } else {
+      this->context.metrics.count("chestnuthead_peer_messages_unreadable_total");
+    }
+  }
+}
+
+}  // namespace chestnuthead::traffic
--- /dev/null
+++ b/Source/Traffic/peer_port.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <string>
+
+#include "Gateway/gateway_state.h"
+#include "Traffic/event_loop.h"
+#include "Traffic/traffic_context.h"
+
+namespace chestnuthead::traffic {
+
+/// Tells the other gateways of this one's loads and hears of theirs, over UDP.
+class peer_port : public io_watcher {
+ public:
+  /// `address` is the IP number and port to hear at.
+  peer_port(traffic_context& context, node_id self, const std::string& address);
+  ~peer_port() override;
+  peer_port(const peer_port&) = delete;
+  peer_port& operator=(const peer_port&) = delete;
+
+  /// False if the address can't be listened on; the reason is in `errno`.
+  [[nodiscard]] bool is_open() const {
+    return this->descriptor >= 0;
+  }
+  /// Sends news when it is due and works out the peers' loads.
+  void tick(steady_time now);
+  /// Tells the peers that this gateway ends.
+  void say_leaving();
+
+  void on_ready(bool readable, bool writable) override;
+
+ private:
+  void send_word(gateway::peer_word word);
+  void hear(const gateway::peer_word& word, steady_time now);
+
+  traffic_context& context;
+  node_id self;
+  int descriptor = -1;
+  std::uint64_t start = 0;
+  std::uint64_t sequence = 0;
+  steady_time next_at{};
+};
+
+}  // namespace chestnuthead::traffic
--- a/Source/Traffic/wire_dialect.h
+++ b/Source/Traffic/wire_dialect.h
@@ -33,6 +33,8 @@
   /// Start line and headers for the endpoint, without the body's framing and
   /// the blank line.
   std::string (*encode_request)(const endpoint_request& request) = nullptr;
+  /// Status of the answer to a request that failed for this reason.
+  int (*status_of)(error_kind kind) = nullptr;
   /// Decodes the head of an endpoint's answer.
   gateway::endpoint_answer (*decode_answer)(const http_head& head) = nullptr;
 };
