--- a/Source/Traffic/event_loop.cxx
+++ b/Source/Traffic/event_loop.cxx
@@ -80,7 +80,7 @@
   this->disposed.push_back(std::move(object));
 }
 
-void event_loop::run_once(std::chrono::milliseconds longest) {
+bool event_loop::run_once(std::chrono::milliseconds longest) {
   std::array<epoll_event, events_per_round> events{};
   const int count = epoll_wait(this->poll_descriptor, events.data(),
                                static_cast<int>(events.size()), static_cast<int>(longest.count()));
@@ -96,6 +96,7 @@
     }
   }
   const std::vector<std::unique_ptr<disposable>> done = std::exchange(this->disposed, {});
+  return count == static_cast<int>(events.size());
 }
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/event_loop.h
+++ b/Source/Traffic/event_loop.h
@@ -49,8 +49,9 @@
   /// Destroys `object` once the present round of events is handled.
   void dispose(std::unique_ptr<disposable> object);
 
-  /// Waits for events at most for `longest` and handles them.
-  void run_once(std::chrono::milliseconds longest);
+  /// Waits for events at most for `longest` and handles them. True if more may
+  /// have come than one round takes.
+  bool run_once(std::chrono::milliseconds longest);
 
  private:
   struct watch_entry {
