--- /dev/null
+++ b/Source/Gateway/clock_bound.cxx
@@ -0,0 +1,36 @@
+#include "Gateway/clock_bound.h"
+
+#include <algorithm>
+
+namespace chestnuthead::gateway {
+
+namespace {
+
+void turn_period(clock_bound& bound, std::chrono::milliseconds service_time, steady_time now) {
+  if (service_time < bound.last_service_time) {
+    // The service's clock began anew.
+    bound = clock_bound{};
+  }
+  if (now - bound.period_began >= bound_period) {
+    bound.previous = bound.present;
+    bound.present.reset();
+    bound.period_began = now;
+  }
+  bound.last_service_time = service_time;
+}
+
+}  // namespace
+
+steady_time date_answer(clock_bound& bound, std::chrono::milliseconds service_time,
+                        steady_time began_at, steady_time now) {
+  turn_period(bound, service_time, now);
+  // The service answered after it was asked, so this process's time minus the
+  // service's is at least this.
+  const std::chrono::nanoseconds least = began_at.time_since_epoch() - service_time;
+  bound.present = std::max(bound.present.value_or(least), least);
+  const std::chrono::nanoseconds best = std::max(*bound.present, bound.previous.value_or(least));
+  const steady_time dated{std::chrono::duration_cast<steady_time::duration>(service_time + best)};
+  return std::clamp(dated, began_at, std::max(began_at, now));
+}
+
+}  // namespace chestnuthead::gateway
