Keep entries that lapsed during an outage for a grace after the store's return

Cause: while the store is away it lets the entries of living endpoints lapse. Their removal was taken for their end, so all chats moved to the few that were listed again first and their prompts were read anew.

Re-reads are still the largest price there.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -37,18 +37,36 @@
   row.listing = listing;
   row.hash = hash_text(listing.name.value);
   row.listed = true;
+  row.missing_until.reset();
   row.cold_until = std::max(row.cold_until, now + listing.cold_for);
   if (moved) {
     rebuild_pools(table);
   }
 }
 
-void unlist_endpoint(endpoint_table& table, const endpoint_id& name) {
-  if (endpoint* row = find_endpoint(table, name)) {
+void unlist_endpoint(endpoint_table& table, const endpoint_id& name, steady_time gone_at,
+                     steady_time now) {
+  endpoint* row = find_endpoint(table, name);
+  if (row == nullptr) {
+    return;
+  }
+  // One that said it was leaving has left.
+  if (now < gone_at && !row->listing.leaving) {
+    row->missing_until = gone_at;
+  } else {
     row->listed = false;
   }
 }
 
+void end_grace(endpoint_table& table, steady_time now) {
+  for (auto& [name, row] : table.rows) {
+    if (row.missing_until && now >= *row.missing_until) {
+      row.listed = false;
+      row.missing_until.reset();
+    }
+  }
+}
+
 void forget_unlisted(endpoint_table& table) {
   const std::size_t erased = std::erase_if(table.rows, [](const auto& entry) {
     return !entry.second.listed && entry.second.in_flight == 0;
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -55,6 +55,8 @@
   std::uint64_t hash = 0;
   /// False once the platform no longer lists it.
   bool listed = true;
+  /// The entry is missing, but counts as listed until this time.
+  std::optional<steady_time> missing_until;
   /// The endpoint answered at its address under another name.
   bool misplaced = false;
   steady_time cold_until{};
@@ -79,8 +81,18 @@
 /// anew loses all that was known of its earlier life.
 void list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now);
 
-/// The platform no longer lists the endpoint.
-void unlist_endpoint(endpoint_table& table, const endpoint_id& name);
+/// How long after the platform's return an entry may be missing that lapsed
+/// while the platform was away: endpoints that live are listed again within
+/// about two seconds.
+inline constexpr std::chrono::milliseconds missing_grace{2'300};
+
+/// The platform no longer lists the endpoint. It counts as gone from
+/// `gone_at` on, unless it is listed again before.
+void unlist_endpoint(endpoint_table& table, const endpoint_id& name, steady_time gone_at,
+                     steady_time now);
+
+/// Ends the grace of entries that are still missing.
+void end_grace(endpoint_table& table, steady_time now);
 
 /// Forgets unlisted endpoints that have no requests left.
 void forget_unlisted(endpoint_table& table);
--- a/Tests/Gateway/endpoint_health_test.cxx
+++ b/Tests/Gateway/endpoint_health_test.cxx
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(the_time_aside_grows_and_ends);
   CPPUNIT_TEST(another_gateways_doubt_asks_for_a_check);
   CPPUNIT_TEST(a_new_start_is_a_new_endpoint);
+  CPPUNIT_TEST(a_lapsed_entry_counts_until_its_grace_is_over);
+  CPPUNIT_TEST(a_leaving_endpoint_has_no_grace);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -95,6 +97,30 @@
     CPPUNIT_ASSERT_EQUAL(3U, row->in_flight);
   }
 
+  void a_lapsed_entry_counts_until_its_grace_is_over() {
+    endpoint_table table;
+    const endpoint_listing listing = listing_of("engine", engine_pool);
+    list_endpoint(table, listing, test_start);
+    const steady_time gone_at = test_start + missing_grace;
+    unlist_endpoint(table, listing.name, gone_at, test_start);
+    CPPUNIT_ASSERT(in_service(table.rows.begin()->second, fleet_view{}, test_start));
+    list_endpoint(table, listing, test_start);
+    end_grace(table, gone_at);
+    CPPUNIT_ASSERT(in_service(table.rows.begin()->second, fleet_view{}, gone_at));
+    unlist_endpoint(table, listing.name, gone_at, test_start);
+    end_grace(table, gone_at);
+    CPPUNIT_ASSERT(!in_service(table.rows.begin()->second, fleet_view{}, gone_at));
+  }
+
+  void a_leaving_endpoint_has_no_grace() {
+    endpoint_table table;
+    endpoint_listing listing = listing_of("engine", engine_pool);
+    listing.leaving = true;
+    list_endpoint(table, listing, test_start);
+    unlist_endpoint(table, listing.name, test_start + missing_grace, test_start);
+    CPPUNIT_ASSERT(!table.rows.begin()->second.listed);
+  }
+
  private:
   static endpoint made() {
     endpoint row;
