Remember where prefixes are held and copy them to new homes

A chat moved whenever an endpoint was added, left or passed its bound, and its new home computed the prefix anew. Ruled out: evictions (no request was preempted and all prefixes fit one engine's memory).

Gateways now remember who holds a prefix, tell their peers, keep a chat at a holder within the bounded load, and have a new home copy the prefix from the holder that was used last.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -22,11 +22,12 @@
 
 }  // namespace
 
-void list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now) {
+bool list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now) {
   const auto place = table.rows.find(listing.name);
   const bool is_new = place == table.rows.end();
   endpoint& row = table.rows[listing.name];
-  if (!is_new && !same_life(row.listing, listing)) {
+  const bool is_new_life = is_new || !same_life(row.listing, listing);
+  if (!is_new && is_new_life) {
     const std::uint32_t in_flight = row.in_flight;
     const std::uint64_t tokens = row.tokens_in_flight;
     row = endpoint{};
@@ -42,6 +43,7 @@
   if (moved) {
     rebuild_pools(table);
   }
+  return is_new_life;
 }
 
 void unlist_endpoint(endpoint_table& table, const endpoint_id& name, steady_time gone_at,
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -78,8 +78,8 @@
 };
 
 /// Takes in the platform's entry for one endpoint. An endpoint that started
-/// anew loses all that was known of its earlier life.
-void list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now);
+/// anew loses all that was known of its earlier life. True if it is new or did.
+bool list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now);
 
 /// How long after the platform's return an entry may be missing that lapsed
 /// while the platform was away: endpoints that live are listed again within
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "Gateway/endpoint_table.h"
 #include "Gateway/peer_table.h"
 #include "Gateway/placement.h"
+#include "Gateway/prefix_holders.h"
 #include "Gateway/service_map.h"
 
 /// All tables of one gateway. One thread owns them.
@@ -24,6 +25,7 @@
   fleet_view fleet;
   peer_table peers;
   crash_suspects suspects;
+  prefix_holders holders;
   resend_terms resends;
   std::map<pool_id, resend_budget> resend_budgets;
   /// Latest moment at which `services` was known to be the newest version.
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -11,6 +11,7 @@
 
 #include "Gateway/endpoint_table.h"
 #include "Gateway/placement.h"
+#include "Gateway/prefix_holders.h"
 
 /// What gateways tell each other, so that limits hold over all of them.
 namespace chestnuthead::gateway {
@@ -42,6 +43,8 @@
   std::vector<peer_load> loads;
   /// Endpoints that the sender finds unreachable.
   std::vector<std::uint64_t> unreachable;
+  /// Where the sender has placed prefixes since its last message.
+  std::vector<prefix_word> placements;
   /// Recent suspicions against requests.
   std::vector<crash_word> crashes;
   /// The sender's process ends in order.
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -71,6 +71,23 @@
   return best;
 }
 
+bool holds(const endpoint& row, const std::vector<std::uint64_t>& holders) {
+  return std::find(holders.begin(), holders.end(), row.hash) != holders.end();
+}
+
+/// The least loaded holder of the prefix within the bound, or nullptr.
+endpoint* least_loaded_holder(const std::vector<endpoint*>& open,
+                              const std::vector<std::uint64_t>& holders, double bound) {
+  endpoint* best = nullptr;
+  for (endpoint* row : open) {
+    const bool fits = holds(*row, holders) && load_of(*row) + 1.0 <= bound;
+    if (fits && (best == nullptr || load_of(*row) < load_of(*best))) {
+      best = row;
+    }
+  }
+  return best;
+}
+
 endpoint* better_of_random(const std::vector<endpoint*>& open, random_source& random) {
   endpoint* best = nullptr;
   for (int choice = 0; choice < random_choices; ++choice) {
@@ -99,12 +116,11 @@
 }
 
 placement_choice choose_endpoint(const std::vector<endpoint*>& endpoints, const pool& pool,
-                                 const caller_request& request,
-                                 const std::vector<endpoint_id>& tried, const fleet_view& fleet,
-                                 random_source& random, steady_time now) {
+                                 const caller_request& request, const placement_hints& hints,
+                                 const fleet_view& fleet, random_source& random, steady_time now) {
   std::vector<endpoint*> candidates;
   for (endpoint* row : endpoints) {
-    if (may_choose(*row, tried, fleet, now)) {
+    if (may_choose(*row, hints.tried, fleet, now)) {
       candidates.push_back(row);
     }
   }
@@ -119,10 +135,30 @@
     return better_of_random(open, random);
   }
   const double bound = fleet.load_multiple * mean_load(candidates) + load_allowance;
+  if (endpoint* holder = least_loaded_holder(open, hints.holders, bound)) {
+    return holder;
+  }
   endpoint* home = first_within_bound(open, affinity_of(request), bound);
   return home == nullptr ? least_loaded(open) : home;
 }
 
+const endpoint* prefix_source(const std::vector<endpoint*>& endpoints, const endpoint& chosen,
+                              const placement_hints& hints, steady_time now) {
+  if (holds(chosen, hints.holders)) {
+    return nullptr;
+  }
+  // The holder used last is the likeliest to hold the prefix still. One that is
+  // leaving serves until it is gone.
+  for (const std::uint64_t holder : hints.holders) {
+    for (const endpoint* row : endpoints) {
+      if (row->hash == holder && row->listed && !row->misplaced && !is_set_aside(*row, now)) {
+        return row;
+      }
+    }
+  }
+  return nullptr;
+}
+
 std::chrono::milliseconds cold_interval(const pool& pool, const fleet_view& fleet) {
   if (pool.cold_rate <= 0.0) {
     return std::chrono::milliseconds{0};
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -46,11 +46,25 @@
 /// True if new requests may go to the endpoint at all.
 bool in_service(const endpoint& row, const fleet_view& fleet, steady_time now);
 
-/// Chooses an endpoint that is not in `tried`. Changes nothing.
+/// What is known of one request beside its own words.
+struct placement_hints {
+  /// Endpoints that were tried before.
+  std::vector<endpoint_id> tried;
+  /// `endpoint::hash` of those that may cache the request's prefix.
+  std::vector<std::uint64_t> holders;
+};
+
+/// Chooses an endpoint that was not tried: one that holds the prefix, else the
+/// first in rendezvous order, each within the bounded load; else the least
+/// loaded. Changes nothing.
 placement_choice choose_endpoint(const std::vector<endpoint*>& endpoints, const pool& pool,
-                                 const caller_request& request,
-                                 const std::vector<endpoint_id>& tried, const fleet_view& fleet,
-                                 random_source& random, steady_time now);
+                                 const caller_request& request, const placement_hints& hints,
+                                 const fleet_view& fleet, random_source& random, steady_time now);
+
+/// The endpoint from which the chosen one can copy the prefix, or nullptr if
+/// the chosen one holds it itself or nobody in reach does.
+const endpoint* prefix_source(const std::vector<endpoint*>& endpoints, const endpoint& chosen,
+                              const placement_hints& hints, steady_time now);
 
 /// This gateway's time between two requests to a cold endpoint.
 std::chrono::milliseconds cold_interval(const pool& pool, const fleet_view& fleet);
--- /dev/null
+++ b/Source/Gateway/prefix_holders.cxx
@@ -0,0 +1,68 @@
+#include "Gateway/prefix_holders.h"
+
+#include <algorithm>
+
+namespace chestnuthead::gateway {
+
+void hear_placement(prefix_holders& table, const prefix_word& word, steady_time now) {
+  if (table.rows.size() >= prefixes_kept && !table.rows.contains(word.prefix)) {
+    return;
+  }
+  std::vector<prefix_holder>& holders = table.rows[word.prefix];
+  const auto place = std::find_if(
+      holders.begin(), holders.end(),
+      [&word](const prefix_holder& holder) { return holder.endpoint == word.endpoint; });
+  if (place == holders.end()) {
+    holders.push_back({word.endpoint, now});
+  } else {
+    place->used_at = now;
+  }
+}
+
+void note_placement(prefix_holders& table, const prefix_word& word, steady_time now) {
+  hear_placement(table, word, now);
+  if (table.news.size() < news_kept) {
+    table.news.push_back(word);
+  }
+}
+
+void forget_endpoint(prefix_holders& table, std::uint64_t endpoint) {
+  for (auto& [prefix, holders] : table.rows) {
+    std::erase_if(holders,
+                  [endpoint](const prefix_holder& holder) { return holder.endpoint == endpoint; });
+  }
+}
+
+std::vector<std::uint64_t> holders_of(const prefix_holders& table, std::uint64_t prefix,
+                                      steady_time now) {
+  const auto place = table.rows.find(prefix);
+  if (place == table.rows.end()) {
+    return {};
+  }
+  std::vector<prefix_holder> recent;
+  for (const prefix_holder& holder : place->second) {
+    if (now - holder.used_at < holder_life) {
+      recent.push_back(holder);
+    }
+  }
+  std::sort(recent.begin(), recent.end(), [](const prefix_holder& one, const prefix_holder& other) {
+    return one.used_at > other.used_at;
+  });
+  std::vector<std::uint64_t> endpoints;
+  endpoints.reserve(recent.size());
+  for (const prefix_holder& holder : recent) {
+    endpoints.push_back(holder.endpoint);
+  }
+  return endpoints;
+}
+
+void forget_unused(prefix_holders& table, steady_time now) {
+  for (auto& [prefix, holders] : table.rows) {
+    std::erase_if(holders, [now](const prefix_holder& holder) {
+      return now - holder.used_at >= holder_life;
+    });
+  }
+  std::erase_if(table.rows, [](const auto& entry) { return entry.second.empty(); });
+}
+
+}  // namespace chestnuthead::gateway
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -92,10 +92,13 @@
   this->send_to_endpoint();
 }
 
-std::string exchange::encode_call(const endpoint_id& endpoint, steady_time now) const {
+std::string exchange::encode_call(const gateway::endpoint& row, steady_time now) const {
   const auto left = std::chrono::duration_cast<milliseconds>(this->taken->answer_by - now);
+  const gateway::endpoint* source = prefix_source(
+      endpoints_of(this->context.state.endpoints, row.listing.pool), row, this->hints, now);
   std::string bytes = this->context.dialect.encode_request(
-      {this->request, endpoint, this->taken->holder, left, this->events.last_event});
+      {this->request, row.listing.name, this->taken->holder, left, this->events.last_event,
+       source == nullptr ? std::string() : source->listing.address});
   if (!this->body.empty() || this->request.method == "POST" || this->request.method == "PUT") {
     bytes += "Content-Length: " + std::to_string(this->body.size()) + "\r\n";
   }
@@ -124,25 +127,30 @@
   }
   ++this->history.sends;
   ++this->history.executions;
-  link->start(
-      {this->encode_call(row.listing.name, now), this->request.id, this->request.method == "HEAD"},
-      *this);
+  if (!this->request.prompt.empty()) {
+    note_placement(this->context.state.holders, {affinity_of(this->request), row.hash}, now);
+  }
+  link->start({this->encode_call(row, now), this->request.id, this->request.method == "HEAD"},
+              *this);
   return true;
 }
 
 void exchange::send_to_endpoint() {
   const steady_time now = this->context.time.now();
   const gateway::pool& pool = *this->taken->taken_pool;
+  if (!this->request.prompt.empty()) {
+    this->hints.holders = holders_of(this->context.state.holders, affinity_of(this->request), now);
+  }
   while (true) {
     const gateway::placement_choice choice =
         choose_endpoint(endpoints_of(this->context.state.endpoints, pool.name), pool, this->request,
-                        this->tried, this->context.state.fleet, this->context.random, now);
+                        this->hints, this->context.state.fleet, this->context.random, now);
     if (const auto* none = std::get_if<gateway::no_choice>(&choice)) {
       this->last_no_choice = *none;
       break;
     }
     gateway::endpoint& row = *std::get<gateway::endpoint*>(choice);
-    this->tried.push_back(row.listing.name);
+    this->hints.tried.push_back(row.listing.name);
     if (this->open_call(row, now)) {
       return;
     }
@@ -446,7 +454,7 @@
                               "outcome=\"" + std::string(outcome) + "\"");
   if (outcome != "answered") {
     std::string endpoints;
-    for (const endpoint_id& name : this->tried) {
+    for (const endpoint_id& name : this->hints.tried) {
       endpoints += endpoints.empty() ? name.value : "," + name.value;
     }
     const auto version = this->context.state.services == nullptr
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -81,7 +81,7 @@
 
   void send_to_endpoint();
   [[nodiscard]] bool open_call(gateway::endpoint& row, steady_time now);
-  [[nodiscard]] std::string encode_call(const endpoint_id& endpoint, steady_time now) const;
+  [[nodiscard]] std::string encode_call(const gateway::endpoint& row, steady_time now) const;
   void close_call(gateway::attempt_result result);
   void suspect_crash();
   void after(gateway::attempt_end end);
@@ -101,7 +101,7 @@
   std::string body;
   std::optional<gateway::admission> taken;
   gateway::attempt_history history;
-  std::vector<endpoint_id> tried;
+  gateway::placement_hints hints;
   call_state call;
   gateway::event_splitter events;
   gateway::no_choice last_no_choice = gateway::no_choice::none_in_service;
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -9,7 +9,7 @@
 namespace {
 
 /// Changes when the fields do; gateways ignore messages of another version.
-constexpr std::uint32_t message_version = 1;
+constexpr std::uint32_t message_version = 2;
 /// Entries of one list that are taken at most.
 constexpr std::size_t list_limit = 4'096;
 
@@ -22,7 +22,7 @@
 }  // namespace
 
 std::string encode_word(const gateway::peer_word& word) {
-  constexpr std::size_t fields = 8;
+  constexpr std::size_t fields = 9;
   field_writer out;
   out.array(fields);
   out.put(message_version);
@@ -44,6 +44,11 @@
     out.put(crash.request);
     out.put(crash.endpoint);
   }
+  out.array(word.placements.size() * 2);
+  for (const gateway::prefix_word& placement : word.placements) {
+    out.put(placement.prefix);
+    out.put(placement.endpoint);
+  }
   return out.text();
 }
 
@@ -82,6 +87,14 @@
       list.get(crash.endpoint);
       word.crashes.push_back(crash);
     }
+    const msgpack::object& placements = in.object();
+    check_length(placements);
+    for (field_reader list(placements); !list.at_end();) {
+      gateway::prefix_word placement;
+      list.get(placement.prefix);
+      list.get(placement.endpoint);
+      word.placements.push_back(placement);
+    }
     return word;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/Source/Traffic/peer_port.cxx
+++ b/Source/Traffic/peer_port.cxx
@@ -20,6 +20,8 @@
 
 /// Longest message: what UDP carries over IPv4.
 constexpr std::size_t longest_message = 65'507;
+/// Time between two sweeps of what was not used for long.
+constexpr std::chrono::seconds sweep_interval{5};
 
 int open_socket(const std::string& address) {
   try {
@@ -85,8 +87,13 @@
   this->next_at = now + gateway::word_interval(state.fleet.gateways);
   gateway::peer_word word = own_word(state.endpoints, now);
   word.crashes = recent_crashes(state.suspects, now);
+  word.placements = std::exchange(state.holders.news, {});
   this->send_word(std::move(word));
   forget_old(state.suspects, now);
+  if (now >= this->next_sweep_at) {
+    this->next_sweep_at = now + sweep_interval;
+    forget_unused(state.holders, now);
+  }
   apply_peer_loads(state.peers, state.endpoints, now);
 }
 
@@ -108,6 +115,9 @@
   for (const gateway::crash_word& crash : word.crashes) {
     suspect(state.suspects, crash, now);
   }
+  for (const gateway::prefix_word& placement : word.placements) {
+    hear_placement(state.holders, placement, now);
+  }
   const std::set<std::uint64_t> doubted_before(before.begin(), before.end());
   const std::set<std::uint64_t> doubted(word.unreachable.begin(), word.unreachable.end());
   for (auto& [name, row] : state.endpoints.rows) {
--- a/Source/Traffic/peer_port.h
+++ b/Source/Traffic/peer_port.h
@@ -38,6 +38,7 @@
   std::uint64_t start = 0;
   std::uint64_t sequence = 0;
   steady_time next_at{};
+  steady_time next_sweep_at{};
 };
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/wire_dialect.h
+++ b/Source/Traffic/wire_dialect.h
@@ -24,6 +24,9 @@
   std::chrono::milliseconds time_left{0};
   /// Last event of the stream that the caller holds.
   std::optional<std::uint64_t> resume_after;
+  /// IP number and port of an endpoint from which the prompt's cached prefix
+  /// can be copied; empty if it is computed.
+  std::string copy_prefix_from;
 };
 
 struct wire_dialect {
--- a/Tests/Gateway/placement_test.cxx
+++ b/Tests/Gateway/placement_test.cxx
@@ -152,7 +152,7 @@
                                      const std::vector<endpoint_id>& tried) {
     seeded_random random(1);
     return choose_endpoint(endpoints_of(state.endpoints, engine_pool), engine_pool_settings(),
-                           chat_request(chat), tried, state.fleet, random, test_start);
+                           chat_request(chat), {tried, {}}, state.fleet, random, test_start);
   }
 
   static endpoint* choose(gateway_state& state, std::uint64_t chat,
--- /dev/null
+++ b/Tests/Gateway/prefix_holders_test.cxx
@@ -0,0 +1,132 @@
+#include "Gateway/prefix_holders.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Gateway/endpoint_health.h"
+#include "Gateway/gateway_fixture.h"
+
+namespace chestnuthead::gateway {
+
+class prefix_holders_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(prefix_holders_test);
+  CPPUNIT_TEST(a_chat_stays_where_its_prefix_is_when_endpoints_are_added);
+  CPPUNIT_TEST(another_gateways_placement_is_followed);
+  CPPUNIT_TEST(a_loaded_holder_is_passed_over);
+  CPPUNIT_TEST(a_prefix_is_copied_from_the_holder_used_last);
+  CPPUNIT_TEST(a_leaving_holder_still_gives_its_prefix);
+  CPPUNIT_TEST(a_holder_needs_no_source);
+  CPPUNIT_TEST(unused_placements_are_forgotten);
+  CPPUNIT_TEST(an_endpoint_that_started_anew_holds_nothing);
+  CPPUNIT_TEST(memory_is_bounded);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void a_chat_stays_where_its_prefix_is_when_endpoints_are_added() {
+    gateway_state state = test_state(4);
+    std::map<std::uint64_t, endpoint_id> homes;
+    for (std::uint64_t chat = 0; chat < 200; ++chat) {
+      homes[chat] = place(state, chat).listing.name;
+    }
+    for (const char* added : {"new-1", "new-2", "new-3"}) {
+      list_endpoint(state.endpoints, listing_of(added, engine_pool), test_start);
+    }
+    for (const auto& [chat, home] : homes) {
+      CPPUNIT_ASSERT(place(state, chat).listing.name == home);
+    }
+  }
+
+  void another_gateways_placement_is_followed() {
+    gateway_state one = test_state(6);
+    gateway_state other = test_state(6);
+    // The first choice was out of service when the chat came first.
+    endpoint& first_choice = place(one, 5);
+    first_choice.listing.leaving = true;
+    one.holders = {};
+    const endpoint_id home = place(one, 5).listing.name;
+    CPPUNIT_ASSERT(home != first_choice.listing.name);
+    for (const prefix_word& word : one.holders.news) {
+      hear_placement(other.holders, word, test_start);
+    }
+    CPPUNIT_ASSERT(place(other, 5).listing.name == home);
+  }
+
+  void a_loaded_holder_is_passed_over() {
+    gateway_state state = test_state(4);
+    endpoint& home = place(state, 5);
+    home.in_flight = 40;
+    CPPUNIT_ASSERT(place(state, 5).listing.name != home.listing.name);
+  }
+
+  void a_prefix_is_copied_from_the_holder_used_last() {
+    gateway_state state = test_state(3);
+    const std::vector<endpoint*> all = endpoints_of(state.endpoints, engine_pool);
+    note_placement(state.holders, {9, all[0]->hash}, test_start);
+    note_placement(state.holders, {9, all[1]->hash}, test_start + std::chrono::seconds{1});
+    const auto now = test_start + std::chrono::seconds{2};
+    const placement_hints hints{{}, holders_of(state.holders, 9, now)};
+    CPPUNIT_ASSERT(prefix_source(all, *all[2], hints, now) == all[1]);
+    note_result(*all[1], attempt_result::unreachable, 0.0, now);
+    CPPUNIT_ASSERT(prefix_source(all, *all[2], hints, now) == all[0]);
+    all[0]->listed = false;
+    CPPUNIT_ASSERT(prefix_source(all, *all[2], hints, now) == nullptr);
+  }
+
+  void a_leaving_holder_still_gives_its_prefix() {
+    gateway_state state = test_state(2);
+    const std::vector<endpoint*> all = endpoints_of(state.endpoints, engine_pool);
+    all[0]->listing.leaving = true;
+    const placement_hints hints{{}, {all[0]->hash}};
+    CPPUNIT_ASSERT(prefix_source(all, *all[1], hints, test_start) == all[0]);
+  }
+
+  void a_holder_needs_no_source() {
+    gateway_state state = test_state(2);
+    const std::vector<endpoint*> all = endpoints_of(state.endpoints, engine_pool);
+    const placement_hints hints{{}, {all[0]->hash, all[1]->hash}};
+    CPPUNIT_ASSERT(prefix_source(all, *all[1], hints, test_start) == nullptr);
+  }
+
+  void unused_placements_are_forgotten() {
+    prefix_holders table;
+    note_placement(table, {1, 2}, test_start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, holders_of(table, 1, test_start).size());
+    CPPUNIT_ASSERT(holders_of(table, 1, test_start + holder_life).empty());
+    forget_unused(table, test_start + holder_life);
+    CPPUNIT_ASSERT(table.rows.empty());
+  }
+
+  void an_endpoint_that_started_anew_holds_nothing() {
+    prefix_holders table;
+    note_placement(table, {1, 2}, test_start);
+    note_placement(table, {1, 3}, test_start);
+    forget_endpoint(table, 2);
+    CPPUNIT_ASSERT(holders_of(table, 1, test_start) == std::vector<std::uint64_t>{3});
+  }
+
+  void memory_is_bounded() {
+    prefix_holders table;
+    for (std::uint64_t prefix = 0; prefix < 2 * prefixes_kept; ++prefix) {
+      note_placement(table, {prefix, 1}, test_start);
+    }
+    CPPUNIT_ASSERT_EQUAL(prefixes_kept, table.rows.size());
+    CPPUNIT_ASSERT_EQUAL(news_kept, table.news.size());
+  }
+
+ private:
+  /// Places one request of the chat and remembers where.
+  static endpoint& place(gateway_state& state, std::uint64_t chat) {
+    seeded_random random(1);
+    const caller_request request = chat_request(chat);
+    const std::uint64_t prefix = affinity_of(request);
+    const placement_hints hints{{}, holders_of(state.holders, prefix, test_start)};
+    endpoint& row = *std::get<endpoint*>(choose_endpoint(endpoints_of(state.endpoints, engine_pool),
+                                                         engine_pool_settings(), request, hints,
+                                                         state.fleet, random, test_start));
+    note_placement(state.holders, {prefix, row.hash}, test_start);
+    return row;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(prefix_holders_test);
+
+}  // namespace chestnuthead::gateway
--- a/Tests/Traffic/peer_codec_test.cxx
+++ b/Tests/Traffic/peer_codec_test.cxx
@@ -25,6 +25,7 @@
     CPPUNIT_ASSERT_EQUAL(word.loads[1].in_flight, back->loads.at(1).in_flight);
     CPPUNIT_ASSERT(word.unreachable == back->unreachable);
     CPPUNIT_ASSERT(word.crashes == back->crashes);
+    CPPUNIT_ASSERT(word.placements == back->placements);
   }
 
   void no_bytes_do_harm() {
@@ -48,6 +49,7 @@
     word.loads = {{0xFFFF'FFFF'FFFF'FFFF, 3}, {7, 9}};
     word.unreachable = {5};
     word.crashes = {{1, 2}};
+    word.placements = {{3, 4}, {5, 6}};
     return word;
   }
 };
