Forget that an agent was leaving once the configuration is newer

Ruled out: a closed gate at the agent (it logged ready), a rumor (the members showed it in service).

The report now counts only under the configuration that its agent held. The new router test failed before and passes.

--- a/Source/Router/load_memory.cxx
+++ b/Source/Router/load_memory.cxx
@@ -19,7 +19,8 @@
 
 void remember_load(load_memory& memory, const node_id& agent, const load_report& load,
                    steady_time now) {
-  memory.agents[agent] = {now, load.in_flight, load.limit, 0, load.leaving};
+  memory.agents[agent] = {now, load.in_flight, load.limit,
+                          0,   load.leaving,   load.configuration_version};
 }
 
 void count_sent(load_memory& memory, const node_id& agent) {
@@ -48,6 +49,12 @@
   return load != nullptr && load->leaving;
 }
 
+void forget_outdated_leaving(load_memory& memory, std::uint64_t configuration_version) {
+  std::erase_if(memory.agents, [configuration_version](const auto& entry) {
+    return entry.second.leaving && entry.second.configuration_version < configuration_version;
+  });
+}
+
 void forget_old_loads(load_memory& memory, steady_time now) {
   std::erase_if(memory.agents,
                 [now](const auto& entry) { return now - entry.second.heard_at > load_memory_age; });
--- a/Source/Router/load_memory.h
+++ b/Source/Router/load_memory.h
@@ -22,6 +22,8 @@
   /// Attempts sent there since the report.
   std::uint32_t sent_since = 0;
   bool leaving = false;
+  /// The configuration that the agent held when it reported.
+  std::uint64_t configuration_version = 0;
 };
 
 struct load_memory {
@@ -48,4 +50,8 @@
 /// Removes reports that are too old to guide a choice.
 void forget_old_loads(load_memory& memory, steady_time now);
 
+/// Removes the word of agents that were leaving under an older configuration:
+/// it may have been the configuration that took them out.
+void forget_outdated_leaving(load_memory& memory, std::uint64_t configuration_version);
+
 }  // namespace chestnuthead::routing
--- a/Source/Router/router_step.cxx
+++ b/Source/Router/router_step.cxx
@@ -95,6 +95,7 @@
   routing::refresh(state.placement, *state.plane);
   std::visit(event_handler{state, now, actions}, event);
   routing::refresh(state.placement, *state.plane);
+  routing::forget_outdated_leaving(state.loads, configuration_of(state).version);
   routing::update_service(state, now, actions);
   return actions;
 }
--- a/Tests/Router/placement_test.cxx
+++ b/Tests/Router/placement_test.cxx
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(a_chat_that_moved_is_remembered);
   CPPUNIT_TEST(a_domain_that_was_taken_out_gets_no_attempt);
   CPPUNIT_TEST(without_the_check_the_invariant_breaks);
+  CPPUNIT_TEST(an_agent_that_was_out_is_asked_again_once_it_is_back);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -113,6 +114,23 @@
     CPPUNIT_ASSERT(attempts_to_domain_out(false) > 0);
   }
 
+  // An agent says that it is leaving while its domain is out. Its word is as
+  // old as the configuration that it held.
+  void an_agent_that_was_out_is_asked_again_once_it_is_back() {
+    router_fixture router(12);
+    router.state->switches.use_chat_memory = false;
+    router.configure();
+    const auto home = last_of<send_attempt>(router.ask("r1", "chat"));
+    load_report load = load_with(0);
+    load.leaving = true;
+    load.configuration_version = configuration_of(*router.state).version;
+    router.give(attempt_refused{
+        {"r1"}, home.attempt, refusal_kind::out_of_service, milliseconds{100}, load});
+    CPPUNIT_ASSERT(last_of<send_attempt>(router.ask("r2", "chat")).agent != home.agent);
+    router.configure();
+    CPPUNIT_ASSERT(last_of<send_attempt>(router.ask("r3", "chat")).agent == home.agent);
+  }
+
  private:
   static load_report load_with(std::uint32_t resident_tokens) {
     load_report load;
