--- a/Source/Gateway/endpoint_health.cxx
+++ b/Source/Gateway/endpoint_health.cxx
@@ -42,6 +42,22 @@
 
 }  // namespace
 
+std::string_view name_of(attempt_result result) {
+  switch (result) {
+    case attempt_result::answered:
+      return "answered";
+    case attempt_result::error_answer:
+      return "error_answer";
+    case attempt_result::unreachable:
+      return "unreachable";
+    case attempt_result::broken:
+      return "broken";
+    case attempt_result::silent:
+      break;
+  }
+  return "silent";
+}
+
 void note_result(endpoint& row, attempt_result result, double peers_failing, steady_time now) {
   endpoint_record& record = row.record;
   fade(record, now);
--- a/Source/Gateway/endpoint_health.h
+++ b/Source/Gateway/endpoint_health.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string_view>
 
 #include "chestnuthead/clock.h"
 
@@ -25,6 +26,9 @@
   silent,
 };
 
+/// The result in lower case with underscores.
+std::string_view name_of(attempt_result result);
+
 /// First time that a failing endpoint is set aside; doubles each time.
 inline constexpr std::chrono::milliseconds shortest_set_aside{500};
 /// Longest time that an endpoint is set aside before it is tried again.
--- a/Source/Net/json_log.cxx
+++ b/Source/Net/json_log.cxx
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -11,7 +13,20 @@
 
 namespace {
 
-constexpr std::uint32_t lines_per_second = 10;
+/// Puts lines into a ring. The log's own lock guards it.
+class ring_sink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  explicit ring_sink(line_ring& target) : ring(target) {}
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    this->ring.add({message.payload.data(), message.payload.size()});
+  }
+  void flush_() override {}
+
+ private:
+  line_ring& ring;
+};
 
 std::string format_value(const log_field& field) {
   if (const auto* text = std::get_if<std::string>(&field.value)) {
@@ -75,6 +90,19 @@
   this->logger->set_level(spdlog_level(log_lowest));
 }
 
+json_log::json_log(const clock& log_source, std::string log_node, log_level log_lowest,
+                   line_ring& log_ring, std::uint32_t log_lines_per_second)
+    : source(log_source),
+      node(std::move(log_node)),
+      lowest(log_lowest),
+      logger(
+          std::make_shared<spdlog::logger>("chestnuthead", std::make_shared<ring_sink>(log_ring))),
+      ring(&log_ring),
+      lines_per_second(log_lines_per_second) {
+  this->logger->set_pattern("%v");
+  this->logger->set_level(spdlog_level(log_lowest));
+}
+
 json_log::~json_log() = default;
 
 bool json_log::admit(const std::string& event, std::vector<log_field>& fields) {
@@ -87,7 +115,7 @@
     }
     rate = {now, 0, 0};
   }
-  if (rate.written >= lines_per_second) {
+  if (rate.written >= this->lines_per_second) {
     ++rate.dropped;
     return false;
   }
@@ -99,6 +127,25 @@
   if (level < this->lowest || !this->admit(event, fields)) {
     return;
   }
+  const std::lock_guard guard(this->lock);
+  this->tell_dropped_lines();
+  this->write_line(level, event, fields);
+}
+
+void json_log::tell_dropped_lines() {
+  if (this->ring == nullptr || this->ring->dropped() == this->told_dropped) {
+    return;
+  }
+  const std::uint64_t before = this->ring->dropped();
+  this->write_line(log_level::warning, "log_lines_dropped",
+                   {{"total", static_cast<std::int64_t>(before)}});
+  if (this->ring->dropped() == before) {
+    this->told_dropped = before;
+  }
+}
+
+void json_log::write_line(log_level level, const std::string& event,
+                          const std::vector<log_field>& fields) {
   const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
       this->source.wall_now().time_since_epoch());
   const std::string line = format_log_line(wall, level, this->node, event, fields);
--- a/Source/Net/json_log.h
+++ b/Source/Net/json_log.h
@@ -12,6 +12,8 @@
 
 #include "chestnuthead/clock.h"
 
+#include "Net/line_ring.h"
+
 namespace spdlog {
 class logger;
 }
@@ -34,6 +36,9 @@
                             const std::string& node, const std::string& event,
                             const std::vector<log_field>& fields);
 
+/// Lines of one event that are written within a second.
+inline constexpr std::uint32_t default_lines_per_second = 10;
+
 /// The log of a daemon: one JSON object a line on standard error, with the
 /// fields `ts` (milliseconds), `level`, `node`, `event` and those of the event.
 /// Lines of one event beyond a rate are counted in place of written. Prompts
@@ -42,6 +47,10 @@
  public:
   /// `source` must outlive the log.
   json_log(const clock& source, std::string node, log_level lowest);
+  /// Writes into `ring`, which whoever owns it flushes, and takes up to
+  /// `lines_per_second` lines of one event. `ring` must outlive the log.
+  json_log(const clock& source, std::string node, log_level lowest, line_ring& ring,
+           std::uint32_t lines_per_second);
   ~json_log();
   json_log(const json_log&) = delete;
   json_log& operator=(const json_log&) = delete;
@@ -57,12 +66,17 @@
   };
 
   /// False if the line is one too many. Adds how many were left out before.
+  void tell_dropped_lines();
+  void write_line(log_level level, const std::string& event, const std::vector<log_field>& fields);
   bool admit(const std::string& event, std::vector<log_field>& fields);
 
   const clock& source;
   std::string node;
   log_level lowest;
   std::shared_ptr<spdlog::logger> logger;
+  line_ring* ring = nullptr;
+  std::uint32_t lines_per_second = default_lines_per_second;
+  std::uint64_t told_dropped = 0;
   std::mutex lock;
   std::map<std::string, event_rate> rates;
 };
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -121,6 +121,7 @@
   this->call.endpoint = row.listing.name;
   this->call.began_at = now;
   this->call.last_bytes_at = now;
+  this->call.load_at_choice = load_of(row);
   begin_request(row, this->request, pool, this->context.state.fleet, now);
   if (this->history.sends > 0) {
     count_resend(this->context.state.resend_budgets[pool.name], this->context.state.resends, now);
@@ -168,6 +169,7 @@
 
 void exchange::close_call(attempt_result result) {
   this->call.link = nullptr;
+  this->last_reason = name_of(result);
   gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->call.endpoint);
   if (row == nullptr) {
     return;
@@ -182,7 +184,7 @@
     this->context.log.write(log_level::warning, "endpoint_set_aside",
                             {{"endpoint", row->listing.name.value},
                              {"request", this->request.id},
-                             {"result", static_cast<std::int64_t>(result)}});
+                             {"reason", std::string(name_of(result))}});
   }
 }
 
@@ -276,10 +278,11 @@
   }
   if (!this->history.answer_begun) {
     this->history.answer_begun = true;
+    this->first_bytes_at = this->context.time.now();
     this->sink.begin_stream(this->stream_status, this->stream_headers, whole);
     this->context.metrics.observe(
         "chestnuthead_first_event_seconds",
-        std::chrono::duration<double>(this->context.time.now() - this->arrived_at).count());
+        std::chrono::duration<double>(*this->first_bytes_at - this->arrived_at).count());
   } else {
     this->sink.send_more(whole);
   }
@@ -447,29 +450,66 @@
   this->conclude(answer.name, status);
 }
 
+bool exchange::is_logged(std::string_view outcome, steady_time now) const {
+  // One in this many good requests shows what usual ones look like.
+  constexpr std::uint64_t sample = 64;
+  if (outcome != "answered" || this->history.sends > 1 || !this->taken) {
+    return true;
+  }
+  const steady_time first_at = this->first_bytes_at.value_or(now);
+  const bool late = first_at - this->arrived_at > this->taken->taken_route->latency_objective;
+  return late || this->fingerprint % sample == 0;
+}
+
+std::vector<log_field> exchange::story(std::string_view outcome, int status,
+                                       steady_time now) const {
+  const gateway::gateway_state& state = this->context.state;
+  std::string endpoints;
+  for (const endpoint_id& name : this->hints.tried) {
+    endpoints += endpoints.empty() ? name.value : "," + name.value;
+  }
+  const auto version = state.services == nullptr
+                           ? std::int64_t{0}
+                           : static_cast<std::int64_t>(state.services->version);
+  std::vector<log_field> fields{
+      {"request", this->request.id},
+      {"outcome", std::string(outcome)},
+      {"status", std::int64_t{status}},
+      {"elapsed_ms", milliseconds_between(this->arrived_at, now)},
+      {"configuration_version", version},
+      {"configuration_age_ms", milliseconds_between(state.confirmed_at, now)},
+      {"gateways", std::int64_t{state.fleet.gateways}}};
+  if (this->taken) {
+    fields.push_back({"route", this->taken->taken_route->name});
+    fields.push_back({"pool", this->taken->taken_pool->name.value});
+    fields.push_back({"customer", this->taken->holder.value});
+    fields.push_back({"endpoints", endpoints});
+    fields.push_back({"sends", std::int64_t{this->history.sends}});
+    fields.push_back({"executions", std::int64_t{this->history.executions}});
+    fields.push_back({"reason", std::string(this->last_reason)});
+    fields.push_back({"endpoint_status", std::int64_t{this->call.answer.status}});
+    fields.push_back({"endpoint_load", this->call.load_at_choice});
+    fields.push_back({"holders", static_cast<std::int64_t>(this->hints.holders.size())});
+    fields.push_back({"events", static_cast<std::int64_t>(this->events.events)});
+  }
+  if (this->first_bytes_at) {
+    fields.push_back(
+        {"first_bytes_ms", milliseconds_between(this->arrived_at, *this->first_bytes_at)});
+  }
+  return fields;
+}
+
 void exchange::conclude(std::string_view outcome, int status) {
   this->over = true;
   const steady_time now = this->context.time.now();
+  // By pool: operators may set thousands of routes.
+  const std::string pool = this->taken ? this->taken->taken_pool->name.value : "none";
   this->context.metrics.count("chestnuthead_requests_total",
-                              "outcome=\"" + std::string(outcome) + "\"");
-  if (outcome != "answered") {
-    std::string endpoints;
-    for (const endpoint_id& name : this->hints.tried) {
-      endpoints += endpoints.empty() ? name.value : "," + name.value;
-    }
-    const auto version = this->context.state.services == nullptr
-                             ? std::uint64_t{0}
-                             : this->context.state.services->version;
-    this->context.log.write(
-        log_level::info, "request_ended",
-        {{"request", this->request.id},
-         {"outcome", std::string(outcome)},
-         {"status", std::int64_t{status}},
-         {"route", this->taken ? this->taken->taken_route->name : std::string()},
-         {"endpoints", endpoints},
-         {"executions", std::int64_t{this->history.executions}},
-         {"elapsed_ms", milliseconds_between(this->arrived_at, now)},
-         {"configuration_version", static_cast<std::int64_t>(version)}});
+                              "pool=\"" + pool + "\",outcome=\"" + std::string(outcome) + "\"");
+  this->context.metrics.observe("chestnuthead_request_seconds",
+                                std::chrono::duration<double>(now - this->arrived_at).count());
+  if (this->is_logged(outcome, now)) {
+    this->context.log.write(log_level::info, "request_ended", this->story(outcome, status, now));
   }
   this->sink.exchange_over();
 }
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -69,6 +69,8 @@
     endpoint_id endpoint;
     steady_time began_at{};
     steady_time last_bytes_at{};
+    /// The endpoint's load as it was known when it was chosen.
+    double load_at_choice = 0.0;
     /// An answer's head has come.
     bool answered = false;
     gateway::endpoint_answer answer;
@@ -92,6 +94,10 @@
   void refuse(const gateway::refusal& why);
   void answer_error(error_kind kind, std::chrono::milliseconds come_back);
   void conclude(std::string_view outcome, int status);
+  /// Failed, repeated and late requests are logged, and a sample of the others.
+  [[nodiscard]] bool is_logged(std::string_view outcome, steady_time now) const;
+  [[nodiscard]] std::vector<log_field> story(std::string_view outcome, int status,
+                                             steady_time now) const;
   [[nodiscard]] bool may_wait_elsewhere() const;
   [[nodiscard]] std::chrono::milliseconds silence_limit() const;
 
@@ -110,6 +116,9 @@
   int stream_status = 0;
   steady_time arrived_at{};
   std::uint64_t fingerprint = 0;
+  std::optional<steady_time> first_bytes_at;
+  /// How the latest call ended; empty before the first one did.
+  std::string_view last_reason;
   bool over = false;
 };
 
--- a/Tests/Traffic/traffic_bench.cxx
+++ b/Tests/Traffic/traffic_bench.cxx
@@ -47,7 +47,7 @@
 }
 
 traffic_bench::traffic_bench(int engines)
-    : log(this->time, "test", log_level::error),
+    : log(this->time, "test", log_level::info, this->log_lines, 1'000),
       state(gateway::test_state(0)),
       links(this->loop, this->time, platform::headers_dialect()),
       context{this->loop, this->time,    this->random, platform::headers_dialect(),
@@ -88,6 +88,15 @@
   this->run_until([this, end] { return this->time.now() >= end; });
 }
 
+std::string traffic_bench::take_log() {
+  std::string lines;
+  this->log_lines.flush(pipe_piece, [&lines](std::string_view piece) {
+    lines += piece;
+    return true;
+  });
+  return lines;
+}
+
 std::unique_ptr<test_caller> traffic_bench::connect() {
   return std::make_unique<test_caller>(this->loop, this->address);
 }
--- a/Tests/Traffic/traffic_bench.h
+++ b/Tests/Traffic/traffic_bench.h
@@ -62,6 +62,9 @@
 
   std::unique_ptr<test_caller> connect();
 
+  /// All lines of the log since the last call.
+  std::string take_log();
+
   /// A chat's request with its body.
   static std::string chat_bytes(const std::string& id, const std::string& headers = {});
   /// A payment with its body.
@@ -79,6 +82,7 @@
 
   suspend_aware_clock time;
   seeded_random random{1};
+  line_ring log_lines;
   json_log log;
   metrics_registry metrics;
   traffic::event_loop loop;
