--- a/Source/Traffic/gateway_server.h
+++ b/Source/Traffic/gateway_server.h
@@ -18,6 +18,8 @@
   /// Takes over a listening socket.
   gateway_server(traffic_context& context, int listening_descriptor);
   ~gateway_server() override;
+  gateway_server(const gateway_server&) = delete;
+  gateway_server& operator=(const gateway_server&) = delete;
 
   /// Looks for times that have passed. Call it every few tens of milliseconds.
   void tick(steady_time now);
--- a/Source/Traffic/health_checks.h
+++ b/Source/Traffic/health_checks.h
@@ -15,6 +15,8 @@
  public:
   explicit health_checks(traffic_context& context);
   ~health_checks();
+  health_checks(const health_checks&) = delete;
+  health_checks& operator=(const health_checks&) = delete;
 
   /// Begins the checks that are due.
   void tick(steady_time now);
--- a/Source/Traffic/http_client.h
+++ b/Source/Traffic/http_client.h
@@ -35,6 +35,8 @@
  public:
   http_client(event_loop& loop, const clock& time, std::string address);
   ~http_client() override;
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
 
   /// Begins a call; `done` hears the result exactly once, never from within
   /// this function. Only one call may be under way.
--- a/Source/Traffic/small_server.h
+++ b/Source/Traffic/small_server.h
@@ -27,6 +27,8 @@
   /// Takes over a listening socket.
   small_server(event_loop& loop, int listening_descriptor, small_handler handler);
   ~small_server() override;
+  small_server(const small_server&) = delete;
+  small_server& operator=(const small_server&) = delete;
 
   void on_ready(bool readable, bool writable) override;
 
--- a/Tests/Fakes/scripted_endpoint.h
+++ b/Tests/Fakes/scripted_endpoint.h
@@ -64,6 +64,8 @@
 
   explicit scripted_endpoint(traffic::event_loop& loop);
   ~scripted_endpoint() override;
+  scripted_endpoint(const scripted_endpoint&) = delete;
+  scripted_endpoint& operator=(const scripted_endpoint&) = delete;
 
   void on_ready(bool readable, bool writable) override;
 
--- a/Tests/Traffic/log_schema_test.cxx
+++ b/Tests/Traffic/log_schema_test.cxx
@@ -69,8 +69,7 @@
       const std::string event = json_text(*object, "event");
       CPPUNIT_ASSERT_MESSAGE(line, events.contains(event));
       for (const std::string& name : object->getNames()) {
-        CPPUNIT_ASSERT_MESSAGE(event + ": " + name,
-                               common.contains(name) || events.at(event).contains(name));
+        CPPUNIT_ASSERT_MESSAGE(line, common.contains(name) || events.at(event).contains(name));
       }
       seen.insert(event);
     }
--- a/Utilities/command-pages.sh
+++ b/Utilities/command-pages.sh
@@ -8,7 +8,7 @@
 # The commands of chestnutctl
 
 This page is printed by `Utilities/command-pages.sh`; a test compares it with the
-program. How the commands are used together is told in operators.md.
+program. How the commands are used together is told in OPERATIONS.md.
 
 Most commands need a fleet file, which says where the platform and the nodes'
 status ports are:
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -16,13 +16,17 @@
 cmake -S . -B "$groups" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_UNITY_BUILD=ON \
   -DCMAKE_UNITY_BUILD_BATCH_SIZE=8 -DCMAKE_EXPORT_COMPILE_COMMANDS=ON > /dev/null
 
+# The groups include sources, which the linter rightly finds odd elsewhere.
+find "$groups" -path '*/Unity/*.cxx' -exec sed -i \
+  's|^#include|// NOLINTNEXTLINE(bugprone-suspicious-include)\n#include|' {} +
+
 # Lints one file of the groups' build; its output is shown only if it fails.
 lint_group() {
   local group=$1 output members
   if output=$(clang-tidy -quiet -p build-lint "$group" 2>&1); then
     return 0
   fi
-  if grep -q 'clang-diagnostic-error' <<< "$output" && grep -q '/Unity/' <<< "$group"; then
+  if grep -q 'clang-diagnostic-' <<< "$output" && grep -q '/Unity/' <<< "$group"; then
     mapfile -t members < <(sed -n 's/^#include "\(.*\)"$/\1/p' "$group")
     clang-tidy -quiet -p build "${members[@]}" 2>&1 | { grep -v 'warnings generated' || true; }
     return
