Add a fault soak of the gateway as separate processes

Gateways run as processes; store, endpoints, callers and loopback proxies run on the soak's one event loop, and faults come from a seed: kills, pauses, planned stops, links that are delayed, silenced one or both ways, refused and reset, endpoints that fail, lose answers and leave, keys revoked, history forgotten.

--- a/Tests/Fakes/scripted_endpoint.cxx
+++ b/Tests/Fakes/scripted_endpoint.cxx
@@ -3,23 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace chestnuthead {
-
-namespace {
+#include "Fakes/local_address.h"
 
-std::string address_of(int descriptor) {
-  sockaddr_in own{};
-  socklen_t size = sizeof own;
-  ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&own), &size);
-  return "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
-}
-
-}  // namespace
+namespace chestnuthead {
 
 scripted_endpoint::connection::connection(scripted_endpoint& endpoint, int socket)
     : owner(endpoint),
@@ -59,7 +48,7 @@
 
 scripted_endpoint::scripted_endpoint(traffic::event_loop& io)
     : loop(io), descriptor(traffic::listen_on("127.0.0.1:0")) {
-  this->address = address_of(this->descriptor);
+  this->address = local_address(this->descriptor);
   this->loop.watch(this->descriptor, *this, {true, false});
 }
 
--- /dev/null
+++ b/Tests/Soak/soak_caller.cxx
@@ -0,0 +1,83 @@
+#include "soak_caller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chestnuthead::soak {
+
+namespace {
+
+std::string bytes_of(const asked_request& request) {
+  const std::string common = "Host: soak.example\r\nAttempt-Id: " + request.id +
+                             "\r\nApi-Key: " + request.key + "\r\nDeadline-Ms: 4000\r\n";
+  const std::string prompt = "Token-Usage: 100,20\r\nPrefix-Hash: a:50," + request.id + ":50\r\n";
+  switch (request.kind) {
+    case request_kind::chat:
+      return "POST /chat/1 HTTP/1.1\r\n" + common + prompt + "Content-Length: 2\r\n\r\nhi";
+    case request_kind::guide:
+      return "POST /guide/1 HTTP/1.1\r\n" + common + prompt + "Content-Length: 2\r\n\r\nhi";
+    case request_kind::payment:
+      return "POST /pay/1 HTTP/1.1\r\n" + common +
+             "Transfer-Encoding: chunked\r\n\r\n3\r\npay\r\n" + "0\r\n\r\n";
+    case request_kind::lookup:
+      break;
+  }
+  return "GET /look/1 HTTP/1.1\r\n" + common + "\r\n";
+}
+
+}  // namespace
+
+soak_caller::soak_caller(traffic::event_loop& loop, const clock& source, std::string own_gateway,
+                         const std::string& address, report on_end)
+    : time(source),
+      gateway(std::move(own_gateway)),
+      on_finished(std::move(on_end)),
+      reader(traffic::http_kind::answer, *this),
+      link(loop, address, *this) {}
+
+void soak_caller::ask(asked_request request) {
+  this->asking = true;
+  this->present = std::move(request);
+  this->present.gateway = this->gateway;
+  this->present.sent_at = this->time.now();
+  this->link.send(bytes_of(this->present));
+}
+
+void soak_caller::on_bytes(std::string_view bytes) {
+  std::string_view rest = bytes;
+  while (!rest.empty() && this->reader.fault() == traffic::http_fault::none) {
+    rest.remove_prefix(std::min(rest.size(), this->reader.feed(rest)));
+  }
+}
+
+bool soak_caller::on_head(traffic::http_head& head) {
+  this->present.status = head.status;
+  this->present.has_return_time = find_field(head, "Retry-After") != nullptr;
+  const std::string* signature = find_field(head, "Response-Signature");
+  this->present.signature = signature == nullptr ? std::string() : *signature;
+  return true;
+}
+
+void soak_caller::on_body(std::string_view bytes) {
+  this->present.body.append(bytes);
+}
+
+void soak_caller::on_message_end() {
+  this->present.whole = true;
+  this->finish();
+}
+
+void soak_caller::on_end(traffic::link_end /*end*/) {
+  this->ended = true;
+  if (this->asking) {
+    this->finish();
+  }
+}
+
+void soak_caller::finish() {
+  this->asking = false;
+  this->present.ended_at = this->time.now();
+  this->on_finished(this->present);
+}
+
+}  // namespace chestnuthead::soak
--- /dev/null
+++ b/Tests/Soak/soak_endpoint.cxx
@@ -0,0 +1,100 @@
+#include "soak_endpoint.h"
+
+#include <utility>
+
+#include "Base/hashing.h"
+
+namespace chestnuthead::soak {
+
+namespace {
+
+constexpr std::chrono::milliseconds event_gap{15};
+constexpr std::chrono::milliseconds work_time{10};
+
+std::string field(const traffic::http_head& head, const std::string& name) {
+  const std::string* value = find_field(head, name);
+  return value == nullptr ? std::string() : *value;
+}
+
+std::string chunk(const std::string& bytes) {
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  return size.data() + bytes + "\r\n";
+}
+
+}  // namespace
+
+int events_of(const std::string& request) {
+  constexpr std::uint64_t fewest = 3;
+  constexpr std::uint64_t range = 8;
+  return static_cast<int>(fewest + hash_text(request) % range);
+}
+
+std::string event_of(const std::string& request, int number) {
+  return "id: " + std::to_string(number) + "\ndata: " + request + "\n\n";
+}
+
+soak_endpoint::soak_endpoint(traffic::event_loop& loop, task_queue& queue, const clock& source,
+                             execution_book& runs, std::string own_name, std::uint64_t seed)
+    : name(std::move(own_name)),
+      tasks(queue),
+      time(source),
+      book(runs),
+      random(seed),
+      port(loop),
+      way_in(loop, queue, port.address) {
+  this->port.scripts = {[this](scripted_endpoint::connection& caller) { this->serve(caller); }};
+}
+
+void soak_endpoint::serve(scripted_endpoint::connection& caller) {
+  const traffic::http_head head = this->port.requests.back().head;
+  this->port.requests.clear();
+  if (head.target == "/healthz") {
+    caller.send("HTTP/1.1 200 OK\r\nInstance-Id: " + this->name + "\r\nContent-Length: 0\r\n\r\n");
+    return;
+  }
+  if (field(head, "Expect-Instance") != this->name) {
+    caller.send("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+    return;
+  }
+  const std::string request = field(head, "Attempt-Id");
+  this->book[request].push_back({this->name, field(head, "Tenant"), this->time.now()});
+  const std::string answer_head =
+      "Attempt-Id: " + request + "\r\nResponse-Signature: s-" + request + "\r\n";
+  if (next_unit(this->random) < this->error_share) {
+    caller.send("HTTP/1.1 500 Error\r\n" + answer_head + "Content-Length: 0\r\n\r\n");
+    return;
+  }
+  if (next_unit(this->random) < this->lost_share) {
+    caller.reset();
+    return;
+  }
+  if (head.target.starts_with("/chat/") || head.target.starts_with("/guide/")) {
+    const std::string resumed = field(head, "Last-Event-Id");
+    caller.send("HTTP/1.1 200 OK\r\n" + answer_head + "Transfer-Encoding: chunked\r\n\r\n");
+    this->send_events(caller, request, resumed.empty() ? 1 : std::stoi(resumed) + 1);
+    return;
+  }
+  this->tasks.after(work_time, [&caller, answer_head, request] {
+    if (!caller.closed) {
+      caller.send("HTTP/1.1 200 OK\r\n" + answer_head +
+                  "Content-Length: " + std::to_string(request.size()) + "\r\n\r\n" + request);
+    }
+  });
+}
+
+void soak_endpoint::send_events(scripted_endpoint::connection& caller, const std::string& request,
+                                int next) {
+  if (caller.closed) {
+    return;
+  }
+  if (next > events_of(request)) {
+    caller.send("0\r\n\r\n");
+    return;
+  }
+  caller.send(chunk(event_of(request, next)));
+  this->tasks.after(
+      event_gap, [this, &caller, request, next] { this->send_events(caller, request, next + 1); });
+}
+
+}  // namespace chestnuthead::soak
--- /dev/null
+++ b/Tests/Soak/soak_gateway.cxx
@@ -0,0 +1,85 @@
+#include "soak_gateway.h"
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "Fakes/local_address.h"
+
+namespace chestnuthead::soak {
+
+namespace {
+
+/// A port that was free a moment ago.
+std::string free_address() {
+  const int descriptor = traffic::listen_on("127.0.0.1:0");
+  std::string address = local_address(descriptor);
+  ::close(descriptor);
+  return address;
+}
+
+}  // namespace
+
+soak_gateway::soak_gateway(std::string own_name, std::string binary, std::string place,
+                           std::unique_ptr<fault_proxy> way_to_store)
+    : name(std::move(own_name)),
+      public_address(free_address()),
+      ready_address(free_address()),
+      store(std::move(way_to_store)),
+      program(std::move(binary)),
+      folder(std::move(place)),
+      settings_file(folder + "/" + name + ".json") {
+  std::ofstream file(this->settings_file);
+  file << R"({"node":")" << this->name << R"(","failure_domain":"north","public_address":")"
+       << this->public_address << R"(","ready_address":")" << this->ready_address
+       << R"(","peer_address":")" << free_address() << R"(","store_address":")"
+       << this->store->address << R"("})";
+}
+
+soak_gateway::~soak_gateway() {
+  this->signal(SIGKILL);
+  if (this->process > 0) {
+    ::waitpid(this->process, nullptr, 0);
+  }
+}
+
+void soak_gateway::start() {
+  this->stopping = false;
+  this->process = ::fork();
+  if (this->process < 0) {
+    throw std::runtime_error("The gateway's process can't be started.");
+  }
+  if (this->process == 0) {
+    const std::string log = this->folder + "/" + this->name + ".log";
+    const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(output, STDOUT_FILENO);
+    ::dup2(output, STDERR_FILENO);
+    ::execl(this->program.c_str(), this->program.c_str(), this->settings_file.c_str(), nullptr);
+    ::_exit(127);
+  }
+}
+
+void soak_gateway::signal(int number) const {
+  if (this->process > 0) {
+    ::kill(this->process, number);
+  }
+}
+
+bool soak_gateway::runs() {
+  if (this->process <= 0) {
+    return false;
+  }
+  int status = 0;
+  if (::waitpid(this->process, &status, WNOHANG) == this->process) {
+    this->last_status = status;
+    this->process = 0;
+  }
+  return this->process > 0;
+}
+
+}  // namespace chestnuthead::soak
--- /dev/null
+++ b/Tests/Soak/soak_run.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chestnuthead/seeded_random.h"
+
+#include "Base/process_clock.h"
+#include "Traffic/event_loop.h"
+#include "soak_caller.h"
+#include "soak_checks.h"
+#include "soak_endpoint.h"
+#include "soak_gateway.h"
+#include "soak_store.h"
+#include "soak_tasks.h"
+
+namespace chestnuthead::soak {
+
+struct soak_options {
+  std::uint64_t seed = 1;
+  /// How long faults are injected.
+  std::chrono::seconds length{20};
+  std::string gateway_program;
+  /// Settings, logs and the schedule are kept here.
+  std::string folder;
+  int gateways = 3;
+  int callers = 24;
+};
+
+/// One run: gateways as processes, everything around them on one event loop.
+class soak_run {
+ public:
+  explicit soak_run(soak_options options);
+
+  /// Plays the schedule and returns the promises that were not kept.
+  std::vector<std::string> play();
+
+ private:
+  void build();
+  void write_configuration();
+  void list(const std::string& endpoint, const std::string& state);
+  void schedule_faults();
+  void inject();
+  void disturb_gateway(soak_gateway& gateway);
+  void disturb_store();
+  void disturb_endpoint(soak_endpoint& endpoint);
+  void planned_change();
+  void stop_in_order(soak_gateway& gateway);
+  void note(const std::string& what);
+  void disturb(const std::string& gateway, std::chrono::milliseconds length);
+  void keep_gateways_up();
+  void keep_callers_busy();
+  void ask(soak_caller& caller);
+  void round();
+  [[nodiscard]] bool all_served_again();
+
+  std::chrono::milliseconds between(int least, int most);
+  soak_gateway& any_gateway();
+  soak_endpoint& any_endpoint();
+
+  soak_options options;
+  suspend_aware_clock time;
+  seeded_random random;
+  traffic::event_loop loop;
+  task_queue tasks;
+  execution_book book;
+  soak_history history;
+  std::unique_ptr<row_store> store;
+  std::vector<std::unique_ptr<soak_gateway>> gateways;
+  std::vector<std::unique_ptr<soak_endpoint>> endpoints;
+  std::vector<std::unique_ptr<soak_caller>> callers;
+  std::vector<std::string> keys;
+  std::string schedule;
+  std::uint64_t configuration_version = 0;
+  std::uint64_t asked = 0;
+  int served_in_row = 0;
+  bool calm = false;
+  steady_time began_at{};
+};
+
+}  // namespace chestnuthead::soak
--- a/Tests/Traffic/traffic_bench.cxx
+++ b/Tests/Traffic/traffic_bench.cxx
@@ -1,9 +1,6 @@
 #include "traffic_bench.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-
+#include "Fakes/local_address.h"
 #include "wire_headers.h"
 
 namespace chestnuthead {
@@ -14,13 +11,6 @@
 constexpr std::chrono::seconds longest_run{20};
 constexpr std::chrono::milliseconds tick_interval{5};
 
-std::string local_address(int descriptor) {
-  sockaddr_in own{};
-  socklen_t size = sizeof own;
-  ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&own), &size);
-  return "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
-}
-
 }  // namespace
 
 test_caller::test_caller(traffic::event_loop& loop, const std::string& address)
