Leave rested connections alone where endpoints have forgotten them

A rested connection that breaks within 30 ms of a request puts its endpoint under doubt for 30 s: only connections that rested under 200 ms are used there; two such endpoints put all under doubt.

--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -30,6 +30,7 @@
   this->request_id = call.request_id;
   this->begun = false;
   this->skipping = false;
+  this->call_began_at = this->owner.time.now();
   this->reader.expect_no_body(call.bodiless_answer);
   this->link.send(call.bytes);
 }
@@ -106,6 +107,10 @@
 }
 
 void endpoint_link::fail(call_failure failure) {
+  const bool soon = this->owner.time.now() - this->call_began_at < forgotten_within;
+  if (this->rested && !this->begun && soon && failure == call_failure::broken) {
+    this->owner.doubt(this->name);
+  }
   call_listener* hearer = std::exchange(this->listener, nullptr);
   this->owner.remove(*this);
   if (hearer != nullptr) {
@@ -133,7 +138,8 @@
   while (!waiting.empty()) {
     endpoint_link* link = waiting.back();
     waiting.pop_back();
-    if (link->address == address && this->time.now() < link->idle_until) {
+    if (this->is_fresh(*link, address)) {
+      link->rested = true;
       return link;
     }
     this->remove(*link);
@@ -153,7 +159,29 @@
   return links.back().get();
 }
 
+bool endpoint_links::is_fresh(const endpoint_link& link, const std::string& address) const {
+  const steady_time now = this->time.now();
+  return link.address == address && now < link.idle_until &&
+         (now - link.rested_since < doubtful_rest || !this->in_doubt(link.name));
+}
+
+bool endpoint_links::in_doubt(const endpoint_id& endpoint) const {
+  const steady_time now = this->time.now();
+  const auto doubted = this->doubted_until.find(endpoint);
+  if (doubted != this->doubted_until.end() && now < doubted->second) {
+    return true;
+  }
+  const auto others = std::count_if(this->doubted_until.begin(), this->doubted_until.end(),
+                                    [now](const auto& entry) { return now < entry.second; });
+  return static_cast<std::size_t>(others) >= doubts_for_all;
+}
+
+void endpoint_links::doubt(const endpoint_id& endpoint) {
+  this->doubted_until[endpoint] = this->time.now() + doubt_life;
+}
+
 void endpoint_links::release(endpoint_link& link) {
+  link.rested_since = this->time.now();
   this->idle[link.name].push_back(&link);
 }
 
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -20,6 +20,17 @@
 /// Connections to endpoints, kept open between requests.
 namespace chestnuthead::traffic {
 
+/// Longest rest of a connection to an endpoint that has broken a rested one:
+/// well above the pause between two requests under load.
+inline constexpr std::chrono::milliseconds doubtful_rest{200};
+/// How long an endpoint is under that doubt.
+inline constexpr std::chrono::seconds doubt_life{30};
+/// A rested connection that breaks this soon after a request was sent on it had
+/// been forgotten: a few round trips. Later the endpoint itself may have failed.
+inline constexpr std::chrono::milliseconds forgotten_within{30};
+/// Endpoints under doubt from which on all are, as one cause concerns them all.
+inline constexpr std::size_t doubts_for_all = 2;
+
 /// How a call ended without a whole answer.
 enum class call_failure : std::uint8_t {
   /// No byte of the request was sent.
@@ -104,6 +115,10 @@
   bool gone = false;
   steady_time began_at{};
   steady_time idle_until{};
+  steady_time rested_since{};
+  steady_time call_began_at{};
+  /// The present call began on a connection that had rested.
+  bool rested = false;
 };
 
 /// All connections to endpoints.
@@ -129,6 +144,10 @@
   friend class endpoint_link;
 
   void release(endpoint_link& link);
+  /// The endpoint has broken a connection that had rested.
+  void doubt(const endpoint_id& endpoint);
+  [[nodiscard]] bool in_doubt(const endpoint_id& endpoint) const;
+  [[nodiscard]] bool is_fresh(const endpoint_link& link, const std::string& address) const;
   void remove(endpoint_link& link);
 
   event_loop& loop;
@@ -137,6 +156,8 @@
   std::map<endpoint_id, std::vector<std::unique_ptr<endpoint_link>>> all;
   std::map<endpoint_id, std::vector<endpoint_link*>> idle;
   std::vector<endpoint_link*> opening;
+  /// Endpoints that forget rested connections, and until when that is assumed.
+  std::map<endpoint_id, steady_time> doubted_until;
   std::uint64_t opened_count = 0;
 };
 
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -212,10 +212,14 @@
   } else if (how == 3) {
     soak_endpoint& endpoint = this->any_endpoint();
     const std::string name = endpoint.name;
+    auto& absences = this->history.left[name];
+    if (!absences.empty() && absences.back().second > this->time.now()) {
+      return;
+    }
     const steady_time back_at = this->time.now() + std::chrono::seconds{4};
     this->note(name + " leaves");
     this->list(name, "draining");
-    this->history.left[name].emplace_back(this->time.now(), back_at);
+    absences.emplace_back(this->time.now(), back_at);
     this->tasks.after(std::chrono::seconds{4}, [this, name] { this->list(name, "ready"); });
   } else {
     this->note("new configuration");
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(an_answer_to_another_request_is_skipped);
   CPPUNIT_TEST(bytes_after_an_answer_end_the_connection);
   CPPUNIT_TEST(an_answer_cut_short_is_not_passed);
+  CPPUNIT_TEST(rested_connections_are_left_where_they_were_forgotten);
   CPPUNIT_TEST(the_endpoint_is_told_when_the_caller_leaves);
   CPPUNIT_TEST(a_route_time_out_gets_its_answer);
   CPPUNIT_TEST(nobody_to_ask_is_said_at_once);
@@ -269,6 +270,27 @@
     CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 502 "));
   }
 
+  /// An endpoint that forgets idle connections resets the next request on one.
+  void rested_connections_are_left_where_they_were_forgotten() {
+    traffic_bench bench;
+    const auto answer = [](const std::string& id) {
+      return [id](connection& caller) { caller.send(traffic_bench::answer_bytes(id, id)); };
+    };
+    bench.plain->scripts = {answer("p1"), [](connection& caller) { caller.reset(); }, answer("p3"),
+                            answer("p4")};
+    const auto caller = bench.connect();
+    int answers = 0;
+    for (const char* id : {"p1", "p2", "p3", "p4"}) {
+      caller->send(traffic_bench::payment_bytes(id));
+      ++answers;
+      CPPUNIT_ASSERT(bench.run_until([&] { return caller->has_answers(answers); }));
+      bench.run_for(traffic::doubtful_rest + milliseconds{50});
+    }
+    CPPUNIT_ASSERT(contains(caller->bytes, "HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(caller->bytes.ends_with("p4"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, bench.plain->connections.size());
+  }
+
   void the_endpoint_is_told_when_the_caller_leaves() {
     traffic_bench bench;
     bench.endpoints[0]->scripts = {[](connection& caller) {
