Doubt endpoints at which calls that can't be repeated wait long

Such a wait now asks for a health check, unless a quarter of the pool is set aside already. Ruled out: giving the calls up (they may have run, so nobody gains).

--- a/Source/Gateway/endpoint_health.cxx
+++ b/Source/Gateway/endpoint_health.cxx
@@ -15,6 +15,8 @@
 constexpr double failing_margin = 0.25;
 /// Unreachable this often in a row means that the endpoint is gone for now.
 constexpr std::uint32_t breaks_allowed = 3;
+/// Share of a pool that may be doubted because requests wait long.
+constexpr double most_doubted = 0.25;
 
 void fade(endpoint_record& record, steady_time now) {
   const std::chrono::duration<double> passed = now - record.faded_at;
@@ -88,6 +90,14 @@
   row.record.needs_check = true;
 }
 
+void note_long_wait(endpoint& row, const std::vector<endpoint*>& pool, steady_time now) {
+  const auto aside = std::count_if(
+      pool.begin(), pool.end(), [now](const endpoint* other) { return is_set_aside(*other, now); });
+  if (static_cast<double>(aside) < most_doubted * static_cast<double>(pool.size())) {
+    note_doubt(row);
+  }
+}
+
 void note_healthy(endpoint& row) {
   row.record.needs_check = false;
   row.record.set_aside_until = steady_time{};
--- a/Source/Gateway/endpoint_health.h
+++ b/Source/Gateway/endpoint_health.h
@@ -42,6 +42,11 @@
 /// has answered a health check.
 void note_doubt(endpoint& row);
 
+/// A request that can't be repeated has waited long for its endpoint. The
+/// endpoint gets no more requests until it has answered a health check, unless
+/// too much of its pool is set aside: then waiting is a sign of load.
+void note_long_wait(endpoint& row, const std::vector<endpoint*>& pool, steady_time now);
+
 /// The endpoint has answered a health check.
 void note_healthy(endpoint& row);
 
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -27,7 +27,7 @@
 inline constexpr std::chrono::seconds doubt_life{30};
 /// A rested connection that breaks this soon after a request was sent on it had
 /// been forgotten: a few round trips. Later the endpoint itself may have failed.
-inline constexpr std::chrono::milliseconds forgotten_within{30};
+inline constexpr std::chrono::milliseconds forgotten_within{8};
 /// Endpoints under doubt from which on all are, as one cause concerns them all.
 inline constexpr std::size_t doubts_for_all = 2;
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -398,12 +398,30 @@
   if (this->call.link->is_open()) {
     this->call.link->pause(this->sink.unsent() > unsent_limit);
   }
-  if (now - this->call.last_bytes_at > this->silence_limit() && this->may_wait_elsewhere()) {
-    this->call.link->abandon();
-    this->events.partial.clear();
-    this->close_call(attempt_result::silent);
-    this->after(attempt_end::unknown);
+  if (now - this->call.last_bytes_at <= this->silence_limit()) {
+    return;
+  }
+  if (!this->may_wait_elsewhere()) {
+    this->doubt_endpoint(now);
+    return;
+  }
+  this->call.link->abandon();
+  this->events.partial.clear();
+  this->close_call(attempt_result::silent);
+  this->after(attempt_end::unknown);
+}
+
+void exchange::doubt_endpoint(steady_time now) {
+  gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->call.endpoint);
+  if (this->call.doubted || row == nullptr || is_set_aside(*row, now)) {
+    return;
   }
+  this->call.doubted = true;
+  note_long_wait(*row, endpoints_of(this->context.state.endpoints, row->listing.pool), now);
+  this->context.log.write(log_level::info, "endpoint_doubted",
+                          {{"endpoint", row->listing.name.value},
+                           {"request", this->request.id},
+                           {"waited_ms", milliseconds_between(this->call.last_bytes_at, now)}});
 }
 
 void exchange::time_out() {
@@ -425,6 +443,7 @@
   if (this->call.link != nullptr) {
     this->call.link->abandon();
     this->call.link = nullptr;
+    this->last_reason = this->call.answered ? "answering" : "waiting";
     if (gateway::endpoint* row =
             find_endpoint(this->context.state.endpoints, this->call.endpoint)) {
       end_request(*row, this->request);
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -73,6 +73,8 @@
     double load_at_choice = 0.0;
     /// An answer's head has come.
     bool answered = false;
+    /// The call has waited so long that its endpoint was doubted.
+    bool doubted = false;
     gateway::endpoint_answer answer;
     /// The answer goes to the caller as it comes.
     bool passing = false;
@@ -86,6 +88,7 @@
   [[nodiscard]] std::string encode_call(const gateway::endpoint& row, steady_time now) const;
   void close_call(gateway::attempt_result result);
   void suspect_crash();
+  void doubt_endpoint(steady_time now);
   void after(gateway::attempt_end end);
   void pass_bytes(std::string_view bytes);
   void take_whole_answer();
--- a/Tests/Gateway/endpoint_health_test.cxx
+++ b/Tests/Gateway/endpoint_health_test.cxx
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(one_broken_answer_is_forgiven);
   CPPUNIT_TEST(the_time_aside_grows_and_ends);
   CPPUNIT_TEST(another_gateways_doubt_asks_for_a_check);
+  CPPUNIT_TEST(a_long_wait_asks_for_a_check);
+  CPPUNIT_TEST(long_waits_everywhere_are_load);
   CPPUNIT_TEST(a_new_start_is_a_new_endpoint);
   CPPUNIT_TEST(a_lapsed_entry_counts_until_its_grace_is_over);
   CPPUNIT_TEST(a_leaving_endpoint_has_no_grace);
@@ -79,6 +81,24 @@
     CPPUNIT_ASSERT(check_due(row, test_start));
   }
 
+  void a_long_wait_asks_for_a_check() {
+    gateway_state state = test_state(8);
+    const auto& pool = endpoints_of(state.endpoints, engine_pool);
+    note_long_wait(*pool[0], pool, test_start);
+    CPPUNIT_ASSERT(check_due(*pool[0], test_start));
+  }
+
+  void long_waits_everywhere_are_load() {
+    gateway_state state = test_state(8);
+    const auto& pool = endpoints_of(state.endpoints, engine_pool);
+    int doubted = 0;
+    for (endpoint* row : pool) {
+      note_long_wait(*row, pool, test_start);
+      doubted += is_set_aside(*row, test_start) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(2, doubted);
+  }
+
   void a_new_start_is_a_new_endpoint() {
     endpoint_table table;
     endpoint_listing listing = listing_of("engine", engine_pool);
