Take only long rests for forgotten connections

Only a connection that had rested 200 ms counts now, the break must come within 8 ms, and three endpoints make it general.

--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -139,7 +139,7 @@
     endpoint_link* link = waiting.back();
     waiting.pop_back();
     if (this->is_fresh(*link, address)) {
-      link->rested = true;
+      link->rested = this->time.now() - link->rested_since >= doubtful_rest;
       return link;
     }
     this->remove(*link);
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -29,7 +29,7 @@
 /// been forgotten: a few round trips. Later the endpoint itself may have failed.
 inline constexpr std::chrono::milliseconds forgotten_within{8};
 /// Endpoints under doubt from which on all are, as one cause concerns them all.
-inline constexpr std::size_t doubts_for_all = 2;
+inline constexpr std::size_t doubts_for_all = 3;
 
 /// How a call ended without a whole answer.
 enum class call_failure : std::uint8_t {
@@ -117,7 +117,7 @@
   steady_time idle_until{};
   steady_time rested_since{};
   steady_time call_began_at{};
-  /// The present call began on a connection that had rested.
+  /// The present call began on a connection that had rested long.
   bool rested = false;
 };
 
