--- a/Source/Gateway/request.h
+++ b/Source/Gateway/request.h
@@ -48,13 +48,6 @@
   return target.substr(0, target.find('?'));
 }
 
-/// An endpoint's own word about its load.
-struct endpoint_load {
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
-  std::uint32_t slots = 0;
-};
-
 /// The head of an endpoint's answer.
 struct endpoint_answer {
   int status = 0;
@@ -66,7 +59,6 @@
   bool not_executed = false;
   /// The endpoint is not the one that the request was meant for.
   bool wrong_endpoint = false;
-  std::optional<endpoint_load> load;
   /// How long the endpoint keeps the connection open while idle.
   std::optional<std::chrono::seconds> keep_alive;
   /// How long the endpoint stays cold, in its health answers.
--- a/Source/Traffic/byte_link.cxx
+++ b/Source/Traffic/byte_link.cxx
@@ -193,16 +193,15 @@
   }
 }
 
-int listen_on(const std::string& address) {
+int open_bound_socket(const std::string& address, int type) {
   try {
     const Poco::Net::SocketAddress own(address);
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int descriptor = ::socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
       return -1;
     }
-    set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
-    if (::bind(descriptor, own.addr(), own.length()) != 0 ||
-        ::listen(descriptor, accept_backlog) != 0) {
+    set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, type == SOCK_STREAM ? 1 : 0);
+    if (::bind(descriptor, own.addr(), own.length()) != 0) {
       const int fault = errno;
       ::close(descriptor);
       errno = fault;
@@ -215,6 +214,17 @@
   }
 }
 
+int listen_on(const std::string& address) {
+  const int descriptor = open_bound_socket(address, SOCK_STREAM);
+  if (descriptor >= 0 && ::listen(descriptor, accept_backlog) != 0) {
+    const int fault = errno;
+    ::close(descriptor);
+    errno = fault;
+    return -1;
+  }
+  return descriptor;
+}
+
 int accept_one(int listening_descriptor) {
   return ::accept4(listening_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
 }
--- a/Source/Traffic/byte_link.h
+++ b/Source/Traffic/byte_link.h
@@ -83,6 +83,10 @@
   std::size_t out_sent = 0;
 };
 
+/// Opens a non-blocking socket of `type` (`SOCK_STREAM` or `SOCK_DGRAM`) that is
+/// bound to an IP number and port; -1 if that fails, with the reason in `errno`.
+int open_bound_socket(const std::string& address, int type);
+
 /// Opens a listening socket on an IP number and port; -1 if that fails, with
 /// the reason in `errno`.
 int listen_on(const std::string& address);
--- a/Source/Traffic/gateway_settings.cxx
+++ b/Source/Traffic/gateway_settings.cxx
@@ -43,7 +43,6 @@
   read_address(reader, "peer_address", settings.peer_address, key_presence::optional);
   read_address(reader, "store_address", settings.store_address, key_presence::required);
   reader.read("stop_grace_ms", settings.stop_grace, milliseconds_range);
-  reader.read("configuration_lag_ms", settings.configuration_lag, milliseconds_range);
   reader.read("key_lag_ms", settings.key_lag, milliseconds_range);
   reader.read("leaving_lag_ms", settings.leaving_lag, milliseconds_range);
   reader.read("resend_share", settings.resend_share, share_range);
@@ -68,7 +67,6 @@
   object.set("peer_address", settings.peer_address);
   object.set("store_address", settings.store_address);
   object.set("stop_grace_ms", settings.stop_grace.count());
-  object.set("configuration_lag_ms", settings.configuration_lag.count());
   object.set("key_lag_ms", settings.key_lag.count());
   object.set("leaving_lag_ms", settings.leaving_lag.count());
   object.set("resend_share", settings.resend_share);
--- a/Source/Traffic/gateway_settings.h
+++ b/Source/Traffic/gateway_settings.h
@@ -24,8 +24,6 @@
   std::string store_address;
   /// How long a planned stop may take.
   std::chrono::milliseconds stop_grace{8'000};
-  /// Within this time a configuration must be in force.
-  std::chrono::milliseconds configuration_lag{2'000};
   /// Within this time a revoked key must be refused.
   std::chrono::milliseconds key_lag{5'000};
   /// Within this time a leaving endpoint must get no new work.
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -1,6 +1,7 @@
 #include "Traffic/peer_codec.h"
 
 #include <cstdint>
+#include <vector>
 
 #include "Net/msgpack_fields.h"
 
@@ -19,6 +20,19 @@
   }
 }
 
+/// Reads entries whose two fields stand in turn in one list.
+template <class Entry, class First, class Second>
+void read_pairs(const msgpack::object& list, std::vector<Entry>& entries, First Entry::*first,
+                Second Entry::*second) {
+  check_length(list);
+  for (field_reader fields(list); !fields.at_end();) {
+    Entry entry;
+    fields.get(entry.*first);
+    fields.get(entry.*second);
+    entries.push_back(entry);
+  }
+}
+
 }  // namespace
 
 std::string encode_word(const gateway::peer_word& word) {
@@ -66,35 +80,17 @@
     in.get(word.start);
     in.get(word.sequence);
     in.get(word.leaving);
-    const msgpack::object& loads = in.object();
-    check_length(loads);
-    for (field_reader list(loads); !list.at_end();) {
-      gateway::peer_load load;
-      list.get(load.endpoint);
-      list.get(load.in_flight);
-      word.loads.push_back(load);
-    }
+    read_pairs(in.object(), word.loads, &gateway::peer_load::endpoint,
+               &gateway::peer_load::in_flight);
     const msgpack::object& unreachable = in.object();
     check_length(unreachable);
     for (field_reader list(unreachable); !list.at_end();) {
       list.get(word.unreachable.emplace_back());
     }
-    const msgpack::object& crashes = in.object();
-    check_length(crashes);
-    for (field_reader list(crashes); !list.at_end();) {
-      gateway::crash_word crash;
-      list.get(crash.request);
-      list.get(crash.endpoint);
-      word.crashes.push_back(crash);
-    }
-    const msgpack::object& placements = in.object();
-    check_length(placements);
-    for (field_reader list(placements); !list.at_end();) {
-      gateway::prefix_word placement;
-      list.get(placement.prefix);
-      list.get(placement.endpoint);
-      word.placements.push_back(placement);
-    }
+    read_pairs(in.object(), word.crashes, &gateway::crash_word::request,
+               &gateway::crash_word::endpoint);
+    read_pairs(in.object(), word.placements, &gateway::prefix_word::prefix,
+               &gateway::prefix_word::endpoint);
     return word;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/Source/Traffic/peer_port.cxx
+++ b/Source/Traffic/peer_port.cxx
@@ -2,16 +2,15 @@
 
 #include <algorithm>
 #include <array>
-#include <cerrno>
 #include <set>
 #include <utility>
 
-#include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "Gateway/endpoint_health.h"
+#include "Traffic/byte_link.h"
 #include "Traffic/peer_codec.h"
 
 namespace chestnuthead::traffic {
@@ -23,29 +22,12 @@
 /// Time between two sweeps of what was not used for long.
 constexpr std::chrono::seconds sweep_interval{5};
 
-int open_socket(const std::string& address) {
-  try {
-    const Poco::Net::SocketAddress own(address);
-    const int descriptor = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (descriptor >= 0 && ::bind(descriptor, own.addr(), own.length()) != 0) {
-      const int fault = errno;
-      ::close(descriptor);
-      errno = fault;
-      return -1;
-    }
-    return descriptor;
-  } catch (const Poco::Exception&) {
-    errno = EINVAL;
-    return -1;
-  }
-}
-
 }  // namespace
 
 peer_port::peer_port(traffic_context& parts, node_id own_name, const std::string& address)
     : context(parts),
       self(std::move(own_name)),
-      descriptor(open_socket(address)),
+      descriptor(open_bound_socket(address, SOCK_DGRAM)),
       start(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                            parts.time.wall_now().time_since_epoch())
                                            .count())) {
