--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -42,12 +42,16 @@
   return open;
 }
 
+/// Mean over all endpoints that the platform lists: those that are out of
+/// service lower what the others may hold.
 double mean_load(const std::vector<endpoint*>& endpoints) {
   double total = 0.0;
+  double listed = 0.0;
   for (const endpoint* row : endpoints) {
     total += load_of(*row);
+    listed += row->listed ? 1.0 : 0.0;
   }
-  return endpoints.empty() ? 0.0 : total / static_cast<double>(endpoints.size());
+  return listed > 0.0 ? total / listed : 0.0;
 }
 
 endpoint* least_loaded(const std::vector<endpoint*>& endpoints) {
@@ -134,7 +138,7 @@
   if (request.prompt.empty()) {
     return better_of_random(open, random);
   }
-  const double bound = fleet.load_multiple * mean_load(candidates) + load_allowance;
+  const double bound = fleet.load_multiple * mean_load(endpoints) + load_allowance;
   if (endpoint* holder = least_loaded_holder(open, hints.holders, bound)) {
     return holder;
   }
--- a/Tests/Gateway/placement_test.cxx
+++ b/Tests/Gateway/placement_test.cxx
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(all_gateways_send_a_chat_to_the_same_endpoint);
   CPPUNIT_TEST(a_new_endpoint_moves_few_chats);
   CPPUNIT_TEST(a_hot_chat_spreads_before_the_bound_is_passed);
+  CPPUNIT_TEST(the_bound_counts_endpoints_that_are_out);
   CPPUNIT_TEST(endpoints_out_of_service_get_nothing);
   CPPUNIT_TEST(an_endpoint_is_not_tried_twice);
   CPPUNIT_TEST(a_full_pool_is_told_apart_from_an_absent_one);
@@ -70,6 +71,27 @@
     }
   }
 
+  /// The multiple is of the mean over the whole pool, so that a domain that is
+  /// out lowers what the others may hold.
+  void the_bound_counts_endpoints_that_are_out() {
+    gateway_state state = test_state(0);
+    state.fleet.load_multiple = 2.0;
+    for (int engine = 0; engine < 9; ++engine) {
+      list_endpoint(
+          state.endpoints,
+          listing_of("engine-" + std::to_string(engine), engine_pool, engine < 4 ? "out" : "north"),
+          test_start);
+    }
+    state.fleet.domains_out.insert({"out"});
+    for (int number = 0; number < 60; ++number) {
+      // Half of all requests belong to one chat.
+      const std::uint64_t chat = number % 2 == 0 ? 1 : static_cast<std::uint64_t>(number);
+      endpoint* row = choose(state, chat);
+      begin_request(*row, chat_request(chat), engine_pool_settings(0.0), state.fleet, test_start);
+      CPPUNIT_ASSERT(load_of(*row) <= 2.0 * (number + 1) / 9.0 + 3.0);
+    }
+  }
+
   void endpoints_out_of_service_get_nothing() {
     gateway_state state = test_state(0);
     const auto add = [&state](const std::string& name, const std::string& domain) {
--- a/Tests/Soak/soak_proxy.cxx
+++ b/Tests/Soak/soak_proxy.cxx
@@ -49,26 +49,26 @@
   };
 
   void pass(bool up, std::string bytes) {
-    const link_fault& fault = this->owner.fault;
-    if (up ? fault.silent_up : fault.silent_down) {
+    const link_fault& active = this->owner.fault;
+    if (up ? active.silent_up : active.silent_down) {
       return;
     }
-    if (fault.delay.count() == 0) {
+    if (active.delay.count() == 0) {
       (up ? this->target : this->caller).send(bytes);
       return;
     }
-    this->owner.tasks.after(fault.delay,
+    this->owner.tasks.after(active.delay,
                             [self = this->shared_from_this(), up, data = std::move(bytes)] {
                               (up ? self->target : self->caller).send(data);
                             });
   }
 
   void end(bool up) {
-    const link_fault& fault = this->owner.fault;
-    if (up ? fault.silent_up : fault.silent_down) {
+    const link_fault& active = this->owner.fault;
+    if (up ? active.silent_up : active.silent_down) {
       return;
     }
-    this->owner.tasks.after(fault.delay, [self = this->shared_from_this(), up] {
+    this->owner.tasks.after(active.delay, [self = this->shared_from_this(), up] {
       (up ? self->target : self->caller).finish_sending();
       // Whatever was sent has gone by then.
       self->owner.tasks.after(std::chrono::milliseconds{20}, [self] {
