Work out a request's prefix once and drop what nothing read

Found on reading the change again: the prefix was hashed twice a request, the head of a passed answer was taken in two places, and each endpoint counted tokens and each call its start, which nothing read. The comment on waiting_allowance named a share; it is a multiple. Behaviour and assertions are unchanged: gateway, traffic and platform tests pass.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -29,10 +29,8 @@
   const bool is_new_life = is_new || !same_life(row.listing, listing);
   if (!is_new && is_new_life) {
     const std::uint32_t in_flight = row.in_flight;
-    const std::uint64_t tokens = row.tokens_in_flight;
     row = endpoint{};
     row.in_flight = in_flight;
-    row.tokens_in_flight = tokens;
   }
   const bool moved = is_new || row.listing.pool != listing.pool;
   row.listing = listing;
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -62,8 +62,6 @@
   steady_time cold_until{};
   /// Requests of this gateway that the endpoint has not answered.
   std::uint32_t in_flight = 0;
-  /// Prompt and answer tokens of those requests.
-  std::uint64_t tokens_in_flight = 0;
   /// Requests in flight from the other gateways, by their latest word.
   double peers_in_flight = 0.0;
   /// Earliest time for this gateway's next request while the endpoint is cold.
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -12,8 +12,8 @@
 
 /// Endpoints compared for a request without a prompt.
 constexpr int random_choices = 2;
-/// Share of the slots that may be taken before an endpoint counts as full: the
-/// rest absorbs what other gateways send at the same moment.
+/// Load at which an endpoint counts as full, as a multiple of its slots: as many
+/// requests again may wait in its own queue.
 constexpr double waiting_allowance = 2.0;
 
 bool may_choose(const endpoint& row, const std::vector<endpoint_id>& tried, const fleet_view& fleet,
@@ -171,19 +171,15 @@
   return std::chrono::milliseconds{static_cast<std::int64_t>(std::ceil(seconds * 1'000.0))};
 }
 
-void begin_request(endpoint& row, const caller_request& request, const pool& pool,
-                   const fleet_view& fleet, steady_time now) {
+void begin_request(endpoint& row, const pool& pool, const fleet_view& fleet, steady_time now) {
   ++row.in_flight;
-  row.tokens_in_flight += request.prompt_tokens + request.answer_tokens;
   if (is_cold(row, now)) {
     row.next_cold_request = now + cold_interval(pool, fleet);
   }
 }
 
-void end_request(endpoint& row, const caller_request& request) {
-  const std::uint64_t tokens = request.prompt_tokens + request.answer_tokens;
+void end_request(endpoint& row) {
   row.in_flight -= std::min<std::uint32_t>(row.in_flight, 1);
-  row.tokens_in_flight -= std::min(row.tokens_in_flight, tokens);
 }
 
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -70,10 +70,9 @@
 std::chrono::milliseconds cold_interval(const pool& pool, const fleet_view& fleet);
 
 /// Books a request at the endpoint.
-void begin_request(endpoint& row, const caller_request& request, const pool& pool,
-                   const fleet_view& fleet, steady_time now);
+void begin_request(endpoint& row, const pool& pool, const fleet_view& fleet, steady_time now);
 
 /// The request has ended at the endpoint.
-void end_request(endpoint& row, const caller_request& request);
+void end_request(endpoint& row);
 
 }  // namespace chestnuthead::gateway
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -83,6 +83,7 @@
   }
   this->taken = std::move(std::get<gateway::admission>(result));
   this->fingerprint = fingerprint_of(this->request, this->body);
+  this->prefix = affinity_of(this->request);
   if (is_refused(this->context.state.suspects, this->fingerprint, this->arrived_at)) {
     this->answer_error(error_kind::request_refused_after_crashes, gateway::suspicion_life);
     return;
@@ -119,17 +120,16 @@
   this->call = call_state{};
   this->call.link = link;
   this->call.endpoint = row.listing.name;
-  this->call.began_at = now;
   this->call.last_bytes_at = now;
   this->call.load_at_choice = load_of(row);
-  begin_request(row, this->request, pool, this->context.state.fleet, now);
+  begin_request(row, pool, this->context.state.fleet, now);
   if (this->history.sends > 0) {
     count_resend(this->context.state.resend_budgets[pool.name], this->context.state.resends, now);
   }
   ++this->history.sends;
   ++this->history.executions;
   if (!this->request.prompt.empty()) {
-    note_placement(this->context.state.holders, {affinity_of(this->request), row.hash}, now);
+    note_placement(this->context.state.holders, {this->prefix, row.hash}, now);
   }
   link->start({this->encode_call(row, now), this->request.id, this->request.method == "HEAD"},
               *this);
@@ -140,7 +140,7 @@
   const steady_time now = this->context.time.now();
   const gateway::pool& pool = *this->taken->taken_pool;
   if (!this->request.prompt.empty()) {
-    this->hints.holders = holders_of(this->context.state.holders, affinity_of(this->request), now);
+    this->hints.holders = holders_of(this->context.state.holders, this->prefix, now);
   }
   while (true) {
     const gateway::placement_choice choice =
@@ -174,7 +174,7 @@
   if (row == nullptr) {
     return;
   }
-  end_request(*row, this->request);
+  end_request(*row);
   const double peers =
       failing_share(endpoints_of(this->context.state.endpoints, this->taken->taken_pool->name));
   const bool was_set_aside = is_set_aside(*row, this->context.time.now());
@@ -236,9 +236,15 @@
     this->after(attempt_end::unknown);
     return;
   }
-  this->call.passing =
-      this->taken->taken_route->streams || head.length.value_or(0) > held_answer_bytes;
-  if (this->call.passing && !this->history.answer_begun) {
+  if (this->taken->taken_route->streams || head.length.value_or(0) > held_answer_bytes) {
+    this->start_passing();
+  }
+}
+
+void exchange::start_passing() {
+  this->call.passing = true;
+  // An answer that goes on at another endpoint keeps the head of the first one.
+  if (!this->history.answer_begun) {
     this->stream_headers = this->call.answer.passed_headers;
     this->stream_status = this->call.answer.status;
   }
@@ -252,9 +258,7 @@
   }
   this->call.held.append(bytes);
   if (this->call.held.size() > held_answer_bytes && is_success(this->call.answer.status)) {
-    this->call.passing = true;
-    this->stream_headers = this->call.answer.passed_headers;
-    this->stream_status = this->call.answer.status;
+    this->start_passing();
     this->pass_bytes(std::exchange(this->call.held, {}));
   }
 }
@@ -446,7 +450,7 @@
     this->last_reason = this->call.answered ? "answering" : "waiting";
     if (gateway::endpoint* row =
             find_endpoint(this->context.state.endpoints, this->call.endpoint)) {
-      end_request(*row, this->request);
+      end_request(*row);
     }
   }
   this->conclude("caller_left", 0);
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -67,7 +67,6 @@
   struct call_state {
     endpoint_link* link = nullptr;
     endpoint_id endpoint;
-    steady_time began_at{};
     steady_time last_bytes_at{};
     /// The endpoint's load as it was known when it was chosen.
     double load_at_choice = 0.0;
@@ -90,6 +89,7 @@
   void suspect_crash();
   void doubt_endpoint(steady_time now);
   void after(gateway::attempt_end end);
+  void start_passing();
   void pass_bytes(std::string_view bytes);
   void take_whole_answer();
   void finish_stream();
@@ -119,6 +119,8 @@
   int stream_status = 0;
   steady_time arrived_at{};
   std::uint64_t fingerprint = 0;
+  /// `affinity_of` the request.
+  std::uint64_t prefix = 0;
   std::optional<steady_time> first_bytes_at;
   /// How the latest call ended; empty before the first one did.
   std::string_view last_reason;
--- a/Tests/Gateway/placement_test.cxx
+++ b/Tests/Gateway/placement_test.cxx
@@ -62,7 +62,7 @@
       // Half of all requests belong to one chat.
       const std::uint64_t chat = number % 2 == 0 ? 1 : static_cast<std::uint64_t>(number);
       endpoint* row = choose(state, chat);
-      begin_request(*row, chat_request(chat), settings, state.fleet, test_start);
+      begin_request(*row, settings, state.fleet, test_start);
       double total = 0.0;
       for (const auto& [name, other] : state.endpoints.rows) {
         total += load_of(other);
@@ -87,7 +87,7 @@
       // Half of all requests belong to one chat.
       const std::uint64_t chat = number % 2 == 0 ? 1 : static_cast<std::uint64_t>(number);
       endpoint* row = choose(state, chat);
-      begin_request(*row, chat_request(chat), engine_pool_settings(0.0), state.fleet, test_start);
+      begin_request(*row, engine_pool_settings(0.0), state.fleet, test_start);
       CPPUNIT_ASSERT(load_of(*row) <= 2.0 * (number + 1) / 9.0 + 3.0);
     }
   }
@@ -201,8 +201,8 @@
           choose_endpoint(endpoints_of(state.endpoints, engine_pool), settings, chat_request(1), {},
                           state.fleet, random, test_start + at);
       if (std::holds_alternative<endpoint*>(choice)) {
-        begin_request(row, chat_request(1), settings, state.fleet, test_start + at);
-        end_request(row, chat_request(1));
+        begin_request(row, settings, state.fleet, test_start + at);
+        end_request(row);
         sent.push_back(at + offset);
       }
     }
