Read changed settings again, and log each attempt of a request

The gateway read its settings at the start only, although the platform changes the file with and without SIGHUP. It now compares the file every 2 s and on SIGHUP, takes what needs no restart, and names the rest.

A request that was sent more than once leaves one request_attempt line for each endpoint: why it was chosen, its load, the bound, and how it ended. Before, only the last attempt could be read from the log.

--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -105,6 +105,20 @@
 
 }  // namespace
 
+std::string_view name_of(choice_reason reason) {
+  switch (reason) {
+    case choice_reason::holds_prefix:
+      return "holds_prefix";
+    case choice_reason::home_of_prefix:
+      return "home_of_prefix";
+    case choice_reason::random_pair:
+      return "random_pair";
+    case choice_reason::least_loaded:
+      break;
+  }
+  return "least_loaded";
+}
+
 std::uint64_t affinity_of(const caller_request& request) {
   const std::size_t shared = request.prompt.size() > 1 ? request.prompt.size() - 1 : 1;
   std::uint64_t hash = 0;
@@ -136,14 +150,16 @@
     return no_choice::all_full;
   }
   if (request.prompt.empty()) {
-    return better_of_random(open, random);
+    return placement{better_of_random(open, random), choice_reason::random_pair, 0.0};
   }
   const double bound = fleet.load_multiple * mean_load(endpoints) + load_allowance;
   if (endpoint* holder = least_loaded_holder(open, hints.holders, bound)) {
-    return holder;
+    return placement{holder, choice_reason::holds_prefix, bound};
+  }
+  if (endpoint* home = first_within_bound(open, affinity_of(request), bound)) {
+    return placement{home, choice_reason::home_of_prefix, bound};
   }
-  endpoint* home = first_within_bound(open, affinity_of(request), bound);
-  return home == nullptr ? least_loaded(open) : home;
+  return placement{least_loaded(open), choice_reason::least_loaded, bound};
 }
 
 const endpoint* prefix_source(const std::vector<endpoint*>& endpoints, const endpoint& chosen,
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -38,7 +39,30 @@
   all_full,
 };
 
-using placement_choice = std::variant<endpoint*, no_choice>;
+/// Why an endpoint was chosen before the others.
+enum class choice_reason : std::uint8_t {
+  /// It may cache the prompt's prefix.
+  holds_prefix,
+  /// It comes first in the prefix's rendezvous order.
+  home_of_prefix,
+  /// All others carry as much or more, and none is within the bounded load.
+  least_loaded,
+  /// The less loaded of two at random.
+  random_pair,
+};
+
+std::string_view name_of(choice_reason reason);
+
+/// A chosen endpoint.
+struct placement {
+  endpoint* row = nullptr;
+  choice_reason reason = choice_reason::least_loaded;
+  /// Load up to which the choice followed the prompt's prefix; 0 without a
+  /// prompt.
+  double load_bound = 0.0;
+};
+
+using placement_choice = std::variant<placement, no_choice>;
 
 /// Hash that requests with the same shared prefix have in common.
 std::uint64_t affinity_of(const caller_request& request);
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -53,10 +53,6 @@
   return std::to_string(time.count() / milliseconds_a_second) + "." + rest;
 }
 
-std::int64_t milliseconds_between(steady_time from, steady_time to) {
-  return std::chrono::duration_cast<milliseconds>(to - from).count();
-}
-
 }  // namespace
 
 exchange::exchange(traffic_context& parts, answer_sink& answers, gateway::caller_request asked,
@@ -108,20 +104,29 @@
   return bytes;
 }
 
-bool exchange::open_call(gateway::endpoint& row, steady_time now) {
+bool exchange::open_call(const gateway::placement& chosen, steady_time now) {
+  gateway::endpoint& row = *chosen.row;
   const gateway::pool& pool = *this->taken->taken_pool;
   const double share = connections_used * pool.max_connections /
                        std::max<std::uint32_t>(this->context.state.fleet.gateways, 1);
   endpoint_link* link = this->context.links.take(row.listing.name, row.listing.address,
                                                  static_cast<std::size_t>(std::max(share, 1.0)));
+  this->call = call_state{};
+  attempt_record record;
+  record.endpoint = row.listing.name;
+  record.reason = chosen.reason;
+  record.load = load_of(row);
+  record.load_bound = chosen.load_bound;
+  record.holders = this->hints.holders.size();
+  record.began_at = now;
+  this->attempts.push_back(std::move(record));
   if (link == nullptr) {
+    this->end_attempt("no_connection");
     return false;
   }
-  this->call = call_state{};
   this->call.link = link;
   this->call.endpoint = row.listing.name;
   this->call.last_bytes_at = now;
-  this->call.load_at_choice = load_of(row);
   begin_request(row, pool, this->context.state.fleet, now);
   if (this->history.sends > 0) {
     count_resend(this->context.state.resend_budgets[pool.name], this->context.state.resends, now);
@@ -150,9 +155,9 @@
       this->last_no_choice = *none;
       break;
     }
-    gateway::endpoint& row = *std::get<gateway::endpoint*>(choice);
-    this->hints.tried.push_back(row.listing.name);
-    if (this->open_call(row, now)) {
+    const auto& chosen = std::get<gateway::placement>(choice);
+    this->hints.tried.push_back(chosen.row->listing.name);
+    if (this->open_call(chosen, now)) {
       return;
     }
   }
@@ -167,9 +172,17 @@
   }
 }
 
+void exchange::end_attempt(std::string_view result) {
+  attempt_record& row = this->attempts.back();
+  row.ended_at = this->context.time.now();
+  row.result = result;
+  row.status = this->call.answer.status;
+  row.events = this->events.events;
+}
+
 void exchange::close_call(attempt_result result) {
   this->call.link = nullptr;
-  this->last_reason = name_of(result);
+  this->end_attempt(name_of(result));
   gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->call.endpoint);
   if (row == nullptr) {
     return;
@@ -447,7 +460,7 @@
   if (this->call.link != nullptr) {
     this->call.link->abandon();
     this->call.link = nullptr;
-    this->last_reason = this->call.answered ? "answering" : "waiting";
+    this->end_attempt(this->call.answered ? "answering" : "waiting");
     if (gateway::endpoint* row =
             find_endpoint(this->context.state.endpoints, this->call.endpoint)) {
       end_request(*row);
@@ -509,11 +522,16 @@
     fields.push_back({"endpoints", endpoints});
     fields.push_back({"sends", std::int64_t{this->history.sends}});
     fields.push_back({"executions", std::int64_t{this->history.executions}});
-    fields.push_back({"reason", std::string(this->last_reason)});
-    fields.push_back({"endpoint_status", std::int64_t{this->call.answer.status}});
-    fields.push_back({"endpoint_load", this->call.load_at_choice});
-    fields.push_back({"holders", static_cast<std::int64_t>(this->hints.holders.size())});
-    fields.push_back({"events", static_cast<std::int64_t>(this->events.events)});
+  }
+  if (!this->attempts.empty()) {
+    const attempt_record& last = this->attempts.back();
+    fields.push_back({"chosen_by", std::string(name_of(last.reason))});
+    fields.push_back({"endpoint_load", last.load});
+    fields.push_back({"load_bound", last.load_bound});
+    fields.push_back({"holders", static_cast<std::int64_t>(last.holders)});
+    fields.push_back({"reason", std::string(last.result)});
+    fields.push_back({"endpoint_status", std::int64_t{last.status}});
+    fields.push_back({"events", static_cast<std::int64_t>(last.events)});
   }
   if (this->first_bytes_at) {
     fields.push_back(
@@ -532,6 +550,9 @@
   this->context.metrics.observe("chestnuthead_request_seconds",
                                 std::chrono::duration<double>(now - this->arrived_at).count());
   if (this->is_logged(outcome, now)) {
+    if (this->attempts.size() > 1) {
+      log_attempts(this->context.log, this->request.id, this->attempts, this->arrived_at);
+    }
     this->context.log.write(log_level::info, "request_ended", this->story(outcome, status, now));
   }
   this->sink.exchange_over();
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -18,6 +18,7 @@
 #include "Gateway/request.h"
 #include "Traffic/endpoint_link.h"
 #include "Traffic/event_loop.h"
+#include "Traffic/request_story.h"
 #include "Traffic/traffic_context.h"
 
 namespace chestnuthead::traffic {
@@ -68,8 +69,6 @@
     endpoint_link* link = nullptr;
     endpoint_id endpoint;
     steady_time last_bytes_at{};
-    /// The endpoint's load as it was known when it was chosen.
-    double load_at_choice = 0.0;
     /// An answer's head has come.
     bool answered = false;
     /// The call has waited so long that its endpoint was doubted.
@@ -83,7 +82,9 @@
   };
 
   void send_to_endpoint();
-  [[nodiscard]] bool open_call(gateway::endpoint& row, steady_time now);
+  [[nodiscard]] bool open_call(const gateway::placement& chosen, steady_time now);
+  /// Notes how the latest attempt ended.
+  void end_attempt(std::string_view result);
   [[nodiscard]] std::string encode_call(const gateway::endpoint& row, steady_time now) const;
   void close_call(gateway::attempt_result result);
   void suspect_crash();
@@ -111,6 +112,8 @@
   std::optional<gateway::admission> taken;
   gateway::attempt_history history;
   gateway::placement_hints hints;
+  /// Endpoints chosen up to now, in order.
+  std::vector<attempt_record> attempts;
   call_state call;
   gateway::event_splitter events;
   gateway::no_choice last_no_choice = gateway::no_choice::none_in_service;
@@ -122,8 +125,6 @@
   /// `affinity_of` the request.
   std::uint64_t prefix = 0;
   std::optional<steady_time> first_bytes_at;
-  /// How the latest call ended; empty before the first one did.
-  std::string_view last_reason;
   bool over = false;
 };
 
--- a/Tests/Gateway/placement_test.cxx
+++ b/Tests/Gateway/placement_test.cxx
@@ -163,7 +163,7 @@
     for (int number = 0; number < 100; ++number) {
       const auto choice = choose_endpoint(endpoints_of(state.endpoints, plain_pool), pool{}, call,
                                           {}, state.fleet, random, test_start);
-      to_less_loaded += std::get<endpoint*>(choice)->listing.name.value == "b" ? 1 : 0;
+      to_less_loaded += std::get<placement>(choice).row->listing.name.value == "b" ? 1 : 0;
     }
     // Both draws meet the loaded one in a quarter of the cases.
     CPPUNIT_ASSERT(to_less_loaded > 60);
@@ -179,7 +179,7 @@
 
   static endpoint* choose(gateway_state& state, std::uint64_t chat,
                           const std::vector<endpoint_id>& tried = {}) {
-    return std::get<endpoint*>(choice_for(state, chat, tried));
+    return std::get<placement>(choice_for(state, chat, tried)).row;
   }
 
   static no_choice refusal_of(gateway_state& state, std::uint64_t chat,
@@ -200,7 +200,7 @@
       const auto choice =
           choose_endpoint(endpoints_of(state.endpoints, engine_pool), settings, chat_request(1), {},
                           state.fleet, random, test_start + at);
-      if (std::holds_alternative<endpoint*>(choice)) {
+      if (std::holds_alternative<placement>(choice)) {
         begin_request(row, settings, state.fleet, test_start + at);
         end_request(row);
         sent.push_back(at + offset);
--- a/Tests/Gateway/prefix_holders_test.cxx
+++ b/Tests/Gateway/prefix_holders_test.cxx
@@ -119,9 +119,10 @@
     const caller_request request = chat_request(chat);
     const std::uint64_t prefix = affinity_of(request);
     const placement_hints hints{{}, holders_of(state.holders, prefix, test_start)};
-    endpoint& row = *std::get<endpoint*>(choose_endpoint(endpoints_of(state.endpoints, engine_pool),
-                                                         engine_pool_settings(), request, hints,
-                                                         state.fleet, random, test_start));
+    const auto choice =
+        choose_endpoint(endpoints_of(state.endpoints, engine_pool), engine_pool_settings(), request,
+                        hints, state.fleet, random, test_start);
+    endpoint& row = *std::get<placement>(choice).row;
     note_placement(state.holders, {prefix, row.hash}, test_start);
     return row;
   }
--- a/Tests/Processes/gateway_start.sh
+++ b/Tests/Processes/gateway_start.sh
@@ -52,6 +52,21 @@
 [ "$status" -eq 4 ] || fail "A taken port ended with status $status, but 4 was expected."
 grep -q public_address "$folder/taken.log" || fail "The taken address was not named."
 
+# A changed file is read again; one with a fault changes nothing.
+wait_for() {
+  for _ in $(seq 200); do
+    ! grep -q "$1" "$folder/gateway.log" || return 0
+    sleep 0.05
+  done
+  fail "The log does not hold: $1"
+}
+settings | sed 's/}$/,"load_multiple":3,"region":"far"}/' > "$folder/good.json"
+kill -HUP "$gateway"
+wait_for '"event":"settings_reread","taken":"load_multiple","after_restart":"region"'
+settings | sed 's/}$/,"load_multiple":0}/' > "$folder/good.json"
+kill -HUP "$gateway"
+wait_for '"event":"settings_refused","key":"load_multiple"'
+
 kill -TERM "$gateway"
 status=0
 wait "$gateway" || status=$?
--- a/Tests/Traffic/gateway_settings_test.cxx
+++ b/Tests/Traffic/gateway_settings_test.cxx
@@ -1,13 +1,22 @@
 #include "Traffic/gateway_settings.h"
 
+#include <fstream>
+
+#include <Poco/TemporaryFile.h>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Net/json_text.h"
+#include "Traffic/settings_watch.h"
+
 namespace chestnuthead::traffic {
 
 class gateway_settings_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(gateway_settings_test);
   CPPUNIT_TEST(settings_survive_a_round_trip);
   CPPUNIT_TEST(every_fault_is_named);
+  CPPUNIT_TEST(a_change_says_what_needs_a_restart);
+  CPPUNIT_TEST(every_key_is_compared);
+  CPPUNIT_TEST(a_file_is_looked_at_now_and_then);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -34,6 +43,63 @@
         std::holds_alternative<std::vector<settings_fault>>(parse_gateway_settings("[")));
   }
 
+  void a_change_says_what_needs_a_restart() {
+    auto running = std::get<gateway_settings>(parse_gateway_settings(good()));
+    auto read = running;
+    read.load_multiple = 3.0;
+    read.public_address = "10.0.0.1:90";
+    const settings_change change = compare_settings(running, read);
+    CPPUNIT_ASSERT(change.usable == std::vector<std::string>{"load_multiple"});
+    CPPUNIT_ASSERT(change.after_restart == std::vector<std::string>{"public_address"});
+    take_usable(running, read);
+    CPPUNIT_ASSERT_EQUAL(3.0, running.load_multiple);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), running.public_address);
+  }
+
+  void every_key_is_compared() {
+    const gateway_settings first;
+    const gateway_settings other{"b",
+                                 "south",
+                                 "r",
+                                 "1.1.1.1:1",
+                                 "1.1.1.1:2",
+                                 "1.1.1.1:3",
+                                 "1.1.1.1:4",
+                                 "1.1.1.1:5",
+                                 std::chrono::milliseconds{1},
+                                 std::chrono::milliseconds{2},
+                                 std::chrono::milliseconds{3},
+                                 0.5,
+                                 1.0,
+                                 std::chrono::seconds{1},
+                                 9.0};
+    const settings_change change = compare_settings(first, other);
+    const auto keys = parse_json_object(format_settings(other))->getNames();
+    CPPUNIT_ASSERT_EQUAL(keys.size(), change.usable.size() + change.after_restart.size());
+    // What was taken no longer differs.
+    gateway_settings taken = first;
+    take_usable(taken, other);
+    CPPUNIT_ASSERT(compare_settings(taken, other).usable.empty());
+  }
+
+  void a_file_is_looked_at_now_and_then() {
+    const Poco::TemporaryFile file;
+    const auto write = [&file](const std::string& text) {
+      std::ofstream(file.path(), std::ios::trunc) << text;
+    };
+    write("one");
+    settings_watch watch(file.path(), "one");
+    const steady_time start{std::chrono::hours{1}};
+    CPPUNIT_ASSERT(!watch.changed(start, false));
+    write("two");
+    CPPUNIT_ASSERT(!watch.changed(start + std::chrono::seconds{1}, false));
+    CPPUNIT_ASSERT(watch.changed(start + std::chrono::seconds{1}, true) == "two");
+    write("");
+    CPPUNIT_ASSERT(!watch.changed(start + std::chrono::seconds{9}, false));
+    write("three");
+    CPPUNIT_ASSERT(watch.changed(start + std::chrono::seconds{19}, false) == "three");
+  }
+
  private:
   static std::string good() {
     return R"({"node":"a","failure_domain":"north","public_address":"10.0.0.1:80",
