Send callers of a gateway without the store to others at once

Ruled out: endpoints (only 306 answers were late by the gateways' own clocks).

Gateways now tell each other whether the store has confirmed their configuration lately. One that has lost it while most peers have not leaves the rotation before it must refuse keys, ends kept connections with the next answer, and refuses with 10 to 60 ms to come back. While the store is away for all, nothing changes.

--- a/Source/Gateway/admission.cxx
+++ b/Source/Gateway/admission.cxx
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Gateway/readiness.h"
+
 namespace chestnuthead::gateway {
 
 namespace {
@@ -12,30 +14,37 @@
 /// Callers honour a time to come back up to this part of the time they have.
 constexpr int honoured_part = 3;
 
-std::chrono::milliseconds spread_return(std::chrono::milliseconds longest, random_source& random) {
-  const auto most = std::clamp(longest, shortest_return, longest_return);
-  const auto range = static_cast<std::uint64_t>((most - shortest_return).count()) + 1;
-  return shortest_return + std::chrono::milliseconds{next_below(random, range)};
-}
+/// The same for a caller that only has to go to another gateway: within a
+/// latency objective, yet not all in one moment.
+constexpr std::chrono::milliseconds shortest_change{10};
+constexpr std::chrono::milliseconds longest_change{60};
 
-}  // namespace
+std::chrono::milliseconds spread(std::chrono::milliseconds least, std::chrono::milliseconds most,
+                                 random_source& random) {
+  const auto range = static_cast<std::uint64_t>((most - least).count()) + 1;
+  return least + std::chrono::milliseconds{next_below(random, range)};
+}
 
-bool keys_trusted(const gateway_state& state, steady_time now) {
-  return now - state.confirmed_at < state.key_trust;
+std::chrono::milliseconds spread_return(std::chrono::milliseconds longest, random_source& random) {
+  return spread(shortest_return, std::clamp(longest, shortest_return, longest_return), random);
 }
 
-bool is_ready(const gateway_state& state, steady_time now) {
-  return state.services != nullptr && state.endpoints_known && !state.stopping &&
-         (!state.services->has_customers || keys_trusted(state, now));
+/// A refusal for a reason of this gateway's own: callers for whom another gateway
+/// is ready go there almost at once.
+refusal refuse_here(error_kind kind, bool others_better, random_source& random) {
+  return refusal{kind, others_better ? spread(shortest_change, longest_change, random)
+                                     : spread_return(longest_return, random)};
 }
 
+}  // namespace
+
 admission_result admit(const gateway_state& state, const caller_request& request,
                        random_source& random, steady_time now) {
   if (state.closed) {
-    return refusal{error_kind::stopping, shortest_return};
+    return refuse_here(error_kind::stopping, !state.peers.rows.empty(), random);
   }
   if (state.services == nullptr || !state.endpoints_known) {
-    return refusal{error_kind::not_ready, spread_return(longest_return, random)};
+    return refuse_here(error_kind::not_ready, others_are_better(state, now), random);
   }
   const service_map& services = *state.services;
   const route* found = find_route(services, request.host, path_of(request));
@@ -45,7 +54,7 @@
   admission taken{state.services, found, nullptr, {}, found->priority, {}, {}};
   if (services.has_customers && found->needs_key) {
     if (!keys_trusted(state, now)) {
-      return refusal{error_kind::not_ready, spread_return(longest_return, random)};
+      return refuse_here(error_kind::not_ready, others_are_better(state, now), random);
     }
     const customer* holder = find_customer(services, request.key);
     if (holder == nullptr) {
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -43,11 +43,4 @@
   std::uint64_t requests_in_flight = 0;
 };
 
-/// True while keys may be accepted: a key that was revoked meanwhile would be
-/// known by now.
-bool keys_trusted(const gateway_state& state, steady_time now);
-
-/// True if the balancer should send callers here.
-bool is_ready(const gateway_state& state, steady_time now);
-
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -47,6 +47,8 @@
   std::vector<prefix_word> placements;
   /// Recent suspicions against requests.
   std::vector<crash_word> crashes;
+  /// The store has confirmed the sender's configuration lately.
+  bool current = false;
   /// The sender's process ends in order.
   bool leaving = false;
 };
--- a/Source/Traffic/caller_link.cxx
+++ b/Source/Traffic/caller_link.cxx
@@ -7,6 +7,8 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
+#include "Gateway/readiness.h"
+
 namespace chestnuthead::traffic {
 
 namespace {
@@ -126,19 +128,30 @@
   this->close_in_order();
 }
 
+bool caller_link::stays_open() const {
+  return this->keeps_open && !this->stopping;
+}
+
+void caller_link::send_away_if_better() {
+  if (others_are_better(this->context.state, this->context.time.now())) {
+    this->keeps_open = false;
+  }
+}
+
 std::string caller_link::head_of(int status, std::string_view headers) const {
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head += Poco::Net::HTTPResponse::getReasonForStatus(
       static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
   head += "\r\n";
   head += headers;
-  if (!this->keeps_open || this->stopping) {
+  if (!this->stays_open()) {
     head += "Connection: close\r\n";
   }
   return head;
 }
 
 void caller_link::send_whole(int status, std::string_view headers, std::string_view bytes) {
+  this->send_away_if_better();
   std::string out = this->head_of(status, headers);
   out += "Content-Length: " + std::to_string(bytes.size()) + "\r\n\r\n";
   out += bytes;
@@ -146,6 +159,7 @@
 }
 
 void caller_link::begin_stream(int status, std::string_view headers, std::string_view first) {
+  this->send_away_if_better();
   std::string out = this->head_of(status, headers);
   out += "Transfer-Encoding: chunked\r\n\r\n";
   append_chunk(out, first);
@@ -178,7 +192,7 @@
   this->since = this->context.time.now();
   if (this->link.failed()) {
     this->remove();
-  } else if (!this->keeps_open || this->stopping) {
+  } else if (!this->stays_open()) {
     this->close_in_order();
   } else if (!this->waiting.empty()) {
     this->read_buffered();
--- a/Source/Traffic/caller_link.h
+++ b/Source/Traffic/caller_link.h
@@ -67,6 +67,10 @@
   void answer_fault(error_kind kind);
   void close_in_order();
   void remove();
+  [[nodiscard]] bool stays_open() const;
+  /// Ends the connection with this answer if the caller's next request is
+  /// better off at another gateway.
+  void send_away_if_better();
   [[nodiscard]] std::string head_of(int status, std::string_view headers) const;
 
   traffic_context& context;
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -10,7 +10,7 @@
 namespace {
 
 /// Changes when the fields do; gateways ignore messages of another version.
-constexpr std::uint32_t message_version = 2;
+constexpr std::uint32_t message_version = 3;
 /// Entries of one list that are taken at most.
 constexpr std::size_t list_limit = 4'096;
 
@@ -36,7 +36,7 @@
 }  // namespace
 
 std::string encode_word(const gateway::peer_word& word) {
-  constexpr std::size_t fields = 9;
+  constexpr std::size_t fields = 10;
   field_writer out;
   out.array(fields);
   out.put(message_version);
@@ -44,6 +44,7 @@
   out.put(word.start);
   out.put(word.sequence);
   out.put(word.leaving);
+  out.put(word.current);
   out.array(word.loads.size() * 2);
   for (const gateway::peer_load& load : word.loads) {
     out.put(load.endpoint);
@@ -80,6 +81,7 @@
     in.get(word.start);
     in.get(word.sequence);
     in.get(word.leaving);
+    in.get(word.current);
     read_pairs(in.object(), word.loads, &gateway::peer_load::endpoint,
                &gateway::peer_load::in_flight);
     const msgpack::object& unreachable = in.object();
--- a/Source/Traffic/peer_port.cxx
+++ b/Source/Traffic/peer_port.cxx
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "Gateway/endpoint_health.h"
+#include "Gateway/readiness.h"
 #include "Traffic/byte_link.h"
 #include "Traffic/peer_codec.h"
 
@@ -69,6 +70,7 @@
   this->next_at = now + gateway::word_interval(state.fleet.gateways);
   gateway::peer_word word = own_word(state.endpoints, now);
   word.crashes = recent_crashes(state.suspects, now);
+  word.current = is_current(state, now);
   word.placements = std::exchange(state.holders.news, {});
   this->send_word(std::move(word));
   forget_old(state.suspects, now);
--- a/Tests/Gateway/admission_test.cxx
+++ b/Tests/Gateway/admission_test.cxx
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Gateway/gateway_fixture.h"
+#include "Gateway/readiness.h"
 
 namespace chestnuthead::gateway {
 
--- a/Tests/Traffic/peer_codec_test.cxx
+++ b/Tests/Traffic/peer_codec_test.cxx
@@ -20,6 +20,7 @@
     CPPUNIT_ASSERT(back->sender == word.sender);
     CPPUNIT_ASSERT_EQUAL(word.start, back->start);
     CPPUNIT_ASSERT_EQUAL(word.sequence, back->sequence);
+    CPPUNIT_ASSERT_EQUAL(word.current, back->current);
     CPPUNIT_ASSERT(back->leaving);
     CPPUNIT_ASSERT_EQUAL(word.loads[1].endpoint, back->loads.at(1).endpoint);
     CPPUNIT_ASSERT_EQUAL(word.loads[1].in_flight, back->loads.at(1).in_flight);
@@ -46,6 +47,7 @@
     word.start = 17;
     word.sequence = 4;
     word.leaving = true;
+    word.current = true;
     word.loads = {{0xFFFF'FFFF'FFFF'FFFF, 3}, {7, 9}};
     word.unreachable = {5};
     word.crashes = {{1, 2}};
