Explain requests from log files, and serve latency histograms

chestnutctl explain and timeline read the lines of gateways, from files or a pipe, as text, JSON or one page; explain adds what the request's gateway knew then. Until now only nodes with a status port could be asked, which gateways have not.

Times were kept as quantile estimates of the whole life of a process.

--- a/Source/Control/watch_commands.cxx
+++ b/Source/Control/watch_commands.cxx
@@ -1,12 +1,15 @@
 #include "Control/watch_commands.h"
 
+#include <fstream>
 #include <iostream>
+#include <variant>
 
 #include <Poco/JSON/Array.h>
 
 #include "Control/command.h"
 #include "Control/explanation.h"
 #include "Control/fleet_access.h"
+#include "Control/log_lines.h"
 #include "Control/timeline_merge.h"
 #include "Control/timeline_page.h"
 #include "Net/json_text.h"
@@ -19,6 +22,8 @@
 
 constexpr const char* fleet_help = "Fleet file; the variable CHESTNUT_FLEET if not given.";
 constexpr const char* json_help = "Print JSON in place of text.";
+constexpr const char* log_help =
+    "Read the lines of these files in place of a fleet; - is the input.";
 
 // The events of all nodes, and the nodes that did not answer.
 struct merged_timeline {
@@ -26,7 +31,7 @@
   std::vector<std::string> silent;
 };
 
-merged_timeline merge_timelines(const fleet_file& fleet, const timeline_filter& filter) {
+merged_timeline merge_timelines(const fleet_file& fleet) {
   merged_timeline merged;
   for (const auto& [node, address] : fleet.nodes) {
     const auto text = ask_node(address, "/timeline");
@@ -38,10 +43,49 @@
     merged.events.insert(merged.events.end(), events.begin(), events.end());
   }
   order_events(merged.events);
-  merged.events = filter_events(merged.events, filter);
   return merged;
 }
 
+/// Where a command finds events: log files if any are named, else a fleet.
+struct event_source {
+  std::string fleet_path;
+  std::vector<std::string> logs;
+};
+
+std::variant<merged_timeline, command_failure> read_logs(const std::vector<std::string>& paths) {
+  merged_timeline merged;
+  std::size_t skipped = 0;
+  for (const std::string& path : paths) {
+    std::ifstream file;
+    if (path != "-") {
+      file.open(path);
+      if (!file.is_open()) {
+        return command_failure{fail(
+            exit_bad_file, path + ": the file can't be read, but lines of a log were expected.")};
+      }
+    }
+    log_reading reading = read_log_lines(path == "-" ? std::cin : file);
+    skipped += reading.skipped;
+    merged.events.insert(merged.events.end(), reading.events.begin(), reading.events.end());
+  }
+  if (skipped > 0) {
+    std::cerr << skipped << " lines hold no event and were left out.\n";
+  }
+  order_events(merged.events);
+  return merged;
+}
+
+std::variant<merged_timeline, command_failure> read_events(const event_source& source) {
+  if (!source.logs.empty()) {
+    return read_logs(source.logs);
+  }
+  const auto fleet = read_fleet(source.fleet_path);
+  if (const auto* failure = std::get_if<command_failure>(&fleet)) {
+    return *failure;
+  }
+  return merge_timelines(std::get<fleet_file>(fleet));
+}
+
 int report_silent(const merged_timeline& merged) {
   for (const std::string& node : merged.silent) {
     std::cerr << "The node " << node << " does not answer, so its events are missing.\n";
@@ -116,49 +160,55 @@
 }
 
 int run_timeline(const std::vector<std::string>& words) {
-  std::string fleet_path;
+  event_source source;
   bool json = false;
   bool html = false;
   timeline_filter filter;
   std::vector<option_spec> options = filter_specs(filter);
-  options.push_back({"fleet", &fleet_path, fleet_help});
+  options.push_back({"fleet", &source.fleet_path, fleet_help});
+  options.push_back({"log", &source.logs, log_help});
   options.push_back({"json", &json, json_help});
   options.push_back({"html", &html, "Print one self-contained page with a lane a process."});
-  const command_words line =
-      read_command(words, "timeline",
-                   "Merges the events that all nodes hold into one time line. Exit status 1 if\n"
-                   "a node does not answer.",
-                   options, 0);
+  const command_words line = read_command(
+      words, "timeline",
+      "Merges the events that all nodes hold, or the lines of log files, into one time\n"
+      "line. Exit status 1 if a node does not answer.",
+      options, 0);
   if (line.done) {
     return line.status;
   }
-  const auto fleet = read_fleet(fleet_path);
-  if (const auto* failure = std::get_if<command_failure>(&fleet)) {
+  const auto result = read_events(source);
+  if (const auto* failure = std::get_if<command_failure>(&result)) {
     return failure->status;
   }
-  const merged_timeline merged = merge_timelines(std::get<fleet_file>(fleet), filter);
+  const auto& merged = std::get<merged_timeline>(result);
+  const std::vector<timeline_event> events = filter_events(merged.events, filter);
   if (json) {
     Object object;
-    object.set("events", format_events_json(merged.events));
+    object.set("events", format_events_json(events));
     print_json(object);
   } else {
-    std::cout << (html ? format_timeline_page(merged.events) : format_events_text(merged.events));
+    std::cout << (html ? format_timeline_page(events) : format_events_text(events));
   }
   return report_silent(merged);
 }
 
 int run_explain(const std::vector<std::string>& words) {
-  std::string fleet_path;
+  event_source source;
   bool json = false;
+  bool html = false;
   timeline_filter filter;
   const command_words line = read_command(
       words, "explain",
       "Tells for a request, or for each request of a chat, which endpoints were asked, what\n"
-      "each said and where it landed. Give --request or --chat.",
+      "each said and where it landed. Give --request or --chat. From log files it adds what\n"
+      "the request's gateway knew at that time.",
       {{"request", &filter.request, "Request to explain."},
        {"chat", &filter.chat, "Chat to explain."},
-       {"fleet", &fleet_path, fleet_help},
-       {"json", &json, json_help}},
+       {"fleet", &source.fleet_path, fleet_help},
+       {"log", &source.logs, log_help},
+       {"json", &json, json_help},
+       {"html", &html, "Print one self-contained page with a lane a process."}},
       0);
   if (line.done) {
     return line.status;
@@ -166,38 +216,25 @@
   if (filter.request.empty() == filter.chat.empty()) {
     return fail(exit_usage, "One of the options --request and --chat was expected.");
   }
-  const auto fleet = read_fleet(fleet_path);
-  if (const auto* failure = std::get_if<command_failure>(&fleet)) {
+  const auto result = read_events(source);
+  if (const auto* failure = std::get_if<command_failure>(&result)) {
     return failure->status;
   }
-  const merged_timeline merged = merge_timelines(std::get<fleet_file>(fleet), filter);
-  Poco::JSON::Array requests;
-  for (const explanation& entry : explain_requests(merged.events)) {
-    Object object(Poco::JSON_PRESERVE_KEY_ORDER);
-    Poco::JSON::Array sentences;
-    object.set("request", entry.request);
-    for (const std::string& sentence : entry.sentences) {
-      sentences.add(sentence);
-    }
-    object.set("events", sentences);
-    requests.add(object);
-    if (!json) {
-      std::cout << "Request " << entry.request << "\n";
-      for (const std::string& sentence : entry.sentences) {
-        std::cout << "  " << sentence << "\n";
-      }
-    }
+  const auto& merged = std::get<merged_timeline>(result);
+  std::vector<timeline_event> events = filter_events(merged.events, filter);
+  if (events.empty()) {
+    report_silent(merged);
+    return fail(exit_negative, "Nothing tells of it: no node's events and no line.");
   }
+  const std::vector<explanation> stories = explain_requests(events, merged.events);
   if (json) {
-    Object object;
-    object.set("requests", requests);
-    print_json(object);
-  }
-  const int silent = report_silent(merged);
-  if (merged.events.empty()) {
-    return fail(exit_negative, "No node holds an event of it.");
+    print_json(format_explanations_json(stories));
+  } else if (html) {
+    std::cout << format_timeline_page(with_circumstances(std::move(events), merged.events));
+  } else {
+    std::cout << format_explanations_text(stories);
   }
-  return silent;
+  return report_silent(merged);
 }
 
 }  // namespace chestnuthead
--- a/Source/Daemons/router_node.cxx
+++ b/Source/Daemons/router_node.cxx
@@ -166,19 +166,18 @@
 void router_node::end(const exchange& entry, const exchange_result& result) {
   const request_facts& facts = entry.arrival.facts;
   this->exchanges.remove(facts.request);
-  const auto took = std::chrono::duration<double, std::milli>(result.took);
   this->parts.metrics.count("chestnut_requests", "end=\"" + result.end + "\"");
-  this->parts.metrics.observe("chestnut_request_milliseconds", took.count());
+  this->parts.metrics.observe("chestnut_request_seconds", {}, result.took);
   if (result.first_byte.has_value()) {
-    const auto first = std::chrono::duration<double, std::milli>(*result.first_byte);
-    this->parts.metrics.observe("chestnut_first_byte_milliseconds", first.count());
+    this->parts.metrics.observe("chestnut_first_byte_seconds", {}, *result.first_byte);
   }
-  this->parts.log.write(log_level::debug, "request_ended",
-                        {{"request", facts.request.value},
-                         {"customer", facts.customer.value},
-                         {"pool", facts.pool.value},
-                         {"end", result.end},
-                         {"took_ms", took.count()}});
+  this->parts.log.write(
+      log_level::debug, "request_ended",
+      {{"request", facts.request.value},
+       {"customer", facts.customer.value},
+       {"pool", facts.pool.value},
+       {"end", result.end},
+       {"took_ms", std::chrono::duration<double, std::milli>(result.took).count()}});
 }
 
 void router_node::tell_traffic(const request_id& request, exchange_message message) {
--- a/Source/Gateway/attempt_rules.cxx
+++ b/Source/Gateway/attempt_rules.cxx
@@ -67,7 +67,7 @@
   ++this_second(budget, terms, now).resends;
 }
 
-bool resend_allowed(const resend_budget& budget, const resend_terms& terms, std::uint32_t gateways,
+double resends_left(const resend_budget& budget, const resend_terms& terms, std::uint32_t gateways,
                     steady_time now) {
   const std::int64_t oldest = second_of(now) - terms.window.count();
   double requests = 0.0;
@@ -79,7 +79,12 @@
     }
   }
   const double part = terms.allowance / std::max<std::uint32_t>(gateways, 1);
-  return resends + 1.0 <= budget_used * (terms.share * requests + part);
+  return budget_used * (terms.share * requests + part) - resends;
+}
+
+bool resend_allowed(const resend_budget& budget, const resend_terms& terms, std::uint32_t gateways,
+                    steady_time now) {
+  return resends_left(budget, terms, gateways, now) >= 1.0;
 }
 
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/attempt_rules.h
+++ b/Source/Gateway/attempt_rules.h
@@ -82,6 +82,10 @@
 /// A request was sent once more.
 void count_resend(resend_budget& budget, const resend_terms& terms, steady_time now);
 
+/// Resends left to this gateway within the window.
+double resends_left(const resend_budget& budget, const resend_terms& terms, std::uint32_t gateways,
+                    steady_time now);
+
 /// True if one more resend stays within this gateway's part of the budget.
 bool resend_allowed(const resend_budget& budget, const resend_terms& terms, std::uint32_t gateways,
                     steady_time now);
--- a/Source/Net/metrics.cxx
+++ b/Source/Net/metrics.cxx
@@ -1,12 +1,15 @@
 #include "Net/metrics.h"
 
 #include <sstream>
+#include <vector>
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
 
 namespace chestnuthead {
 
@@ -15,31 +18,52 @@
 namespace stats = boost::accumulators;
 
 using total_set = stats::accumulator_set<double, stats::stats<stats::tag::count, stats::tag::sum>>;
-using quantile_set = stats::accumulator_set<double, stats::stats<stats::tag::p_square_quantile>>;
 
-constexpr double middle = 0.5;
-constexpr double high = 0.95;
-constexpr double highest = 0.99;
-/// With fewer values the estimate is not defined.
-constexpr std::size_t values_needed = 16;
+/// Upper bounds of the buckets, in seconds: close together about the usual
+/// latency objectives (0.15 to 1.1 s), up to a long request's patience.
+const std::vector<double>& bucket_bounds() {
+  static const std::vector<double> bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3,
+                                          0.4,   0.6,  0.8,   1.1,  2.0, 5.0,  10.0};
+  return bounds;
+}
+
+/// Axis edges: zero, then the upper bounds.
+std::vector<double> edges() {
+  std::vector<double> all{0.0};
+  all.insert(all.end(), bucket_bounds().begin(), bucket_bounds().end());
+  return all;
+}
 
-std::string full_name(const std::string& name, const std::string& label) {
+std::string with_labels(const std::string& name, const std::string& label) {
   return label.empty() ? name : name + "{" + label + "}";
 }
 
 }  // namespace
 
-struct metrics_registry::distribution {
+/// Boost.Accumulators has no histogram of fixed buckets, so that Boost.Histogram
+/// counts them.
+struct metrics_registry::histogram {
   total_set total;
-  quantile_set p50{stats::quantile_probability = middle};
-  quantile_set p95{stats::quantile_probability = high};
-  quantile_set p99{stats::quantile_probability = highest};
+  decltype(boost::histogram::make_histogram(boost::histogram::axis::variable<>(edges()))) buckets =
+      boost::histogram::make_histogram(boost::histogram::axis::variable<>(edges()));
 
   void add(double value) {
     this->total(value);
-    this->p50(value);
-    this->p95(value);
-    this->p99(value);
+    this->buckets(value);
+  }
+
+  void format(std::ostream& out, const std::string& name, const std::string& label) const {
+    const std::string before = label.empty() ? "" : label + ",";
+    double sum = 0.0;
+    for (std::size_t bucket = 0; bucket < bucket_bounds().size(); ++bucket) {
+      sum += this->buckets.at(static_cast<int>(bucket));
+      out << name << "_bucket{" << before << "le=\"" << bucket_bounds()[bucket] << "\"} " << sum
+          << '\n';
+    }
+    const std::size_t count = stats::count(this->total);
+    out << name << "_bucket{" << before << "le=\"+Inf\"} " << count << '\n'
+        << with_labels(name + "_sum", label) << ' ' << stats::sum(this->total) << '\n'
+        << with_labels(name + "_count", label) << ' ' << count << '\n';
   }
 };
 
@@ -50,21 +74,29 @@
 void metrics_registry::count(const std::string& name, const std::string& label,
                              std::uint64_t amount) {
   const std::lock_guard guard(this->lock);
-  this->values[full_name(name, label)] += static_cast<double>(amount);
+  this->values[with_labels(name, label)] += static_cast<double>(amount);
 }
 
 void metrics_registry::set(const std::string& name, const std::string& label, double value) {
   const std::lock_guard guard(this->lock);
-  this->values[full_name(name, label)] = value;
+  this->values[with_labels(name, label)] = value;
+}
+
+void metrics_registry::clear(const std::string& name) {
+  const std::lock_guard guard(this->lock);
+  std::erase_if(this->values, [&name](const auto& entry) {
+    return entry.first == name || entry.first.starts_with(name + "{");
+  });
 }
 
-void metrics_registry::observe(const std::string& name, double value) {
+void metrics_registry::observe(const std::string& name, const std::string& label,
+                               std::chrono::duration<double> value) {
   const std::lock_guard guard(this->lock);
-  auto& entry = this->distributions[name];
+  auto& entry = this->histograms[name][label];
   if (entry == nullptr) {
-    entry = std::make_unique<distribution>();
+    entry = std::make_unique<histogram>();
   }
-  entry->add(value);
+  entry->add(value.count());
 }
 
 std::string metrics_registry::format() const {
@@ -74,16 +106,11 @@
   for (const auto& [name, value] : this->values) {
     out << name << ' ' << value << '\n';
   }
-  for (const auto& [name, entry] : this->distributions) {
-    const std::size_t count = stats::count(entry->total);
-    out << name << "_count " << count << '\n'
-        << name << "_sum " << stats::sum(entry->total) << '\n';
-    if (count < values_needed) {
-      continue;
+  for (const auto& [name, labels] : this->histograms) {
+    out << "# TYPE " << name << " histogram\n";
+    for (const auto& [label, entry] : labels) {
+      entry->format(out, name, label);
     }
-    out << name << "{quantile=\"0.5\"} " << stats::p_square_quantile(entry->p50) << '\n'
-        << name << "{quantile=\"0.95\"} " << stats::p_square_quantile(entry->p95) << '\n'
-        << name << "{quantile=\"0.99\"} " << stats::p_square_quantile(entry->p99) << '\n';
   }
   return out.str();
 }
--- a/Source/Net/metrics.h
+++ b/Source/Net/metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -8,8 +9,8 @@
 
 namespace chestnuthead {
 
-/// Counters, gauges and distributions of one process, for /metrics. May be used
-/// from any thread.
+/// Counters, gauges and latency histograms of one process, for /metrics. May be
+/// used from any thread.
 class metrics_registry {
  public:
   metrics_registry();
@@ -22,18 +23,22 @@
   void count(const std::string& name, const std::string& label = {}, std::uint64_t amount = 1);
   /// Sets a counter or gauge that is kept elsewhere.
   void set(const std::string& name, const std::string& label, double value);
-  /// Adds a value to a distribution.
-  void observe(const std::string& name, double value);
+  /// Removes a gauge with all its labels, before those that still hold are set.
+  void clear(const std::string& name);
+  /// Adds a time to a histogram.
+  void observe(const std::string& name, const std::string& label,
+               std::chrono::duration<double> value);
 
   /// Everything in the text exposition format.
   [[nodiscard]] std::string format() const;
 
  private:
-  struct distribution;
+  struct histogram;
 
   mutable std::mutex lock;
   std::map<std::string, double> values;
-  std::map<std::string, std::unique_ptr<distribution>> distributions;
+  /// By name, then by label.
+  std::map<std::string, std::map<std::string, std::unique_ptr<histogram>>> histograms;
 };
 
 }  // namespace chestnuthead
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -129,6 +129,7 @@
   this->call.last_bytes_at = now;
   begin_request(row, pool, this->context.state.fleet, now);
   if (this->history.sends > 0) {
+    this->context.metrics.count("chestnuthead_resends_total", this->pool_label());
     count_resend(this->context.state.resend_budgets[pool.name], this->context.state.resends, now);
   }
   ++this->history.sends;
@@ -293,16 +294,19 @@
   if (whole.empty()) {
     return;
   }
+  const steady_time now = this->context.time.now();
   if (!this->history.answer_begun) {
     this->history.answer_begun = true;
-    this->first_bytes_at = this->context.time.now();
+    this->first_bytes_at = now;
     this->sink.begin_stream(this->stream_status, this->stream_headers, whole);
-    this->context.metrics.observe(
-        "chestnuthead_first_event_seconds",
-        std::chrono::duration<double>(*this->first_bytes_at - this->arrived_at).count());
+    this->context.metrics.observe("chestnuthead_first_bytes_seconds", this->pool_label(),
+                                  *this->first_bytes_at - this->arrived_at);
   } else {
+    this->context.metrics.observe("chestnuthead_event_pause_seconds", this->pool_label(),
+                                  now - this->last_events_at);
     this->sink.send_more(whole);
   }
+  this->last_events_at = now;
   if (!this->over && this->call.link != nullptr) {
     this->call.link->pause(this->sink.unsent() > unsent_limit);
   }
@@ -540,15 +544,18 @@
   return fields;
 }
 
+std::string exchange::pool_label() const {
+  // By pool: operators may set thousands of routes.
+  return "pool=\"" + (this->taken ? this->taken->taken_pool->name.value : "none") + "\"";
+}
+
 void exchange::conclude(std::string_view outcome, int status) {
   this->over = true;
   const steady_time now = this->context.time.now();
-  // By pool: operators may set thousands of routes.
-  const std::string pool = this->taken ? this->taken->taken_pool->name.value : "none";
   this->context.metrics.count("chestnuthead_requests_total",
-                              "pool=\"" + pool + "\",outcome=\"" + std::string(outcome) + "\"");
-  this->context.metrics.observe("chestnuthead_request_seconds",
-                                std::chrono::duration<double>(now - this->arrived_at).count());
+                              this->pool_label() + ",outcome=\"" + std::string(outcome) + "\"");
+  this->context.metrics.observe("chestnuthead_request_seconds", this->pool_label(),
+                                now - this->arrived_at);
   if (this->is_logged(outcome, now)) {
     if (this->attempts.size() > 1) {
       log_attempts(this->context.log, this->request.id, this->attempts, this->arrived_at);
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -102,6 +102,8 @@
   [[nodiscard]] bool is_logged(std::string_view outcome, steady_time now) const;
   [[nodiscard]] std::vector<log_field> story(std::string_view outcome, int status,
                                              steady_time now) const;
+  /// The pool as a label of metrics.
+  [[nodiscard]] std::string pool_label() const;
   [[nodiscard]] bool may_wait_elsewhere() const;
   [[nodiscard]] std::chrono::milliseconds silence_limit() const;
 
@@ -125,6 +127,8 @@
   /// `affinity_of` the request.
   std::uint64_t prefix = 0;
   std::optional<steady_time> first_bytes_at;
+  /// When events were passed to the caller last.
+  steady_time last_events_at{};
   bool over = false;
 };
 
--- /dev/null
+++ b/Source/Traffic/gateway_metrics.cxx
@@ -0,0 +1,77 @@
+#include "Traffic/gateway_metrics.h"
+
+#include <chrono>
+#include <string>
+
+#include "Gateway/readiness.h"
+
+namespace chestnuthead::traffic {
+
+namespace {
+
+std::string label_of(const char* name, const std::string& value) {
+  return std::string(name) + "=\"" + value + "\"";
+}
+
+void set_pools(metrics_registry& metrics, const gateway::gateway_state& state, steady_time now) {
+  for (const char* name : {"chestnuthead_pool_in_flight", "chestnuthead_pool_endpoints_in_service",
+                           "chestnuthead_pool_resends_left"}) {
+    metrics.clear(name);
+  }
+  for (const auto& [pool, rows] : state.endpoints.by_pool) {
+    double in_flight = 0.0;
+    double in_service = 0.0;
+    for (const gateway::endpoint* row : rows) {
+      in_flight += row->in_flight;
+      in_service += gateway::in_service(*row, state.fleet, now) ? 1.0 : 0.0;
+    }
+    const std::string label = label_of("pool", pool.value);
+    metrics.set("chestnuthead_pool_in_flight", label, in_flight);
+    metrics.set("chestnuthead_pool_endpoints_in_service", label, in_service);
+    const auto budget = state.resend_budgets.find(pool);
+    if (budget != state.resend_budgets.end()) {
+      metrics.set("chestnuthead_pool_resends_left", label,
+                  resends_left(budget->second, state.resends, state.fleet.gateways, now));
+    }
+  }
+}
+
+/// As many series as endpoints are known: those that are gone fall away.
+void set_endpoints(metrics_registry& metrics, const gateway::gateway_state& state,
+                   steady_time now) {
+  for (const char* name : {"chestnuthead_endpoint_in_flight", "chestnuthead_endpoint_load",
+                           "chestnuthead_endpoint_slots", "chestnuthead_endpoint_in_service"}) {
+    metrics.clear(name);
+  }
+  for (const auto& [name, row] : state.endpoints.rows) {
+    const std::string label =
+        label_of("pool", row.listing.pool.value) + "," + label_of("endpoint", name.value);
+    metrics.set("chestnuthead_endpoint_in_flight", label, row.in_flight);
+    metrics.set("chestnuthead_endpoint_load", label, load_of(row));
+    metrics.set("chestnuthead_endpoint_slots", label, row.listing.slots);
+    metrics.set("chestnuthead_endpoint_in_service", label,
+                in_service(row, state.fleet, now) ? 1.0 : 0.0);
+  }
+}
+
+}  // namespace
+
+void set_gauges(metrics_registry& metrics, const gateway::gateway_state& state,
+                const endpoint_links& links, steady_time now) {
+  metrics.set("chestnuthead_requests_in_flight", {}, static_cast<double>(state.requests_in_flight));
+  metrics.set("chestnuthead_gateways", {}, state.fleet.gateways);
+  metrics.set("chestnuthead_ready", {}, is_ready(state, now) ? 1.0 : 0.0);
+  metrics.set("chestnuthead_configuration_version", {},
+              state.services == nullptr ? 0.0 : static_cast<double>(state.services->version));
+  metrics.set("chestnuthead_configuration_age_seconds", {},
+              std::chrono::duration<double>(now - state.confirmed_at).count());
+  metrics.set("chestnuthead_keys_trusted", {}, keys_trusted(state, now) ? 1.0 : 0.0);
+  metrics.set("chestnuthead_prefixes_remembered", {},
+              static_cast<double>(state.holders.rows.size()));
+  metrics.set("chestnuthead_endpoint_connections_opened_total", {},
+              static_cast<double>(links.opened()));
+  set_pools(metrics, state, now);
+  set_endpoints(metrics, state, now);
+}
+
+}  // namespace chestnuthead::traffic
--- a/Tests/Control/command_line.sh
+++ b/Tests/Control/command_line.sh
@@ -48,6 +48,19 @@
 expect 2 "failure-domain or endpoint was expected" "$control" take-out zone north
 expect 2 "One of the options --request and --chat" "$control" explain
 
+# Log files in place of a fleet.
+cat >"$folder/g-1.log" <<'LINES'
+{"ts":2000,"level":"warning","node":"g-1","event":"store_lost","table":"op","status":0}
+{"ts":5000,"level":"info","node":"g-1","event":"request_ended","request":"r1","outcome":"not_ready","status":503}
+LINES
+expect 0 "Known at that time:" "$control" explain --request r1 --log "$folder/g-1.log"
+expect 0 "store lost, status=0 table=op" "$control" explain --request r1 --log "$folder/g-1.log"
+expect 0 '"circumstances":\["' "$control" explain --request r1 --json --log "$folder/g-1.log"
+expect 0 "<svg " "$control" explain --request r1 --html --log "$folder/g-1.log"
+expect 0 "store_lost" "$control" timeline --log - <"$folder/g-1.log"
+expect 1 "Nothing tells of it" "$control" explain --request r2 --log "$folder/g-1.log"
+expect 3 "none.log: the file can't be read" "$control" timeline --log "$folder/none.log"
+
 Utilities/command-pages.sh "$control" >"$folder/commands.md"
 diff docs/commands.md "$folder/commands.md" \
   || { echo "docs/commands.md differs from --help; run Utilities/command-pages.sh." >&2; exit 1; }
--- a/Tests/Control/timeline_test.cxx
+++ b/Tests/Control/timeline_test.cxx
@@ -76,7 +76,7 @@
   }
 
   void explains_a_request() {
-    const auto list = chestnuthead::explain_requests(this->events);
+    const auto list = chestnuthead::explain_requests(this->events, this->events);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list.size());
     CPPUNIT_ASSERT_EQUAL(
         std::string("1970-01-01T00:00:01.005Z router-1: attempt refused (agent-1), above <mean> & "
