Check an endpoint once for each loss that a peer reports

A gateway that is cut off asks its endpoints again and again, and each time its set aside lapsed the endpoint left its list and came back as newly lost, so that 30 others checked it again. It now stays on the list until one of the gateway's own checks is answered, and a doubt does not count for 1.5 s after a good answer.

A gateway that starts anew is told the latest placements by two older ones: after all were lost it sent chats elsewhere than their cached prefixes.

Plain idempotent calls are sent elsewhere after their objective (200 ms at least) in place of 1 s: with a deadline of 1 s a second endpoint was never tried. Such a slow answer does not set an endpoint aside by itself.

--- a/Source/Gateway/attempt_rules.cxx
+++ b/Source/Gateway/attempt_rules.cxx
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "Gateway/endpoint_health.h"
+
 namespace chestnuthead::gateway {
 
 namespace {
@@ -10,6 +12,15 @@
 /// differ in time stay within it together.
 constexpr double budget_used = 0.6;
 
+/// Silence after which a request with a prompt is sent elsewhere, as a multiple of
+/// the route's latency objective.
+constexpr int silence_objectives = 3;
+/// The same within a stream, as a multiple of the route's pause objective.
+constexpr int silence_pauses = 4;
+/// Shortest silence of a call without a prompt; beyond it the route's latency
+/// objective counts, which a good answer keeps.
+constexpr std::chrono::milliseconds shortest_plain_silence{200};
+
 std::int64_t second_of(steady_time now) {
   return std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
 }
@@ -59,6 +70,14 @@
   return give_up(history, end);
 }
 
+std::chrono::milliseconds silence_limit(const route& route, bool has_prompt, bool answer_begun) {
+  if (answer_begun) {
+    return std::max(shortest_silence, silence_pauses * route.pause_objective);
+  }
+  return has_prompt ? std::max(shortest_silence, silence_objectives * route.latency_objective)
+                    : std::max(shortest_plain_silence, route.latency_objective);
+}
+
 void count_request(resend_budget& budget, const resend_terms& terms, steady_time now) {
   ++this_second(budget, terms, now).requests;
 }
--- a/Source/Gateway/attempt_rules.h
+++ b/Source/Gateway/attempt_rules.h
@@ -55,6 +55,11 @@
 next_step after_attempt(const route& route, const attempt_history& history, attempt_end end,
                         bool budget_left);
 
+/// How long an idempotent request may hear nothing of its endpoint before it is
+/// sent to another one. Engines may be busy with long prompts, and a prompt that is
+/// sent twice is read twice; plain calls take about as long each time.
+std::chrono::milliseconds silence_limit(const route& route, bool has_prompt, bool answer_begun);
+
 /// Limits second sends to one pool: a share of its requests in a window plus
 /// this gateway's part of a fixed allowance.
 struct resend_budget {
--- a/Source/Gateway/endpoint_health.cxx
+++ b/Source/Gateway/endpoint_health.cxx
@@ -31,6 +31,7 @@
   const auto length = std::min(longest_set_aside, shortest_set_aside * (1U << doublings));
   record.set_aside_until = now + length;
   record.needs_check = needs_check;
+  record.lost = needs_check;
   ++record.times_set_aside;
   record.failures_in_row = 0;
   record.recent_failures = 0.0;
@@ -54,6 +55,8 @@
       return "unreachable";
     case attempt_result::broken:
       return "broken";
+    case attempt_result::slow:
+      return "slow";
     case attempt_result::silent:
       break;
   }
@@ -66,6 +69,7 @@
   record.recent_requests += 1.0;
   if (result == attempt_result::answered) {
     record.failures_in_row = 0;
+    record.good_at = now;
     if (record.recent_failures < 1.0) {
       record.times_set_aside = 0;
     }
@@ -86,20 +90,24 @@
   }
 }
 
-void note_doubt(endpoint& row) {
-  row.record.needs_check = true;
+void note_doubt(endpoint& row, steady_time now) {
+  if (now - row.record.good_at >= vouched_for) {
+    row.record.needs_check = true;
+  }
 }
 
 void note_long_wait(endpoint& row, const std::vector<endpoint*>& pool, steady_time now) {
   const auto aside = std::count_if(
       pool.begin(), pool.end(), [now](const endpoint* other) { return is_set_aside(*other, now); });
   if (static_cast<double>(aside) < most_doubted * static_cast<double>(pool.size())) {
-    note_doubt(row);
+    row.record.needs_check = true;
   }
 }
 
-void note_healthy(endpoint& row) {
+void note_healthy(endpoint& row, steady_time now) {
   row.record.needs_check = false;
+  row.record.lost = false;
+  row.record.good_at = now;
   row.record.set_aside_until = steady_time{};
 }
 
--- a/Source/Gateway/endpoint_health.h
+++ b/Source/Gateway/endpoint_health.h
@@ -22,13 +22,18 @@
   unreachable,
   /// The connection broke or what came was not an answer.
   broken,
-  /// No answer within the time an idempotent request is given.
+  /// No answer within the time after which a plain call is sent elsewhere.
+  slow,
+  /// No answer for so long that the endpoint is taken for lost.
   silent,
 };
 
 /// The result in lower case with underscores.
 std::string_view name_of(attempt_result result);
 
+/// Shortest silence that speaks of an endpoint that is lost rather than slow.
+inline constexpr std::chrono::milliseconds shortest_silence{1'000};
+
 /// First time that a failing endpoint is set aside; doubles each time.
 inline constexpr std::chrono::milliseconds shortest_set_aside{500};
 /// Longest time that an endpoint is set aside before it is tried again.
@@ -38,9 +43,13 @@
 /// requests over the endpoint's pool: one that fails like all others is kept.
 void note_result(endpoint& row, attempt_result result, double peers_failing, steady_time now);
 
+/// How long after a good answer the doubts of other gateways don't count: what
+/// they lost is their own way to the endpoint.
+inline constexpr std::chrono::milliseconds vouched_for{1'500};
+
 /// Another gateway can't reach the endpoint: it gets no more requests until it
-/// has answered a health check.
-void note_doubt(endpoint& row);
+/// has answered a health check, unless it has just answered this gateway.
+void note_doubt(endpoint& row, steady_time now);
 
 /// A request that can't be repeated has waited long for its endpoint. The
 /// endpoint gets no more requests until it has answered a health check, unless
@@ -48,7 +57,7 @@
 void note_long_wait(endpoint& row, const std::vector<endpoint*>& pool, steady_time now);
 
 /// The endpoint has answered a health check.
-void note_healthy(endpoint& row);
+void note_healthy(endpoint& row, steady_time now);
 
 /// A health check has failed or was not answered.
 void note_unhealthy(endpoint& row, steady_time now);
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -46,6 +46,10 @@
   steady_time set_aside_until{};
   /// The endpoint must answer a health check before it gets requests again.
   bool needs_check = false;
+  /// This gateway itself did not reach the endpoint, and has not since.
+  bool lost = false;
+  /// Latest good answer to a request or a health check.
+  steady_time good_at{};
 };
 
 /// One endpoint.
--- a/Source/Gateway/peer_table.cxx
+++ b/Source/Gateway/peer_table.cxx
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <unordered_map>
 
+#include "Base/hashing.h"
+
 namespace chestnuthead::gateway {
 
 namespace {
@@ -15,6 +17,17 @@
 /// The longest interval leaves two messages within `word_life`.
 constexpr std::chrono::milliseconds longest_interval{700};
 
+/// Gateways that greet a newcomer: messages may be lost, and each gateway has
+/// heard most of the placements.
+constexpr std::size_t greeters = 2;
+/// A gateway that has run for less time than this longer than a newcomer knows
+/// little itself, as when many were killed together.
+constexpr std::uint64_t greeter_head_start_ms = 3'000;
+
+bool is_older(std::uint64_t start, const peer_word& newcomer) {
+  return start + greeter_head_start_ms < newcomer.start;
+}
+
 bool is_newer(const peer_word& word, const peer_word& known) {
   return word.start > known.start || (word.start == known.start && word.sequence > known.sequence);
 }
@@ -72,19 +85,35 @@
   }
 }
 
-peer_word own_word(const endpoint_table& endpoints, steady_time now) {
+peer_word own_word(const endpoint_table& endpoints) {
   peer_word word;
   for (const auto& [name, row] : endpoints.rows) {
     if (row.in_flight > 0) {
       word.loads.push_back({row.hash, row.in_flight});
     }
-    if (row.listed && row.record.needs_check && now < row.record.set_aside_until) {
+    if (row.listed && row.record.lost) {
       word.unreachable.push_back(row.hash);
     }
   }
   return word;
 }
 
+bool greets(const peer_table& table, const node_id& self, std::uint64_t own_start,
+            const peer_word& newcomer, steady_time now) {
+  if (!is_older(own_start, newcomer)) {
+    return false;
+  }
+  const std::uint64_t key = hash_text(newcomer.sender.value);
+  const std::uint64_t own = rendezvous_weight(key, hash_text(self.value));
+  std::size_t before = 0;
+  for (const auto& [name, row] : table.rows) {
+    const bool may_greet = now - row.heard_at < word_life && is_older(row.word.start, newcomer) &&
+                           name != newcomer.sender;
+    before += may_greet && rendezvous_weight(key, hash_text(name.value)) > own ? 1 : 0;
+  }
+  return before < greeters;
+}
+
 std::chrono::milliseconds word_interval(std::uint32_t gateways) {
   return std::clamp(interval_a_gateway * gateways, shortest_interval, longest_interval);
 }
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -41,7 +41,7 @@
   /// Tells apart the sender's starts.
   std::uint64_t start = 0;
   std::vector<peer_load> loads;
-  /// Endpoints that the sender finds unreachable.
+  /// Endpoints that the sender has lost, until one of its checks is answered.
   std::vector<std::uint64_t> unreachable;
   /// Where the sender has placed prefixes since its last message.
   std::vector<prefix_word> placements;
@@ -94,7 +94,13 @@
 void apply_peer_loads(const peer_table& table, endpoint_table& endpoints, steady_time now);
 
 /// This gateway's loads and the endpoints that it finds unreachable.
-peer_word own_word(const endpoint_table& endpoints, steady_time now);
+peer_word own_word(const endpoint_table& endpoints);
+
+/// True if this gateway is one of the few that tell a peer which has started
+/// anew where prefixes are held: those that come first in the newcomer's
+/// rendezvous order among gateways that have run for longer.
+bool greets(const peer_table& table, const node_id& self, std::uint64_t own_start,
+            const peer_word& newcomer, steady_time now);
 
 /// Time between two messages to each peer: it grows with the fleet, so that a
 /// gateway's control traffic stays bounded.
--- a/Source/Gateway/prefix_holders.cxx
+++ b/Source/Gateway/prefix_holders.cxx
@@ -1,6 +1,8 @@
 #include "Gateway/prefix_holders.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace chestnuthead::gateway {
 
@@ -56,6 +58,25 @@
   return endpoints;
 }
 
+std::vector<prefix_word> recent_placements(const prefix_holders& table, std::size_t most) {
+  std::vector<std::pair<steady_time, prefix_word>> all;
+  for (const auto& [prefix, holders] : table.rows) {
+    for (const prefix_holder& holder : holders) {
+      all.push_back({holder.used_at, {prefix, holder.endpoint}});
+    }
+  }
+  std::sort(all.begin(), all.end(), [](const auto& one, const auto& other) {
+    return std::tie(one.first, one.second) > std::tie(other.first, other.second);
+  });
+  all.resize(std::min(all.size(), most));
+  std::vector<prefix_word> words;
+  words.reserve(all.size());
+  for (const auto& [used_at, word] : all) {
+    words.push_back(word);
+  }
+  return words;
+}
+
 void forget_unused(prefix_holders& table, steady_time now) {
   for (auto& [prefix, holders] : table.rows) {
     std::erase_if(holders, [now](const prefix_holder& holder) {
--- a/Source/Gateway/prefix_holders.h
+++ b/Source/Gateway/prefix_holders.h
@@ -55,6 +55,9 @@
 std::vector<std::uint64_t> holders_of(const prefix_holders& table, std::uint64_t prefix,
                                       steady_time now);
 
+/// Placements for a gateway that knows none, those used last first.
+std::vector<prefix_word> recent_placements(const prefix_holders& table, std::size_t most);
+
 /// Drops what was not used for long. Call it every few seconds.
 void forget_unused(prefix_holders& table, steady_time now);
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -17,13 +17,6 @@
 constexpr std::size_t held_answer_bytes = 262'144;
 /// Bytes a slow caller may leave unread before its endpoint is slowed too.
 constexpr std::size_t unsent_limit = 262'144;
-/// Shortest silence after which an idempotent request is sent elsewhere.
-constexpr milliseconds shortest_silence{1'000};
-/// Silence after which an idempotent request is sent elsewhere, as a multiple
-/// of its route's latency objective.
-constexpr int silence_objectives = 3;
-/// The same within a stream, as a multiple of the route's pause objective.
-constexpr int silence_pauses = 4;
 /// Share of an endpoint's connections that all gateways together use.
 constexpr double connections_used = 0.9;
 
@@ -400,14 +393,6 @@
          (!this->history.answer_begun || route.resumable);
 }
 
-milliseconds exchange::silence_limit() const {
-  const gateway::route& route = *this->taken->taken_route;
-  const milliseconds usual = this->history.answer_begun
-                                 ? silence_pauses * route.pause_objective
-                                 : silence_objectives * route.latency_objective;
-  return std::max(shortest_silence, usual);
-}
-
 void exchange::tick(steady_time now) {
   if (this->over || this->call.link == nullptr) {
     return;
@@ -419,16 +404,19 @@
   if (this->call.link->is_open()) {
     this->call.link->pause(this->sink.unsent() > unsent_limit);
   }
-  if (now - this->call.last_bytes_at <= this->silence_limit()) {
+  const milliseconds limit = silence_limit(*this->taken->taken_route, !this->request.prompt.empty(),
+                                           this->history.answer_begun);
+  if (now - this->call.last_bytes_at <= limit) {
     return;
   }
   if (!this->may_wait_elsewhere()) {
     this->doubt_endpoint(now);
     return;
   }
+  const bool lost = now - this->call.last_bytes_at >= gateway::shortest_silence;
   this->call.link->abandon();
   this->events.partial.clear();
-  this->close_call(attempt_result::silent);
+  this->close_call(lost ? attempt_result::silent : attempt_result::slow);
   this->after(attempt_end::unknown);
 }
 
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -105,7 +105,6 @@
   /// The pool as a label of metrics.
   [[nodiscard]] std::string pool_label() const;
   [[nodiscard]] bool may_wait_elsewhere() const;
-  [[nodiscard]] std::chrono::milliseconds silence_limit() const;
 
   traffic_context& context;
   answer_sink& sink;
--- a/Source/Traffic/health_checks.cxx
+++ b/Source/Traffic/health_checks.cxx
@@ -56,7 +56,7 @@
       return;
     }
     if (good) {
-      note_healthy(*row);
+      note_healthy(*row, this->context.time.now());
       this->context.log.write(log_level::info, "endpoint_back", {{"endpoint", this->name.value}});
     } else {
       note_unhealthy(*row, this->context.time.now());
--- a/Source/Traffic/peer_port.cxx
+++ b/Source/Traffic/peer_port.cxx
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <set>
 #include <utility>
 
-#include <Poco/Net/SocketAddress.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "Gateway/endpoint_health.h"
+#include "Gateway/peer_news.h"
 #include "Gateway/readiness.h"
 #include "Traffic/byte_link.h"
 #include "Traffic/peer_codec.h"
@@ -20,6 +19,10 @@
 
 /// Longest message: what UDP carries over IPv4.
 constexpr std::size_t longest_message = 65'507;
+/// Placements that a newcomer is told at most, and in one message: the messages
+/// take some 10 KB each.
+constexpr std::size_t greeting_placements = 2'048;
+constexpr std::size_t placements_a_message = 512;
 /// Time between two sweeps of what was not used for long.
 constexpr std::chrono::seconds sweep_interval{5};
 
@@ -44,22 +47,49 @@
   }
 }
 
-void peer_port::send_word(gateway::peer_word word) {
+std::string peer_port::seal(gateway::peer_word word) {
   word.sender = this->self;
   word.start = this->start;
   word.sequence = ++this->sequence;
-  const std::string bytes = encode_word(word);
-  for (const auto& [name, row] : this->context.state.peers.rows) {
-    if (row.address.empty() || bytes.size() > longest_message) {
-      continue;
-    }
-    const Poco::Net::SocketAddress target(row.address);
+  return encode_word(word);
+}
+
+void peer_port::send_to(const Poco::Net::SocketAddress& target, const std::string& bytes) const {
+  if (bytes.size() <= longest_message) {
     // A lost message is made good by the next one.
     ::sendto(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL, target.addr(),
              target.length());
   }
 }
 
+void peer_port::send_to_all(gateway::peer_word word) {
+  const std::string bytes = this->seal(std::move(word));
+  for (const auto& [name, row] : this->context.state.peers.rows) {
+    if (!row.address.empty()) {
+      this->send_to(Poco::Net::SocketAddress(row.address), bytes);
+    }
+  }
+}
+
+gateway::peer_word peer_port::make_word(steady_time now) const {
+  const gateway::gateway_state& state = this->context.state;
+  gateway::peer_word word = own_word(state.endpoints);
+  word.crashes = recent_crashes(state.suspects, now);
+  word.current = is_current(state, now);
+  return word;
+}
+
+void peer_port::greet(const Poco::Net::SocketAddress& newcomer, steady_time now) {
+  const auto placements = recent_placements(this->context.state.holders, greeting_placements);
+  for (std::size_t from = 0; from < placements.size(); from += placements_a_message) {
+    const std::size_t to = std::min(placements.size(), from + placements_a_message);
+    gateway::peer_word word = this->make_word(now);
+    word.placements.assign(placements.begin() + static_cast<std::ptrdiff_t>(from),
+                           placements.begin() + static_cast<std::ptrdiff_t>(to));
+    this->send_to(newcomer, this->seal(std::move(word)));
+  }
+}
+
 void peer_port::tick(steady_time now) {
   gateway::gateway_state& state = this->context.state;
   if (now < this->next_at) {
@@ -68,11 +98,9 @@
   const std::uint32_t known = count_gateways(state.peers, now);
   state.fleet.gateways = state.peers_known ? known : std::max(known, gateway::gateways_assumed);
   this->next_at = now + gateway::word_interval(state.fleet.gateways);
-  gateway::peer_word word = own_word(state.endpoints, now);
-  word.crashes = recent_crashes(state.suspects, now);
-  word.current = is_current(state, now);
+  gateway::peer_word word = this->make_word(now);
   word.placements = std::exchange(state.holders.news, {});
-  this->send_word(std::move(word));
+  this->send_to_all(std::move(word));
   forget_old(state.suspects, now);
   if (now >= this->next_sweep_at) {
     this->next_sweep_at = now + sweep_interval;
@@ -84,30 +112,20 @@
 void peer_port::say_leaving() {
   gateway::peer_word word;
   word.leaving = true;
-  this->send_word(std::move(word));
+  this->send_to_all(std::move(word));
 }
 
-void peer_port::hear(const gateway::peer_word& word, steady_time now) {
+void peer_port::hear(const gateway::peer_word& word, const Poco::Net::SocketAddress& sender,
+                     steady_time now) {
   gateway::gateway_state& state = this->context.state;
-  const auto known = state.peers.rows.find(word.sender);
-  const std::vector<std::uint64_t> before = known == state.peers.rows.end()
-                                                ? std::vector<std::uint64_t>{}
-                                                : known->second.word.unreachable;
-  if (word.sender == this->self || !hear_peer(state.peers, word, now)) {
+  if (word.sender == this->self) {
     return;
   }
-  for (const gateway::crash_word& crash : word.crashes) {
-    suspect(state.suspects, crash, now);
-  }
-  for (const gateway::prefix_word& placement : word.placements) {
-    hear_placement(state.holders, placement, now);
-  }
-  const std::set<std::uint64_t> doubted_before(before.begin(), before.end());
-  const std::set<std::uint64_t> doubted(word.unreachable.begin(), word.unreachable.end());
-  for (auto& [name, row] : state.endpoints.rows) {
-    if (doubted.contains(row.hash) && !doubted_before.contains(row.hash)) {
-      note_doubt(row);
-    }
+  const auto known = state.peers.rows.find(word.sender);
+  const std::uint64_t start_before = known == state.peers.rows.end() ? 0 : known->second.word.start;
+  if (take_word(state, word, now) && word.start != start_before &&
+      greets(state.peers, this->self, this->start, word, now)) {
+    this->greet(sender, now);
   }
 }
 
@@ -116,13 +134,18 @@
   // As many as may have come meanwhile, so that the queue does not overflow.
   constexpr int messages_a_round = 64;
   for (int count = 0; count < messages_a_round; ++count) {
-    const ssize_t size = ::recv(this->descriptor, buffer.data(), buffer.size(), 0);
+    sockaddr_in from{};
+    socklen_t length = sizeof from;
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+    auto* address = reinterpret_cast<sockaddr*>(&from);
+    const ssize_t size =
+        ::recvfrom(this->descriptor, buffer.data(), buffer.size(), 0, address, &length);
     if (size < 0) {
       return;
     }
     const auto word = decode_word({buffer.data(), static_cast<std::size_t>(size)});
     if (word) {
-      this->hear(*word, this->context.time.now());
+      this->hear(*word, Poco::Net::SocketAddress(address, length), this->context.time.now());
     } else {
       this->context.metrics.count("chestnuthead_peer_messages_unreadable_total");
     }
--- a/Source/Traffic/peer_port.h
+++ b/Source/Traffic/peer_port.h
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include <Poco/Net/SocketAddress.h>
+
 #include "Gateway/gateway_state.h"
 #include "Traffic/event_loop.h"
 #include "Traffic/traffic_context.h"
@@ -29,8 +31,16 @@
   void on_ready(bool readable, bool writable) override;
 
  private:
-  void send_word(gateway::peer_word word);
-  void hear(const gateway::peer_word& word, steady_time now);
+  /// The message's bytes, with this gateway's name and the next number.
+  std::string seal(gateway::peer_word word);
+  void send_to(const Poco::Net::SocketAddress& target, const std::string& bytes) const;
+  void send_to_all(gateway::peer_word word);
+  /// News without placements.
+  [[nodiscard]] gateway::peer_word make_word(steady_time now) const;
+  /// Tells a gateway that has started anew where prefixes are held.
+  void greet(const Poco::Net::SocketAddress& newcomer, steady_time now);
+  void hear(const gateway::peer_word& word, const Poco::Net::SocketAddress& sender,
+            steady_time now);
 
   traffic_context& context;
   node_id self;
--- a/Tests/Gateway/attempt_rules_test.cxx
+++ b/Tests/Gateway/attempt_rules_test.cxx
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(rejections_end_too);
   CPPUNIT_TEST(all_gateways_stay_within_the_budget);
   CPPUNIT_TEST(old_resends_are_forgotten);
+  CPPUNIT_TEST(plain_calls_are_sent_elsewhere_while_their_caller_waits);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -98,6 +99,19 @@
     CPPUNIT_ASSERT(resend_allowed(budget, terms, 1, now + std::chrono::seconds{11}));
   }
 
+  void plain_calls_are_sent_elsewhere_while_their_caller_waits() {
+    route look;
+    look.latency_objective = std::chrono::milliseconds{150};
+    // A caller that waits 1 s has time for a second endpoint.
+    CPPUNIT_ASSERT(silence_limit(look, false, false) <= std::chrono::milliseconds{300});
+    look.latency_objective = std::chrono::milliseconds{300};
+    CPPUNIT_ASSERT(silence_limit(look, false, false) == look.latency_objective);
+    // A prompt that is sent twice is read twice.
+    CPPUNIT_ASSERT(silence_limit(look, true, false) >= std::chrono::milliseconds{1'000});
+    look.pause_objective = std::chrono::milliseconds{400};
+    CPPUNIT_ASSERT(silence_limit(look, true, true) == std::chrono::milliseconds{1'600});
+  }
+
  private:
   /// Every history that the rules tell apart.
   template <class Check>
--- a/Tests/Gateway/endpoint_health_test.cxx
+++ b/Tests/Gateway/endpoint_health_test.cxx
@@ -13,9 +13,11 @@
   CPPUNIT_TEST(an_unreachable_endpoint_waits_for_its_check);
   CPPUNIT_TEST(an_endpoint_that_fails_more_than_its_peers_is_set_aside);
   CPPUNIT_TEST(an_endpoint_that_fails_like_its_peers_is_kept);
+  CPPUNIT_TEST(slow_answers_alone_do_not_empty_a_pool);
   CPPUNIT_TEST(one_broken_answer_is_forgiven);
   CPPUNIT_TEST(the_time_aside_grows_and_ends);
   CPPUNIT_TEST(another_gateways_doubt_asks_for_a_check);
+  CPPUNIT_TEST(a_doubt_does_not_count_right_after_a_good_answer);
   CPPUNIT_TEST(a_long_wait_asks_for_a_check);
   CPPUNIT_TEST(long_waits_everywhere_are_load);
   CPPUNIT_TEST(a_new_start_is_a_new_endpoint);
@@ -32,7 +34,7 @@
     const steady_time later = test_start + shortest_set_aside;
     CPPUNIT_ASSERT(check_due(row, later));
     CPPUNIT_ASSERT(is_set_aside(row, later));
-    note_healthy(row);
+    note_healthy(row, later);
     CPPUNIT_ASSERT(!is_set_aside(row, later));
   }
 
@@ -50,6 +52,24 @@
     CPPUNIT_ASSERT(!is_set_aside(row, test_start));
   }
 
+  /// A plain service that is overloaded answers late everywhere; that is no
+  /// reason to take its endpoints out.
+  void slow_answers_alone_do_not_empty_a_pool() {
+    endpoint row = made();
+    note_result(row, attempt_result::slow, 0.0, test_start);
+    CPPUNIT_ASSERT(!is_set_aside(row, test_start));
+    for (int number = 0; number < 8; ++number) {
+      note_result(row, attempt_result::slow, 0.9, test_start);
+    }
+    CPPUNIT_ASSERT(!is_set_aside(row, test_start));
+    endpoint slower = made();
+    for (int number = 0; number < 8; ++number) {
+      note_result(slower, attempt_result::slow, 0.05, test_start);
+    }
+    CPPUNIT_ASSERT(is_set_aside(slower, test_start));
+    CPPUNIT_ASSERT(!slower.record.needs_check);
+  }
+
   void one_broken_answer_is_forgiven() {
     endpoint row = made();
     note_result(row, attempt_result::broken, 0.0, test_start);
@@ -76,11 +96,23 @@
 
   void another_gateways_doubt_asks_for_a_check() {
     endpoint row = made();
-    note_doubt(row);
+    note_doubt(row, test_start);
     CPPUNIT_ASSERT(is_set_aside(row, test_start));
     CPPUNIT_ASSERT(check_due(row, test_start));
   }
 
+  void a_doubt_does_not_count_right_after_a_good_answer() {
+    endpoint row = made();
+    note_result(row, attempt_result::answered, 0.0, test_start);
+    note_doubt(row, test_start + vouched_for - milliseconds{1});
+    CPPUNIT_ASSERT(!check_due(row, test_start + vouched_for));
+    note_doubt(row, test_start + vouched_for);
+    CPPUNIT_ASSERT(check_due(row, test_start + vouched_for));
+    note_healthy(row, test_start + vouched_for);
+    note_doubt(row, test_start + vouched_for);
+    CPPUNIT_ASSERT(!is_set_aside(row, test_start + vouched_for));
+  }
+
   void a_long_wait_asks_for_a_check() {
     gateway_state state = test_state(8);
     const auto& pool = endpoints_of(state.endpoints, engine_pool);
