Fuzz what comes from outside, and mend what was found

Found within seconds: a datagram that claims 3.7 thousand million entries took the process's memory (msgpack takes it before the elements are read), and a header name with a space before its colon counted as a length and was passed on as another field, which lets a request be smuggled.

--- a/Source/Ledger/ledger_row.cxx
+++ b/Source/Ledger/ledger_row.cxx
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Limits against rows that claim more than they hold; a row has 64 KiB at most.
+const msgpack::unpack_limit limits(/* array */ 65'536, /* map */ 0, /* str */ 65'536,
+                                   /* bin */ 65'536, /* ext */ 0, /* depth */ 4);
+
 // The fields as they are packed, in a fixed order. A new field goes to the end.
 struct packed_row {
   std::uint8_t state = 0;
@@ -61,7 +65,8 @@
 
 std::optional<ledger_row> unpack_ledger_row(const std::string& packed) {
   try {
-    const msgpack::object_handle handle = msgpack::unpack(packed.data(), packed.size());
+    const msgpack::object_handle handle =
+        msgpack::unpack(packed.data(), packed.size(), nullptr, nullptr, limits);
     const auto fields = handle.get().as<packed_row>();
     if (fields.state > highest_state) {
       return std::nullopt;
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -1,5 +1,6 @@
 #include "Traffic/http_reader.h"
 
+#include <algorithm>
 #include <limits>
 
 #include <http_parser.h>
@@ -66,10 +67,38 @@
   return 0;
 }
 
+/// True for bytes of which a field's name may consist (RFC 9110, token).
+bool is_token_byte(char byte) {
+  constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+  return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') ||
+         (byte >= 'A' && byte <= 'Z') || marks.find(byte) != std::string_view::npos;
+}
+
+/// True for bytes that a field's value must not hold.
+bool is_control_byte(char byte) {
+  constexpr unsigned char first_printable = 0x20;
+  constexpr unsigned char delete_mark = 0x7F;
+  const auto number = static_cast<unsigned char>(byte);
+  return (number < first_printable && byte != '\t') || number == delete_mark;
+}
+
+/// The parser takes "Content-Length : 5" for a length, but passes the name on with
+/// its space: the next reader would see a field of another name.
+bool is_well_formed(const http_head& head) {
+  return std::all_of(head.fields.begin(), head.fields.end(), [](const auto& field) {
+    return !field.first.empty() &&
+           std::all_of(field.first.begin(), field.first.end(), is_token_byte) &&
+           std::none_of(field.second.begin(), field.second.end(), is_control_byte);
+  });
+}
+
 template <class State>
 int on_head_complete(http_parser* parser) {
   auto& state = state_of<State>(parser);
   http_head& head = state.head;
+  if (!is_well_formed(head)) {
+    return -1;
+  }
   head.status = static_cast<int>(parser->status_code);
   if (parser->type == HTTP_REQUEST) {
     head.method = http_method_str(static_cast<http_method>(parser->method));
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -14,6 +14,11 @@
 /// Entries of one list that are taken at most.
 constexpr std::size_t list_limit = 4'096;
 
+/// Limits against messages that claim more than they hold: memory is taken for
+/// what an array claims before its elements are read.
+const msgpack::unpack_limit limits(list_limit, /* map */ 0, /* str */ 4'096, /* bin */ 0,
+                                   /* ext */ 0, /* depth */ 3);
+
 void check_length(const msgpack::object& list) {
   if (list.type != msgpack::type::ARRAY || list.via.array.size > list_limit) {
     throw msgpack::type_error();
@@ -69,7 +74,8 @@
 
 std::optional<gateway::peer_word> decode_word(std::string_view bytes) {
   try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object_handle handle =
+        msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limits);
     field_reader in(handle.get());
     std::uint32_t version = 0;
     in.get(version);
--- /dev/null
+++ b/Tests/Fuzz/peer_fuzz.cxx
@@ -0,0 +1,35 @@
+#include <string>
+
+#include "Fuzz/fuzz_input.h"
+#include "Gateway/peer_news.h"
+#include "Traffic/peer_codec.h"
+
+/// Messages of other gateways: what can be read can be taken in, and is written
+/// as the same message again.
+namespace chestnuthead {
+
+namespace {
+
+void fuzz(std::string_view input) {
+  const auto word = traffic::decode_word(input);
+  if (!word) {
+    return;
+  }
+  const std::string bytes = traffic::encode_word(*word);
+  const auto again = traffic::decode_word(bytes);
+  require(again.has_value(), "an encoded message can be read");
+  require(traffic::encode_word(*again) == bytes, "a message survives a round trip");
+  gateway::gateway_state state;
+  take_word(state, *word, steady_time{});
+  require(!take_word(state, *word, steady_time{}), "a message is taken in once");
+  apply_peer_loads(state.peers, state.endpoints, steady_time{});
+}
+
+}  // namespace
+
+}  // namespace chestnuthead
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  chestnuthead::fuzz(chestnuthead::text_of(data, size));
+  return 0;
+}
--- /dev/null
+++ b/Tests/Fuzz/settings_fuzz.cxx
@@ -0,0 +1,34 @@
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "Fuzz/fuzz_input.h"
+#include "Traffic/gateway_settings.h"
+
+/// Settings files: they are taken, or their faults are named.
+namespace chestnuthead {
+
+namespace {
+
+void fuzz(std::string_view input) {
+  const auto result = traffic::parse_gateway_settings(std::string(input));
+  if (const auto* faults = std::get_if<std::vector<settings_fault>>(&result)) {
+    require(!faults->empty(), "refused settings have a fault");
+    return;
+  }
+  const std::string text = format_settings(std::get<traffic::gateway_settings>(result));
+  const auto again = traffic::parse_gateway_settings(text);
+  require(std::holds_alternative<traffic::gateway_settings>(again),
+          "settings that were taken can be read again");
+  require(format_settings(std::get<traffic::gateway_settings>(again)) == text,
+          "settings survive a round trip");
+}
+
+}  // namespace
+
+}  // namespace chestnuthead
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  chestnuthead::fuzz(chestnuthead::text_of(data, size));
+  return 0;
+}
--- a/Tests/Traffic/peer_codec_test.cxx
+++ b/Tests/Traffic/peer_codec_test.cxx
@@ -10,6 +10,7 @@
   CPPUNIT_TEST_SUITE(gateway_codec_test);
   CPPUNIT_TEST(a_message_comes_back_as_it_was);
   CPPUNIT_TEST(no_bytes_do_harm);
+  CPPUNIT_TEST(a_message_that_claims_too_much_is_refused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -40,6 +41,15 @@
     CPPUNIT_ASSERT(!decode_word("").has_value());
   }
 
+  /// Found by the fuzzer: memory was taken for 3.7 thousand million entries.
+  void a_message_that_claims_too_much_is_refused() {
+    for (const std::string claim : {"\xdf\xdf\xff\xff\xff", "\xdd\xdf\xff\xff\xff",
+                                    "\xdb\xff\xff\xff\xff", "\xc6\xff\xff\xff\xff"}) {
+      CPPUNIT_ASSERT(!decode_word(claim).has_value());
+      CPPUNIT_ASSERT(!decode_word("\x9a\x03" + claim).has_value());
+    }
+  }
+
  private:
   static gateway::peer_word sample() {
     gateway::peer_word word;
