Doubt an endpoint after a second of silence only

Doubts wait for a second of silence again.

explain leaves out what other gateways list, and for a request without a line it names the processes that started anew.

--- a/Source/Control/log_lines.cxx
+++ b/Source/Control/log_lines.cxx
@@ -99,9 +99,13 @@
   return span;
 }
 
+/// All gateways list the same endpoints, so that only the request's own one is
+/// worth a line; what they saw of an endpoint may differ.
 bool is_of_endpoints(const timeline_event& event, const request_span& span) {
   const bool near = event.when.wall + endpoint_memory >= span.first.wall;
-  return near && (span.endpoints.contains(event.endpoint) || !event.failure_domain.empty());
+  const bool of_interest = event.node.value == span.node || event.name != "endpoint_listed";
+  return near && of_interest &&
+         (span.endpoints.contains(event.endpoint) || !event.failure_domain.empty());
 }
 
 }  // namespace
@@ -121,6 +125,17 @@
   return reading;
 }
 
+std::vector<timeline_event> restarts_of(const std::vector<timeline_event>& events) {
+  std::set<node_id> seen;
+  std::vector<timeline_event> restarts;
+  for (const timeline_event& event : events) {
+    if (!seen.insert(event.node).second && event.name == "started") {
+      restarts.push_back(event);
+    }
+  }
+  return restarts;
+}
+
 std::vector<timeline_event> circumstances_of(const std::vector<timeline_event>& events,
                                              const std::string& request) {
   const auto span = span_of(events, request);
--- a/Source/Control/log_lines.h
+++ b/Source/Control/log_lines.h
@@ -28,4 +28,8 @@
 std::vector<timeline_event> circumstances_of(const std::vector<timeline_event>& events,
                                              const std::string& request);
 
+/// Starts of processes that had written lines before: what they held then left no
+/// line. The events are in order.
+std::vector<timeline_event> restarts_of(const std::vector<timeline_event>& events);
+
 }  // namespace chestnuthead
--- a/Source/Control/watch_commands.cxx
+++ b/Source/Control/watch_commands.cxx
@@ -124,6 +124,17 @@
                      : (json_flag(*status, "stopping") ? "stopping" : "")};
 }
 
+/// Says what a request without any event may have met.
+int report_unknown(const std::vector<timeline_event>& events) {
+  fail(exit_negative,
+       "Nothing tells of it: it went well and is not in the sample, it met no process of "
+       "these, or the process ended with it.");
+  for (const timeline_event& start : restarts_of(events)) {
+    std::cerr << start.node.value << " started anew at " << format_time(start.when.wall) << ".\n";
+  }
+  return exit_negative;
+}
+
 }  // namespace
 
 int run_status(const std::vector<std::string>& words) {
@@ -224,7 +235,7 @@
   std::vector<timeline_event> events = filter_events(merged.events, filter);
   if (events.empty()) {
     report_silent(merged);
-    return fail(exit_negative, "Nothing tells of it: no node's events and no line.");
+    return report_unknown(merged.events);
   }
   const std::vector<explanation> stories = explain_requests(events, merged.events);
   if (json) {
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -406,14 +406,17 @@
   }
   const milliseconds limit = silence_limit(*this->taken->taken_route, !this->request.prompt.empty(),
                                            this->history.answer_begun);
-  if (now - this->call.last_bytes_at <= limit) {
+  const steady_time silent_since = this->call.last_bytes_at;
+  if (now - silent_since <= limit) {
     return;
   }
+  const bool lost = now - silent_since >= gateway::shortest_silence;
   if (!this->may_wait_elsewhere()) {
-    this->doubt_endpoint(now);
+    if (lost) {
+      this->doubt_endpoint(now);
+    }
     return;
   }
-  const bool lost = now - this->call.last_bytes_at >= gateway::shortest_silence;
   this->call.link->abandon();
   this->events.partial.clear();
   this->close_call(lost ? attempt_result::silent : attempt_result::slow);
--- a/Tests/Control/log_lines_test.cxx
+++ b/Tests/Control/log_lines_test.cxx
@@ -25,6 +25,7 @@
 {"ts":5000,"level":"info","node":"g-1","event":"request_attempt","request":"r1","attempt":1,"endpoint":"e-1","result":"broken"}
 {"ts":5000,"level":"info","node":"g-1","event":"request_attempt","request":"r1","attempt":2,"endpoint":"e-2","result":"answered"}
 {"ts":5000,"level":"info","node":"g-1","event":"request_ended","request":"r1","outcome":"answered","endpoints":"e-1,e-2"}
+{"ts":4700,"level":"info","node":"g-2","event":"endpoint_listed","endpoint":"e-1"}
 {"ts":6000,"level":"info","node":"g-1","event":"configuration_taken","version":6,"routes":2}
 {"ts":60000,"level":"info","node":"g-1","event":"request_ended","request":"r2","outcome":"overloaded","endpoints":"e-1"}
 )";
@@ -39,6 +40,7 @@
   CPPUNIT_TEST(what_is_long_past_does_not_bear_on_a_request);
   CPPUNIT_TEST(a_story_holds_attempts_in_their_order);
   CPPUNIT_TEST(an_unknown_request_has_no_circumstances);
+  CPPUNIT_TEST(a_process_that_starts_again_is_named);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -48,7 +50,7 @@
   }
 
   void events_are_found_behind_what_collectors_add() {
-    CPPUNIT_ASSERT_EQUAL(std::size_t{13}, this->reading.events.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{14}, this->reading.events.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->reading.skipped);
     CPPUNIT_ASSERT_EQUAL(std::string("g-1"), this->reading.events.front().node.value);
     CPPUNIT_ASSERT(this->reading.events.front().when.wall == std::chrono::milliseconds{1'000});
@@ -94,6 +96,16 @@
     CPPUNIT_ASSERT(format_timeline_page(page).find("store_lost") != std::string::npos);
   }
 
+  void a_process_that_starts_again_is_named() {
+    std::istringstream in(R"({"ts":1,"node":"g-1","event":"started"}
+{"ts":1,"node":"g-2","event":"started"}
+{"ts":2,"node":"g-2","event":"store_reached"}
+{"ts":9,"node":"g-2","event":"started"})");
+    const auto restarts = restarts_of(read_log_lines(in).events);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, restarts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("g-2"), restarts[0].node.value);
+  }
+
   void an_unknown_request_has_no_circumstances() {
     CPPUNIT_ASSERT(circumstances_of(this->reading.events, "r9").empty());
   }
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(rested_connections_are_left_where_they_were_forgotten);
   CPPUNIT_TEST(the_endpoint_is_told_when_the_caller_leaves);
   CPPUNIT_TEST(a_route_time_out_gets_its_answer);
+  CPPUNIT_TEST(an_endpoint_is_doubted_after_a_second_of_silence);
   CPPUNIT_TEST(nobody_to_ask_is_said_at_once);
   CPPUNIT_TEST(smuggled_bytes_are_rejected);
   CPPUNIT_TEST(a_planned_stop_finishes_what_it_has);
@@ -306,6 +307,17 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, bench.state.requests_in_flight);
   }
 
+  void an_endpoint_is_doubted_after_a_second_of_silence() {
+    traffic_bench bench;
+    bench.plain->scripts = {[](connection& /*caller*/) {}};
+    const auto caller = bench.connect();
+    caller->send(traffic_bench::payment_bytes("p1"));
+    bench.run_for(std::chrono::milliseconds{600});
+    CPPUNIT_ASSERT(!contains(bench.take_log(), "endpoint_doubted"));
+    bench.run_for(std::chrono::milliseconds{700});
+    CPPUNIT_ASSERT(contains(bench.take_log(), "endpoint_doubted"));
+  }
+
   void a_route_time_out_gets_its_answer() {
     traffic_bench bench;
     bench.plain->scripts = {[](connection& /*caller*/) {}};
