--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -17,6 +17,8 @@
 /// Time for the gateways to start before faults begin.
 constexpr milliseconds start_time{2'500};
 constexpr milliseconds restart_delay{200};
+/// Above the number of faults that any run has.
+constexpr std::uint64_t faults_a_seed = 100'000;
 constexpr int engines = 4;
 constexpr int plain_endpoints = 2;
 
@@ -28,20 +30,21 @@
 soak_run::soak_run(soak_options wanted)
     : options(std::move(wanted)),
       random(this->options.seed),
+      fault_random(this->options.seed),
       tasks(this->time),
       began_at(this->time.now()) {}
 
 milliseconds soak_run::between(int least, int most) {
   const auto range = static_cast<std::uint64_t>(most - least) + 1;
-  return milliseconds{least + static_cast<int>(next_below(this->random, range))};
+  return milliseconds{least + static_cast<int>(next_below(this->fault_random, range))};
 }
 
-soak_gateway& soak_run::any_gateway() {
-  return *this->gateways[next_below(this->random, this->gateways.size())];
+soak_gateway& soak_run::any_gateway(random_source& source) {
+  return *this->gateways[next_below(source, this->gateways.size())];
 }
 
 soak_endpoint& soak_run::any_endpoint() {
-  return *this->endpoints[next_below(this->random, this->endpoints.size())];
+  return *this->endpoints[next_below(this->fault_random, this->endpoints.size())];
 }
 
 void soak_run::note(const std::string& what) {
@@ -111,7 +114,7 @@
 
 void soak_run::disturb_gateway(soak_gateway& gateway) {
   const milliseconds length = this->between(300, 2'500);
-  if (next_below(this->random, 2) == 0) {
+  if (next_below(this->fault_random, 2) == 0) {
     this->note("kill " + gateway.name);
     this->disturb(gateway.name, milliseconds{1'000});
     gateway.signal(SIGKILL);
@@ -125,10 +128,10 @@
 
 void soak_run::disturb_store() {
   const milliseconds length = this->between(500, 8'500);
-  const auto how = next_below(this->random, 4);
-  const bool for_all = next_below(this->random, 3) == 0;
-  soak_gateway& one = this->any_gateway();
-  if (next_below(this->random, 2) == 0) {
+  const auto how = next_below(this->fault_random, 4);
+  const bool for_all = next_below(this->fault_random, 3) == 0;
+  soak_gateway& one = this->any_gateway(this->fault_random);
+  if (next_below(this->fault_random, 2) == 0) {
     // Just after the way to the store is disturbed: the worst moment.
     this->tasks.after(milliseconds{10}, [this] { this->revoke_key(); });
   }
@@ -156,7 +159,7 @@
 
 void soak_run::disturb_endpoint(soak_endpoint& endpoint) {
   const milliseconds length = this->between(300, 3'000);
-  const auto how = next_below(this->random, 6);
+  const auto how = next_below(this->fault_random, 6);
   this->note(endpoint.name + " disturbed, way " + std::to_string(how) + ", for " +
              std::to_string(length.count()) + " ms");
   this->disturb(endpoint.name, length);
@@ -201,9 +204,9 @@
 }
 
 void soak_run::planned_change() {
-  const auto how = next_below(this->random, 5);
+  const auto how = next_below(this->fault_random, 5);
   if (how == 0) {
-    this->stop_in_order(this->any_gateway());
+    this->stop_in_order(this->any_gateway(this->fault_random));
   } else if (how == 1) {
     this->revoke_key();
   } else if (how == 2) {
@@ -227,10 +230,11 @@
   }
 }
 
-void soak_run::inject() {
-  const auto what = next_below(this->random, 10);
+void soak_run::inject(std::size_t number) {
+  this->fault_random = seeded_random(this->options.seed * faults_a_seed + number);
+  const auto what = next_below(this->fault_random, 10);
   if (what < 2) {
-    this->disturb_gateway(this->any_gateway());
+    this->disturb_gateway(this->any_gateway(this->fault_random));
   } else if (what < 4) {
     this->disturb_store();
   } else if (what < 7) {
@@ -243,7 +247,10 @@
 void soak_run::schedule_faults() {
   milliseconds at{0};
   while (at < this->options.length) {
-    this->tasks.after(at, [this] { this->inject(); });
+    const std::size_t number = this->fault_count++;
+    if (!this->options.left_out.contains(number)) {
+      this->tasks.after(at, [this, number] { this->inject(number); });
+    }
     at += this->between(200, 1'400);
   }
 }
@@ -280,7 +287,7 @@
   }
   std::erase(this->callers, nullptr);
   while (this->callers.size() < static_cast<std::size_t>(this->options.callers)) {
-    soak_gateway& gateway = this->any_gateway();
+    soak_gateway& gateway = this->any_gateway(this->random);
     this->callers.push_back(
         std::make_unique<soak_caller>(this->loop, this->time, gateway.name, gateway.public_address,
                                       [this](const asked_request& request) {
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
   std::string folder;
   int gateways = 3;
   int callers = 24;
+  /// Faults of the schedule that are left out, by their numbers.
+  std::set<std::size_t> left_out;
 };
 
 /// One run: gateways as processes, everything around them on one event loop.
@@ -36,12 +39,19 @@
   /// Plays the schedule and returns the promises that were not kept.
   std::vector<std::string> play();
 
+  /// Faults that the seed's schedule has, those left out included.
+  [[nodiscard]] std::size_t faults() const {
+    return this->fault_count;
+  }
+
  private:
   void build();
   void write_configuration();
   void list(const std::string& endpoint, const std::string& state);
   void schedule_faults();
-  void inject();
+  /// Each fault draws from a source of its own, so that it stays the same when
+  /// others are left out.
+  void inject(std::size_t number);
   void disturb_gateway(soak_gateway& gateway);
   void disturb_store();
   void disturb_endpoint(soak_endpoint& endpoint);
@@ -57,12 +67,16 @@
   [[nodiscard]] bool all_served_again();
 
   std::chrono::milliseconds between(int least, int most);
-  soak_gateway& any_gateway();
+  soak_gateway& any_gateway(random_source& source);
   soak_endpoint& any_endpoint();
 
   soak_options options;
   suspend_aware_clock time;
+  /// For callers, whose requests depend on how the run goes.
   seeded_random random;
+  /// For the fault that is being injected.
+  seeded_random fault_random;
+  std::size_t fault_count = 0;
   traffic::event_loop loop;
   task_queue tasks;
   execution_book book;
