Keep a gateway's messages a second the same at any size

Cause of no service within 30 s after a failure domain was lost at 301 gateways: the gateways were at their quota.

The time between messages now grows with the fleet without an upper bound, and news counts for two messages. Endpoints newly lost and new suspicions are told within 700 ms as before. Up to 46 gateways nothing changes.

--- a/Source/Gateway/peer_table.cxx
+++ b/Source/Gateway/peer_table.cxx
@@ -14,8 +14,8 @@
 /// What each further gateway adds to the interval, so that one gateway hears
 /// about 65 messages a second at most.
 constexpr std::chrono::milliseconds interval_a_gateway{15};
-/// The longest interval leaves two messages within `word_life`.
-constexpr std::chrono::milliseconds longest_interval{700};
+/// Shortest life of news.
+constexpr std::chrono::milliseconds shortest_life{1'500};
 
 /// Gateways that greet a newcomer: messages may be lost, and each gateway has
 /// heard most of the placements.
@@ -72,8 +72,9 @@
 
 void apply_peer_loads(const peer_table& table, endpoint_table& endpoints, steady_time now) {
   std::unordered_map<std::uint64_t, double> totals;
+  const std::chrono::milliseconds life = word_life(table);
   for (const auto& [name, row] : table.rows) {
-    if (now - row.heard_at < word_life) {
+    if (now - row.heard_at < life) {
       for (const peer_load& load : row.word.loads) {
         totals[load.endpoint] += load.in_flight;
       }
@@ -105,17 +106,34 @@
   }
   const std::uint64_t key = hash_text(newcomer.sender.value);
   const std::uint64_t own = rendezvous_weight(key, hash_text(self.value));
+  const std::chrono::milliseconds life = word_life(table);
   std::size_t before = 0;
   for (const auto& [name, row] : table.rows) {
-    const bool may_greet = now - row.heard_at < word_life && is_older(row.word.start, newcomer) &&
-                           name != newcomer.sender;
+    const bool may_greet =
+        now - row.heard_at < life && is_older(row.word.start, newcomer) && name != newcomer.sender;
     before += may_greet && rendezvous_weight(key, hash_text(name.value)) > own ? 1 : 0;
   }
   return before < greeters;
 }
 
 std::chrono::milliseconds word_interval(std::uint32_t gateways) {
-  return std::clamp(interval_a_gateway * gateways, shortest_interval, longest_interval);
+  return std::max<std::chrono::milliseconds>(interval_a_gateway * gateways, shortest_interval);
+}
+
+std::chrono::milliseconds word_life(const peer_table& table) {
+  const auto gateways = static_cast<std::uint32_t>(table.rows.size()) + 1;
+  constexpr int messages = 2;
+  constexpr std::chrono::milliseconds way{100};
+  return std::max(shortest_life, messages * word_interval(gateways) + way);
+}
+
+bool is_urgent(const peer_word& word, const peer_word& before) {
+  const auto is_new = [](const auto& list, const auto& known) {
+    return std::any_of(list.begin(), list.end(), [&known](const auto& entry) {
+      return std::find(known.begin(), known.end(), entry) == known.end();
+    });
+  };
+  return is_new(word.unreachable, before.unreachable) || is_new(word.crashes, before.crashes);
 }
 
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -68,8 +68,6 @@
   std::map<node_id, peer> rows;
 };
 
-/// News older than this no longer counts as present load.
-inline constexpr std::chrono::milliseconds word_life{1'500};
 /// A gateway is no longer counted once neither the store nor the gateway itself
 /// has named it for this long. Counting one too many only tightens limits.
 inline constexpr std::chrono::seconds peer_life{20};
@@ -103,7 +101,17 @@
             const peer_word& newcomer, steady_time now);
 
 /// Time between two messages to each peer: it grows with the fleet, so that a
-/// gateway's control traffic stays bounded.
+/// gateway sends and hears about 65 messages a second however many there are.
 std::chrono::milliseconds word_interval(std::uint32_t gateways);
 
+/// Time between two messages that tell of endpoints or requests newly found bad.
+inline constexpr std::chrono::milliseconds urgent_interval{700};
+
+/// True if the message tells of an endpoint or a request that the one before it
+/// did not name, so that the peers should hear of it soon.
+bool is_urgent(const peer_word& word, const peer_word& before);
+
+/// News older than this no longer counts as present: two messages fit into it.
+std::chrono::milliseconds word_life(const peer_table& table);
+
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/readiness.cxx
+++ b/Source/Gateway/readiness.cxx
@@ -12,8 +12,9 @@
 
 heard_peers count_heard(const peer_table& table, steady_time now) {
   heard_peers count;
+  const std::chrono::milliseconds life = word_life(table);
   for (const auto& [name, row] : table.rows) {
-    if (now - row.heard_at < word_life && !row.word.leaving) {
+    if (now - row.heard_at < life && !row.word.leaving) {
       ++count.all;
       count.current += row.word.current ? 1 : 0;
     }
--- a/Source/Traffic/peer_port.cxx
+++ b/Source/Traffic/peer_port.cxx
@@ -97,8 +97,15 @@
   }
   const std::uint32_t known = count_gateways(state.peers, now);
   state.fleet.gateways = state.peers_known ? known : std::max(known, gateway::gateways_assumed);
-  this->next_at = now + gateway::word_interval(state.fleet.gateways);
+  const std::chrono::milliseconds interval = gateway::word_interval(state.fleet.gateways);
+  this->next_at = now + std::min(interval, gateway::urgent_interval);
+  apply_peer_loads(state.peers, state.endpoints, now);
   gateway::peer_word word = this->make_word(now);
+  if (now < this->next_full_at && !is_urgent(word, this->told)) {
+    return;
+  }
+  this->next_full_at = now + interval;
+  this->told = word;
   word.placements = std::exchange(state.holders.news, {});
   this->send_to_all(std::move(word));
   forget_old(state.suspects, now);
@@ -106,7 +113,6 @@
     this->next_sweep_at = now + sweep_interval;
     forget_unused(state.holders, now);
   }
-  apply_peer_loads(state.peers, state.endpoints, now);
 }
 
 void peer_port::say_leaving() {
--- a/Source/Traffic/peer_port.h
+++ b/Source/Traffic/peer_port.h
@@ -48,6 +48,10 @@
   std::uint64_t start = 0;
   std::uint64_t sequence = 0;
   steady_time next_at{};
+  /// When the next message is due although there is no urgent news.
+  steady_time next_full_at{};
+  /// The message sent last, without placements.
+  gateway::peer_word told;
   steady_time next_sweep_at{};
 };
 
--- a/Tests/Gateway/peer_table_test.cxx
+++ b/Tests/Gateway/peer_table_test.cxx
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(old_news_is_dropped);
   CPPUNIT_TEST(loads_of_all_peers_are_summed);
   CPPUNIT_TEST(stale_loads_do_not_count);
+  CPPUNIT_TEST(messages_a_second_do_not_grow_with_the_fleet);
+  CPPUNIT_TEST(new_losses_and_crashes_are_urgent);
   CPPUNIT_TEST(a_request_is_refused_at_its_third_crash);
   CPPUNIT_TEST(suspicions_lapse);
   CPPUNIT_TEST(a_fingerprint_ignores_the_requests_own_name);
@@ -72,10 +74,38 @@
     gateway_state state = test_state(1);
     endpoint& row = state.endpoints.rows.begin()->second;
     hear_loads(state, "a", {{row.hash, 4}}, test_start);
-    apply_peer_loads(state.peers, state.endpoints, test_start + word_life);
+    apply_peer_loads(state.peers, state.endpoints, test_start + word_life(state.peers));
     CPPUNIT_ASSERT_EQUAL(0.0, load_of(row));
   }
 
+  void messages_a_second_do_not_grow_with_the_fleet() {
+    for (std::uint32_t gateways = 1; gateways <= 1'000; ++gateways) {
+      const std::chrono::duration<double> interval = word_interval(gateways);
+      CPPUNIT_ASSERT(gateways / interval.count() <= 67.0);
+    }
+    peer_table table;
+    for (int peer = 0; peer < 400; ++peer) {
+      hear_peer(table, word_from("g" + std::to_string(peer), 1, 1), test_start);
+    }
+    CPPUNIT_ASSERT(word_life(table) >= 2 * word_interval(401));
+  }
+
+  void new_losses_and_crashes_are_urgent() {
+    peer_word before;
+    before.unreachable = {1, 2};
+    before.crashes = {{5, 6}};
+    peer_word word = before;
+    word.loads = {{9, 9}};
+    CPPUNIT_ASSERT(!is_urgent(word, before));
+    word.unreachable = {2};
+    CPPUNIT_ASSERT(!is_urgent(word, before));
+    word.unreachable = {2, 3};
+    CPPUNIT_ASSERT(is_urgent(word, before));
+    word = before;
+    word.crashes.push_back({5, 7});
+    CPPUNIT_ASSERT(is_urgent(word, before));
+  }
+
   void a_request_is_refused_at_its_third_crash() {
     crash_suspects table;
     for (std::uint64_t crash = 1; crash <= crashes_allowed; ++crash) {
