--- a/Source/Gateway/peer_news.cxx
+++ b/Source/Gateway/peer_news.cxx
@@ -1,6 +1,7 @@
 #include "Gateway/peer_news.h"
 
-#include <set>
+#include <algorithm>
+#include <iterator>
 #include <vector>
 
 #include "Gateway/endpoint_health.h"
@@ -9,24 +10,33 @@
 
 namespace {
 
-using hash_set = std::set<std::uint64_t>;
+using hash_list = std::vector<std::uint64_t>;
 
-hash_set unreachable_before(const peer_table& table, const node_id& sender) {
+hash_list unreachable_before(const peer_table& table, const node_id& sender) {
   const auto place = table.rows.find(sender);
-  if (place == table.rows.end()) {
+  return place == table.rows.end() ? hash_list{} : place->second.word.unreachable;
+}
+
+/// Elements of `lost` that are not in `before`.
+hash_list newly_lost(hash_list before, hash_list lost) {
+  if (lost == before) {
     return {};
   }
-  const std::vector<std::uint64_t>& list = place->second.word.unreachable;
-  return {list.begin(), list.end()};
+  std::sort(before.begin(), before.end());
+  std::sort(lost.begin(), lost.end());
+  hash_list added;
+  std::set_difference(lost.begin(), lost.end(), before.begin(), before.end(),
+                      std::back_inserter(added));
+  return added;
 }
 
 /// Only endpoints that the sender has newly lost are doubted: a sender that is
 /// cut off names the same ones in each message.
-void doubt_newly_lost(endpoint_table& endpoints, const hash_set& before, const hash_set& lost,
-                      steady_time now) {
-  for (auto& [name, row] : endpoints.rows) {
-    if (lost.contains(row.hash) && !before.contains(row.hash)) {
-      note_doubt(row, now);
+void doubt(endpoint_table& endpoints, const hash_list& added, steady_time now) {
+  for (const std::uint64_t hash : added) {
+    const auto place = endpoints.by_hash.find(hash);
+    if (place != endpoints.by_hash.end()) {
+      note_doubt(*place->second, now);
     }
   }
 }
@@ -34,7 +44,7 @@
 }  // namespace
 
 bool take_word(gateway_state& state, const peer_word& word, steady_time now) {
-  const hash_set before = unreachable_before(state.peers, word.sender);
+  const hash_list before = unreachable_before(state.peers, word.sender);
   if (!hear_peer(state.peers, word, now)) {
     return false;
   }
@@ -44,10 +54,7 @@
   for (const prefix_word& placement : word.placements) {
     hear_placement(state.holders, placement, now);
   }
-  const hash_set lost(word.unreachable.begin(), word.unreachable.end());
-  if (!lost.empty()) {
-    doubt_newly_lost(state.endpoints, before, lost, now);
-  }
+  doubt(state.endpoints, newly_lost(before, word.unreachable), now);
   return true;
 }
 
