Check 32 endpoints at a time at most

A gateway that hears of a lost failure domain checked all of its endpoints at once: at 3,004 endpoints some 750 connections, each waiting a second. The test counted 60 checks of 60 before, and 32 now until they have had their time.

--- a/Source/Traffic/health_checks.cxx
+++ b/Source/Traffic/health_checks.cxx
@@ -11,6 +11,9 @@
 
 /// Longest time that a check may take.
 constexpr std::chrono::milliseconds check_limit{1'000};
+/// Checks under way at once: sound endpoints answer within milliseconds, and a
+/// failure domain that is dark must not take all descriptors.
+constexpr std::size_t checks_at_once = 32;
 /// Connections to one endpoint beyond which none is opened for a check.
 constexpr std::size_t links_at_most = 8;
 
@@ -102,6 +105,9 @@
   }
   std::erase_if(this->running, [](const auto& entry) { return entry.second->is_over(); });
   for (auto& [name, row] : this->context.state.endpoints.rows) {
+    if (this->running.size() >= checks_at_once) {
+      return;
+    }
     if (check_due(row, now) && !this->running.contains(name)) {
       this->begin(row, now);
     }
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(the_endpoint_is_told_when_the_caller_leaves);
   CPPUNIT_TEST(a_route_time_out_gets_its_answer);
   CPPUNIT_TEST(an_endpoint_is_doubted_after_a_second_of_silence);
+  CPPUNIT_TEST(a_dark_domain_is_checked_a_few_endpoints_at_a_time);
   CPPUNIT_TEST(nobody_to_ask_is_said_at_once);
   CPPUNIT_TEST(smuggled_bytes_are_rejected);
   CPPUNIT_TEST(a_planned_stop_finishes_what_it_has);
@@ -318,6 +319,23 @@
     CPPUNIT_ASSERT(contains(bench.take_log(), "endpoint_doubted"));
   }
 
+  void a_dark_domain_is_checked_a_few_endpoints_at_a_time() {
+    traffic_bench bench;
+    bench.plain->scripts.assign(60, [](connection& /*caller*/) {});
+    for (int number = 0; number < 60; ++number) {
+      gateway::endpoint_listing listing =
+          gateway::listing_of("dark-" + std::to_string(number), gateway::engine_pool);
+      listing.address = bench.plain->address;
+      list_endpoint(bench.state.endpoints, listing, bench.time.now());
+      note_doubt(*find_endpoint(bench.state.endpoints, listing.name), bench.time.now());
+    }
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.plain->requests.size() >= 32; }));
+    bench.run_for(std::chrono::milliseconds{300});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{32}, bench.plain->requests.size());
+    // The others get their turn once these have had their time.
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.plain->requests.size() >= 60; }));
+  }
+
   void a_route_time_out_gets_its_answer() {
     traffic_bench bench;
     bench.plain->scripts = {[](connection& /*caller*/) {}};
