--- a/Tests/Fuzz/events_fuzz.cxx
+++ b/Tests/Fuzz/events_fuzz.cxx
@@ -23,6 +23,8 @@
   return result;
 }
 
+}  // namespace
+
 void fuzz(std::string_view input) {
   const fuzz_choice choice = choose(input);
   const outcome whole = split_in_pieces(choice.rest, std::max<std::size_t>(1, choice.rest.size()));
@@ -38,11 +40,4 @@
           "no byte is passed that did not come");
 }
 
-}  // namespace
-
 }  // namespace chestnuthead
-
-extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-  chestnuthead::fuzz(chestnuthead::text_of(data, size));
-  return 0;
-}
--- /dev/null
+++ b/Tests/Fuzz/fuzz_entry.cxx
@@ -0,0 +1,9 @@
+#include "Fuzz/fuzz_input.h"
+
+/// libFuzzer calls this with each input.
+// NOLINTNEXTLINE(readability-identifier-naming)
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+  chestnuthead::fuzz({reinterpret_cast<const char*>(data), size});
+  return 0;
+}
--- a/Tests/Fuzz/fuzz_input.h
+++ b/Tests/Fuzz/fuzz_input.h
@@ -10,11 +10,8 @@
 /// What the fuzzers share.
 namespace chestnuthead {
 
-/// The fuzzer's bytes as text.
-inline std::string_view text_of(const std::uint8_t* data, std::size_t size) {
-  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
-  return {reinterpret_cast<const char*>(data), size};
-}
+/// Takes one input; each target defines it.
+void fuzz(std::string_view input);
 
 /// Ends the process if a promise does not hold, so that the fuzzer keeps the input.
 inline void require(bool holds, const char* promise) {
--- a/Tests/Fuzz/http_fuzz.cxx
+++ b/Tests/Fuzz/http_fuzz.cxx
@@ -78,6 +78,8 @@
           "method and target are forwarded unchanged");
 }
 
+}  // namespace
+
 void fuzz(std::string_view input) {
   const fuzz_choice choice = choose(input);
   const reading whole = read_in_pieces(choice.rest, std::max<std::size_t>(1, choice.rest.size()));
@@ -95,11 +97,4 @@
   }
 }
 
-}  // namespace
-
 }  // namespace chestnuthead
-
-extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-  chestnuthead::fuzz(chestnuthead::text_of(data, size));
-  return 0;
-}
--- a/Tests/Fuzz/peer_fuzz.cxx
+++ b/Tests/Fuzz/peer_fuzz.cxx
@@ -8,8 +8,6 @@
 /// as the same message again.
 namespace chestnuthead {
 
-namespace {
-
 void fuzz(std::string_view input) {
   const auto word = traffic::decode_word(input);
   if (!word) {
@@ -25,11 +23,4 @@
   apply_peer_loads(state.peers, state.endpoints, steady_time{});
 }
 
-}  // namespace
-
 }  // namespace chestnuthead
-
-extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-  chestnuthead::fuzz(chestnuthead::text_of(data, size));
-  return 0;
-}
--- a/Tests/Fuzz/settings_fuzz.cxx
+++ b/Tests/Fuzz/settings_fuzz.cxx
@@ -8,8 +8,6 @@
 /// Settings files: they are taken, or their faults are named.
 namespace chestnuthead {
 
-namespace {
-
 void fuzz(std::string_view input) {
   const auto result = traffic::parse_gateway_settings(std::string(input));
   if (const auto* faults = std::get_if<std::vector<settings_fault>>(&result)) {
@@ -24,11 +22,4 @@
           "settings survive a round trip");
 }
 
-}  // namespace
-
 }  // namespace chestnuthead
-
-extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-  chestnuthead::fuzz(chestnuthead::text_of(data, size));
-  return 0;
-}
--- a/Tests/Fuzz/store_fuzz.cxx
+++ b/Tests/Fuzz/store_fuzz.cxx
@@ -36,6 +36,8 @@
   }
 }
 
+}  // namespace
+
 void fuzz(std::string_view input) {
   const fuzz_choice choice = choose(input);
   const std::string text(choice.rest);
@@ -53,11 +55,4 @@
   }
 }
 
-}  // namespace
-
 }  // namespace chestnuthead
-
-extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-  chestnuthead::fuzz(chestnuthead::text_of(data, size));
-  return 0;
-}
--- a/Tests/Gateway/placement_test.cxx
+++ b/Tests/Gateway/placement_test.cxx
@@ -207,8 +207,10 @@
   void plain_calls_level_out_although_news_is_old() {
     constexpr double calls_a_millisecond = 0.158;
     constexpr milliseconds news_interval{435};
+    constexpr std::size_t gateways = 29;
     std::vector<gateway_state> fleet;
-    for (int gateway = 0; gateway < 29; ++gateway) {
+    fleet.reserve(gateways);
+    while (fleet.size() < gateways) {
       fleet.push_back(two_plain_endpoints());
     }
     std::vector<busy_endpoint> busy(2);
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -361,12 +361,11 @@
   }
 
   void smuggled_bytes_are_rejected() {
-    for (const char* framing : {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
-                                "Content-Length: 3\r\nContent-Length: 4\r\n",
-                                "Transfer-Encoding: xchunked\r\n", "Content-Length : 3\r\n",
-                                "Content-Length: 3\r\nX-Note: a\x01"
-                                "b\r\n",
-                                "Transfer-Encoding : chunked\r\n"}) {
+    for (const char* framing :
+         {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+          "Content-Length: 3\r\nContent-Length: 4\r\n", "Transfer-Encoding: xchunked\r\n",
+          "Content-Length : 3\r\n", "Content-Length: 3\r\nX-Note: a\x01z\r\n",
+          "Transfer-Encoding : chunked\r\n"}) {
       traffic_bench bench;
       bench.plain->scripts = {
           [](connection& caller) { caller.send(traffic_bench::answer_bytes("p1", "paid")); }};
