--- a/Source/Gateway/peer_table.cxx
+++ b/Source/Gateway/peer_table.cxx
@@ -20,8 +20,8 @@
 /// Gateways that greet a newcomer: messages may be lost, and each gateway has
 /// heard most of the placements.
 constexpr std::size_t greeters = 2;
-/// A gateway that has run for less time than this longer than a newcomer knows
-/// little itself, as when many were killed together.
+/// A gateway that started less than this before the newcomer knows little itself, as
+/// when many were killed together.
 constexpr std::uint64_t greeter_head_start_ms = 3'000;
 
 bool is_older(std::uint64_t start, const peer_word& newcomer) {
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -141,8 +141,8 @@
   if (budget == state.resend_budgets.end()) {
     return 0.0;
   }
-  // News is half an interval old on the mean, and the others' choices of the other
-  // half are not known either.
+  // The peers' loads are up to one interval old, and what the peers send until their
+  // next message is not known either.
   const std::chrono::duration<double> unknown = gateway::word_interval(state.fleet.gateways);
   return request_rate(budget->second, state.resends, now) * state.fleet.gateways * unknown.count();
 }
