--- a/Utilities/fuzz.sh
+++ b/Utilities/fuzz.sh
@@ -19,13 +19,17 @@
 fuzz_one() {
   local name=$1 seconds=$2 runs=$3 log=build-fuzz/$1.log
   local options=(-artifact_prefix="build-fuzz/$name-" -max_len=4096 -print_final_stats=1)
+  # libFuzzer writes what it finds into the first folder: never into the repository.
+  local found=build-fuzz/found/$name
   if [ "$seconds" -gt 0 ]; then
-    mkdir -p "build-fuzz/corpus/$name"
-    options+=(-max_total_time="$seconds" "build-fuzz/corpus/$name")
+    options+=(-max_total_time="$seconds")
   else
+    rm -rf "$found"
     options+=(-seed=1 -runs="$runs")
   fi
-  if "build-fuzz/bin/${name}_fuzz" "${options[@]}" "Tests/Fuzz/corpus/$name" > "$log" 2>&1; then
+  mkdir -p "$found"
+  if "build-fuzz/bin/${name}_fuzz" "${options[@]}" "$found" \
+    "Tests/Fuzz/corpus/$name" > "$log" 2>&1; then
     echo "$name: $(sed -n 's/^stat::number_of_executed_units: *//p' "$log") inputs, no fault"
   else
     cat "$log"
