Keep the load bound with news a second old

A trial that logged each send and end shows endpoints that held 11 to 22 requests where gateways believed 0 to 8: with 68 gateways news is about a second old, longer than most requests last, so endpoints with many short requests always looked idle, and all gateways chose the least loaded holder of a prefix until they heard of each other.

Change: an endpoint's part of the recent requests of all gateways, which they tell each other with their placements, counts as load; requests are drawn among holders in proportion to their room; a prefix with more requests than its holders have room for until the next news is spread further; the bound tightens with what arrives meanwhile.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -1,6 +1,7 @@
 #include "Gateway/endpoint_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "Base/hashing.h"
 
@@ -105,6 +106,16 @@
   return now < row.cold_until;
 }
 
+double recent_arrivals(const endpoint& row, steady_time now) {
+  const std::chrono::duration<double> passed = now - row.arrivals_at;
+  return row.arrivals * std::exp2(-passed / arrivals_half_life);
+}
+
+void note_arrival(endpoint& row, steady_time now) {
+  row.arrivals = recent_arrivals(row, now) + 1.0;
+  row.arrivals_at = now;
+}
+
 void note_load(endpoint& row, std::uint32_t load) {
   const auto own = std::min(row.in_flight, load);
   row.peers_in_flight = static_cast<double>(load - own);
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -69,6 +69,10 @@
   std::uint32_t in_flight = 0;
   /// Requests in flight from the other gateways, by their latest word.
   double peers_in_flight = 0.0;
+  /// Requests that all gateways have sent to the endpoint, as far as heard, fading
+  /// with `arrivals_half_life` since `arrivals_at`.
+  double arrivals = 0.0;
+  steady_time arrivals_at{};
   /// Earliest time for this gateway's next request while the endpoint is cold.
   steady_time next_cold_request{};
   endpoint_record record;
@@ -114,6 +118,15 @@
 /// Requests in flight at the endpoint from all gateways, as far as known.
 double load_of(const endpoint& row);
 
+/// Requests sent to an endpoint count half after this time.
+inline constexpr std::chrono::seconds arrivals_half_life{2};
+
+/// A gateway has sent a request to the endpoint.
+void note_arrival(endpoint& row, steady_time now);
+
+/// Recent requests to the endpoint.
+double recent_arrivals(const endpoint& row, steady_time now);
+
 /// The endpoint has said how many requests it holds: that replaces what the peers
 /// told, which is older, until their next news.
 void note_load(endpoint& row, std::uint32_t load);
--- a/Source/Gateway/peer_news.cxx
+++ b/Source/Gateway/peer_news.cxx
@@ -53,6 +53,10 @@
   }
   for (const prefix_word& placement : word.placements) {
     hear_placement(state.holders, placement, now);
+    const auto place = state.endpoints.by_hash.find(placement.endpoint);
+    if (place != state.endpoints.by_hash.end()) {
+      note_arrival(*place->second, now);
+    }
   }
   doubt(state.endpoints, newly_lost(before, word.unreachable), now);
   return true;
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -59,36 +59,99 @@
       [](const endpoint* one, const endpoint* other) { return load_of(*one) < load_of(*other); });
 }
 
-/// The first endpoint in rendezvous order whose load is within the bound.
-endpoint* first_within_bound(const std::vector<endpoint*>& open, std::uint64_t affinity,
-                             double bound) {
-  endpoint* best = nullptr;
-  std::uint64_t best_weight = 0;
+bool holds(const endpoint& row, const std::vector<std::uint64_t>& holders) {
+  return std::find(holders.begin(), holders.end(), row.hash) != holders.end();
+}
+
+/// The pool's load and requests, and what follows for single endpoints.
+struct pool_load {
+  double load = 0.0;
+  double arrivals = 0.0;
+  /// Load up to which a choice follows prefixes.
+  double bound = 0.0;
+};
+
+/// An endpoint's load, or what its part of the pool's recent requests lets expect if
+/// that is more: news of loads is older than many requests last, and all gateways
+/// would send to an endpoint whose requests happen to be few at that moment.
+double expected_load(const endpoint& row, const pool_load& pool, steady_time now) {
+  const double part = pool.arrivals > 0.0 ? recent_arrivals(row, now) / pool.arrivals : 0.0;
+  return std::max(load_of(row), part * pool.load);
+}
+
+/// An endpoint within the bound.
+struct roomy_endpoint {
+  endpoint* row = nullptr;
+  /// Requests that it may get until it reaches the bound.
+  double room = 0.0;
+};
+
+/// Endpoints within the bound that a request with the prefix may go to: those that
+/// hold it, and as many of the others in rendezvous order as are needed to take the
+/// requests that all gateways send until they hear of each other's.
+std::vector<roomy_endpoint> spread_of_prefix(const std::vector<endpoint*>& open,
+                                             const placement_hints& hints, std::uint64_t affinity,
+                                             const pool_load& pool, steady_time now) {
+  const double needed = std::max(hints.expected_with_prefix, 1.0);
+  std::vector<roomy_endpoint> spread;
+  std::vector<roomy_endpoint> others;
+  double room = 0.0;
   for (endpoint* row : open) {
-    const std::uint64_t weight = rendezvous_weight(affinity, row->hash);
-    if (load_of(*row) + 1.0 <= bound && (best == nullptr || weight > best_weight)) {
-      best = row;
-      best_weight = weight;
+    const double own_room = pool.bound - expected_load(*row, pool, now);
+    if (own_room < 1.0) {
+      continue;
+    }
+    if (holds(*row, hints.holders)) {
+      spread.push_back({row, own_room});
+      room += own_room;
+    } else {
+      others.push_back({row, own_room});
+    }
+  }
+  if (room >= needed) {
+    return spread;
+  }
+  std::sort(others.begin(), others.end(),
+            [affinity](const roomy_endpoint& one, const roomy_endpoint& other) {
+              return rendezvous_weight(affinity, one.row->hash) >
+                     rendezvous_weight(affinity, other.row->hash);
+            });
+  for (const roomy_endpoint& other : others) {
+    if (room >= needed) {
+      break;
     }
+    spread.push_back(other);
+    room += other.room;
   }
-  return best;
+  return spread;
 }
 
-bool holds(const endpoint& row, const std::vector<std::uint64_t>& holders) {
-  return std::find(holders.begin(), holders.end(), row.hash) != holders.end();
+/// Draws an endpoint in proportion to its room, so that gateways with the same news
+/// do not all send to the same one.
+endpoint* draw_by_room(const std::vector<roomy_endpoint>& spread, random_source& random) {
+  double total = 0.0;
+  for (const roomy_endpoint& one : spread) {
+    total += one.room;
+  }
+  double left = next_unit(random) * total;
+  for (const roomy_endpoint& one : spread) {
+    left -= one.room;
+    if (left < 0.0) {
+      return one.row;
+    }
+  }
+  return spread.back().row;
 }
 
-/// The least loaded holder of the prefix within the bound, or nullptr.
-endpoint* least_loaded_holder(const std::vector<endpoint*>& open,
-                              const std::vector<std::uint64_t>& holders, double bound) {
-  endpoint* best = nullptr;
-  for (endpoint* row : open) {
-    const bool fits = holds(*row, holders) && load_of(*row) + 1.0 <= bound;
-    if (fits && (best == nullptr || load_of(*row) < load_of(*best))) {
-      best = row;
-    }
+pool_load load_of_pool(const std::vector<endpoint*>& endpoints, const placement_hints& hints,
+                       const fleet_view& fleet, steady_time now) {
+  pool_load pool;
+  for (const endpoint* row : endpoints) {
+    pool.load += load_of(*row);
+    pool.arrivals += recent_arrivals(*row, now);
   }
-  return best;
+  pool.bound = load_bound(endpoints, hints, fleet);
+  return pool;
 }
 
 /// Load that all endpoints would reach if `arrivals` more requests filled up those
@@ -160,6 +223,17 @@
          !fleet.domains_out.contains(row.listing.failure_domain);
 }
 
+double load_bound(const std::vector<endpoint*>& endpoints, const placement_hints& hints,
+                  const fleet_view& fleet) {
+  const double mean = mean_load(endpoints);
+  const double arrivals = hints.expected_meanwhile / static_cast<double>(endpoints.size());
+  // About the standard deviation of what comes meanwhile.
+  const double unknown = std::sqrt(arrivals);
+  // However old the news, chats may stay where they were at a usual load.
+  const double least = (1.0 + fleet.load_multiple) / 2.0 * mean + 1.0;
+  return std::max(least, fleet.load_multiple * mean + load_allowance - unknown);
+}
+
 placement_choice choose_endpoint(const std::vector<endpoint*>& endpoints, const pool& pool,
                                  const caller_request& request, const placement_hints& hints,
                                  const fleet_view& fleet, random_source& random, steady_time now) {
@@ -180,14 +254,16 @@
     return placement{draw_levelled(open, hints.expected_meanwhile, random), choice_reason::levelled,
                      0.0};
   }
-  const double bound = fleet.load_multiple * mean_load(endpoints) + load_allowance;
-  if (endpoint* holder = least_loaded_holder(open, hints.holders, bound)) {
-    return placement{holder, choice_reason::holds_prefix, bound};
-  }
-  if (endpoint* home = first_within_bound(open, affinity_of(request), bound)) {
-    return placement{home, choice_reason::home_of_prefix, bound};
+  const pool_load load = load_of_pool(endpoints, hints, fleet, now);
+  const std::vector<roomy_endpoint> spread =
+      spread_of_prefix(open, hints, affinity_of(request), load, now);
+  if (spread.empty()) {
+    return placement{least_loaded(open), choice_reason::least_loaded, load.bound};
   }
-  return placement{least_loaded(open), choice_reason::least_loaded, bound};
+  endpoint* chosen = draw_by_room(spread, random);
+  const bool holder = holds(*chosen, hints.holders);
+  return placement{chosen, holder ? choice_reason::holds_prefix : choice_reason::home_of_prefix,
+                   load.bound};
 }
 
 const endpoint* prefix_source(const std::vector<endpoint*>& endpoints, const endpoint& chosen,
@@ -217,6 +293,7 @@
 
 void begin_request(endpoint& row, const pool& pool, const fleet_view& fleet, steady_time now) {
   ++row.in_flight;
+  note_arrival(row, now);
   if (is_cold(row, now)) {
     row.next_cold_request = now + cold_interval(pool, fleet);
   }
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -79,11 +79,19 @@
   /// Requests that all gateways together are expected to send to the pool until
   /// the next news of the peers' loads.
   double expected_meanwhile = 0.0;
+  /// Those of them that have this request's prefix.
+  double expected_with_prefix = 0.0;
 };
 
+/// Load up to which a choice follows prefixes: the multiple of the pool's mean, less
+/// what an endpoint may get by chance before the next news of the peers' loads.
+double load_bound(const std::vector<endpoint*>& endpoints, const placement_hints& hints,
+                  const fleet_view& fleet);
+
 /// Chooses an endpoint that was not tried: one that holds the prefix, else the
 /// first in rendezvous order, each within the bounded load; else the least
-/// loaded. Changes nothing.
+/// loaded. A prefix with more requests than its holders have room for until the
+/// next news is spread over further endpoints. Changes nothing.
 placement_choice choose_endpoint(const std::vector<endpoint*>& endpoints, const pool& pool,
                                  const caller_request& request, const placement_hints& hints,
                                  const fleet_view& fleet, random_source& random, steady_time now);
--- a/Source/Gateway/prefix_holders.cxx
+++ b/Source/Gateway/prefix_holders.cxx
@@ -1,11 +1,22 @@
 #include "Gateway/prefix_holders.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 #include <tuple>
 #include <utility>
 
 namespace chestnuthead::gateway {
 
+namespace {
+
+double recent_uses(const prefix_holder& holder, steady_time now) {
+  const std::chrono::duration<double> passed = now - holder.used_at;
+  return holder.recent_uses * std::exp2(-passed / use_half_life);
+}
+
+}  // namespace
+
 void hear_placement(prefix_holders& table, const prefix_word& word, steady_time now) {
   if (table.rows.size() >= prefixes_kept && !table.rows.contains(word.prefix)) {
     return;
@@ -15,8 +26,9 @@
       holders.begin(), holders.end(),
       [&word](const prefix_holder& holder) { return holder.endpoint == word.endpoint; });
   if (place == holders.end()) {
-    holders.push_back({word.endpoint, now});
+    holders.push_back({word.endpoint, now, 1.0});
   } else {
+    place->recent_uses = recent_uses(*place, now) + 1.0;
     place->used_at = now;
   }
 }
@@ -58,6 +70,19 @@
   return endpoints;
 }
 
+double use_rate(const prefix_holders& table, std::uint64_t prefix, steady_time now) {
+  const auto place = table.rows.find(prefix);
+  if (place == table.rows.end()) {
+    return 0.0;
+  }
+  double uses = 0.0;
+  for (const prefix_holder& holder : place->second) {
+    uses += recent_uses(holder, now);
+  }
+  const std::chrono::duration<double> half_life = use_half_life;
+  return uses * std::numbers::ln2 / half_life.count();
+}
+
 std::vector<prefix_word> recent_placements(const prefix_holders& table, std::size_t most) {
   std::vector<std::pair<steady_time, prefix_word>> all;
   for (const auto& [prefix, holders] : table.rows) {
--- a/Source/Gateway/prefix_holders.h
+++ b/Source/Gateway/prefix_holders.h
@@ -26,6 +26,9 @@
 struct prefix_holder {
   std::uint64_t endpoint = 0;
   steady_time used_at{};
+  /// Requests with the prefix that went to the endpoint, fading with
+  /// `use_half_life`.
+  double recent_uses = 0.0;
 };
 
 struct prefix_holders {
@@ -37,6 +40,8 @@
 /// How long a placement is remembered after its last use: an engine's cache
 /// rarely keeps a prefix longer under load.
 inline constexpr std::chrono::seconds holder_life{60};
+/// Uses count half after this time.
+inline constexpr std::chrono::seconds use_half_life{2};
 /// Prefixes that are remembered at most; at some 100 bytes each, about 2 MB.
 inline constexpr std::size_t prefixes_kept = 16'384;
 /// Placements told to the peers in one message at most.
@@ -55,6 +60,9 @@
 std::vector<std::uint64_t> holders_of(const prefix_holders& table, std::uint64_t prefix,
                                       steady_time now);
 
+/// Requests a second with the prefix over all gateways, as far as heard.
+double use_rate(const prefix_holders& table, std::uint64_t prefix, steady_time now);
+
 /// Placements for a gateway that knows none, those used last first.
 std::vector<prefix_word> recent_placements(const prefix_holders& table, std::size_t most);
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -135,25 +135,31 @@
   return true;
 }
 
+std::chrono::duration<double> exchange::unknown_time() const {
+  // The peers' loads are up to one interval old, and what the peers send until their
+  // next message is not known either.
+  return gateway::word_interval(this->context.state.fleet.gateways);
+}
+
 double exchange::expected_meanwhile(steady_time now) const {
   const gateway::gateway_state& state = this->context.state;
   const auto budget = state.resend_budgets.find(this->taken->taken_pool->name);
   if (budget == state.resend_budgets.end()) {
     return 0.0;
   }
-  // The peers' loads are up to one interval old, and what the peers send until their
-  // next message is not known either.
-  const std::chrono::duration<double> unknown = gateway::word_interval(state.fleet.gateways);
-  return request_rate(budget->second, state.resends, now) * state.fleet.gateways * unknown.count();
+  return request_rate(budget->second, state.resends, now) * state.fleet.gateways *
+         this->unknown_time().count();
 }
 
 void exchange::send_to_endpoint() {
   const steady_time now = this->context.time.now();
   const gateway::pool& pool = *this->taken->taken_pool;
+  this->hints.expected_meanwhile = this->expected_meanwhile(now);
   if (!this->request.prompt.empty()) {
-    this->hints.holders = holders_of(this->context.state.holders, this->prefix, now);
-  } else {
-    this->hints.expected_meanwhile = this->expected_meanwhile(now);
+    const gateway::prefix_holders& holders = this->context.state.holders;
+    this->hints.holders = holders_of(holders, this->prefix, now);
+    this->hints.expected_with_prefix =
+        use_rate(holders, this->prefix, now) * this->unknown_time().count();
   }
   while (true) {
     const gateway::placement_choice choice =
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -82,6 +82,8 @@
   };
 
   void send_to_endpoint();
+  /// Time of which the peers' requests are not known.
+  [[nodiscard]] std::chrono::duration<double> unknown_time() const;
   /// `gateway::placement_hints::expected_meanwhile` for the request's pool.
   [[nodiscard]] double expected_meanwhile(steady_time now) const;
   [[nodiscard]] bool open_call(const gateway::placement& chosen, steady_time now);
--- a/Tests/Gateway/prefix_holders_test.cxx
+++ b/Tests/Gateway/prefix_holders_test.cxx
@@ -18,9 +18,22 @@
   CPPUNIT_TEST(unused_placements_are_forgotten);
   CPPUNIT_TEST(an_endpoint_that_started_anew_holds_nothing);
   CPPUNIT_TEST(memory_is_bounded);
+  CPPUNIT_TEST(uses_count_as_a_rate_and_fade);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void uses_count_as_a_rate_and_fade() {
+    prefix_holders table;
+    steady_time now = test_start;
+    for (int use = 0; use < 200; ++use) {
+      now += std::chrono::milliseconds{100};
+      hear_placement(table, {7, static_cast<std::uint64_t>(use % 3)}, now);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(10.0, use_rate(table, 7, now), 0.5);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(5.0, use_rate(table, 7, now + use_half_life), 0.3);
+    CPPUNIT_ASSERT_EQUAL(0.0, use_rate(table, 8, now));
+  }
+
   void a_chat_stays_where_its_prefix_is_when_endpoints_are_added() {
     gateway_state state = test_state(4);
     std::map<std::uint64_t, endpoint_id> homes;
