Share among gateways what the store told one of them

Change: an answer counts for all. A gateway that was answered tells its peers at once, with its next message, up to which version of the store the table has not changed, at which time of the store's clock, and the changed rows if they are short. A peer whose copy lacks nothing counts as confirmed at that time, dated by its own bound on the clock; one that lacks changes takes the rows or asks.

Ruled out: readers that are chosen, which need a rule for when they are wrong; questions held for 30 s, which confirm nothing while they are held.

--- a/Source/Gateway/clock_bound.cxx
+++ b/Source/Gateway/clock_bound.cxx
@@ -33,4 +33,16 @@
   return std::clamp(dated, began_at, std::max(began_at, now));
 }
 
+std::optional<steady_time> date_by_bound(const clock_bound& bound,
+                                         std::chrono::milliseconds service_time, steady_time now) {
+  const bool is_old = now - bound.period_began >= 2 * bound_period;
+  if (!bound.present || is_old) {
+    return std::nullopt;
+  }
+  const std::chrono::nanoseconds best =
+      std::max(*bound.present, bound.previous.value_or(*bound.present));
+  const steady_time dated{std::chrono::duration_cast<steady_time::duration>(service_time + best)};
+  return std::min(dated, now);
+}
+
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/clock_bound.h
+++ b/Source/Gateway/clock_bound.h
@@ -20,7 +20,7 @@
 };
 
 /// How long a bound is used: the two clocks may drift apart.
-inline constexpr std::chrono::seconds bound_period{10};
+inline constexpr std::chrono::seconds bound_period{60};
 
 /// Takes in an answer that carries the service's time, and returns a time of
 /// this process at which the service had certainly not given it yet: never
@@ -28,4 +28,9 @@
 steady_time date_answer(clock_bound& bound, std::chrono::milliseconds service_time,
                         steady_time began_at, steady_time now);
 
+/// The same for what a peer says of an answer that it got: nothing if no answer to this
+/// process has told the difference of the clocks lately.
+std::optional<steady_time> date_by_bound(const clock_bound& bound,
+                                         std::chrono::milliseconds service_time, steady_time now);
+
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -26,6 +26,8 @@
   peer_table peers;
   crash_suspects suspects;
   prefix_holders holders;
+  /// What the store has told this gateway and the peers have not heard of yet.
+  std::vector<table_news> store_news;
   resend_terms resends;
   std::map<pool_id, resend_budget> resend_budgets;
   /// Latest moment at which `services` was known to be the newest version.
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -12,6 +12,7 @@
 #include "Gateway/endpoint_table.h"
 #include "Gateway/placement.h"
 #include "Gateway/prefix_holders.h"
+#include "Gateway/store_news.h"
 
 /// What gateways tell each other, so that limits hold over all of them.
 namespace chestnuthead::gateway {
@@ -45,6 +46,8 @@
   std::vector<std::uint64_t> unreachable;
   /// Where the sender has placed prefixes since its last message.
   std::vector<prefix_word> placements;
+  /// What the store has told the sender since its last message.
+  std::vector<table_news> tables;
   /// Recent suspicions against requests.
   std::vector<crash_word> crashes;
   /// The store has confirmed the sender's configuration lately.
--- a/Source/Net/msgpack_fields.h
+++ b/Source/Net/msgpack_fields.h
@@ -89,6 +89,14 @@
     }
     time = std::chrono::milliseconds(count);
   }
+  /// Bytes that need not be text.
+  void get_bytes(std::string& bytes) {
+    const msgpack::object& field = this->object();
+    if (field.type != msgpack::type::BIN) {
+      throw msgpack::type_error();
+    }
+    bytes.assign(field.via.bin.ptr, field.via.bin.size);
+  }
   /// Reads a value of an enumeration that ends with `last`.
   template <class Enumeration>
   void get(Enumeration& value, Enumeration last) {
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -10,14 +10,14 @@
 namespace {
 
 /// Changes when the fields do; gateways ignore messages of another version.
-constexpr std::uint32_t message_version = 3;
+constexpr std::uint32_t message_version = 4;
 /// Entries of one list that are taken at most.
 constexpr std::size_t list_limit = 4'096;
 
 /// Limits against messages that claim more than they hold: memory is taken for
 /// what an array claims before its elements are read.
-const msgpack::unpack_limit limits(list_limit, /* map */ 0, /* str */ 4'096, /* bin */ 0,
-                                   /* ext */ 0, /* depth */ 3);
+const msgpack::unpack_limit limits(list_limit, /* map */ 0, /* str */ 4'096,
+                                   /* bin */ gateway::news_bytes, /* ext */ 0, /* depth */ 5);
 
 void check_length(const msgpack::object& list) {
   if (list.type != msgpack::type::ARRAY || list.via.array.size > list_limit) {
@@ -38,10 +38,48 @@
   }
 }
 
+void put_table(field_writer& out, const gateway::table_news& news) {
+  constexpr std::size_t fields = 7;
+  constexpr std::size_t row_fields = 3;
+  out.array(fields);
+  out.put(news.table);
+  out.put(news.version);
+  out.put(news.unchanged_since);
+  out.put(news.store_time);
+  out.put(news.rows_after);
+  out.put(news.has_rows);
+  out.array(news.rows.size() * row_fields);
+  for (const gateway::table_row& row : news.rows) {
+    out.put(row.key);
+    out.put_bytes(row.value);
+    out.put(row.removed);
+  }
+}
+
+gateway::table_news read_table(const msgpack::object& object) {
+  field_reader in(object);
+  gateway::table_news news;
+  in.get(news.table);
+  in.get(news.version);
+  in.get(news.unchanged_since);
+  in.get(news.store_time);
+  in.get(news.rows_after);
+  in.get(news.has_rows);
+  const msgpack::object& rows = in.object();
+  check_length(rows);
+  for (field_reader list(rows); !list.at_end();) {
+    gateway::table_row& row = news.rows.emplace_back();
+    list.get(row.key);
+    list.get_bytes(row.value);
+    list.get(row.removed);
+  }
+  return news;
+}
+
 }  // namespace
 
 std::string encode_word(const gateway::peer_word& word) {
-  constexpr std::size_t fields = 10;
+  constexpr std::size_t fields = 11;
   field_writer out;
   out.array(fields);
   out.put(message_version);
@@ -69,6 +107,10 @@
     out.put(placement.prefix);
     out.put(placement.endpoint);
   }
+  out.array(word.tables.size());
+  for (const gateway::table_news& news : word.tables) {
+    put_table(out, news);
+  }
   return out.text();
 }
 
@@ -99,6 +141,11 @@
                &gateway::crash_word::endpoint);
     read_pairs(in.object(), word.placements, &gateway::prefix_word::prefix,
                &gateway::prefix_word::endpoint);
+    const msgpack::object& tables = in.object();
+    check_length(tables);
+    for (field_reader list(tables); !list.at_end();) {
+      word.tables.push_back(read_table(list.object()));
+    }
     return word;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/Source/Traffic/peer_port.cxx
+++ b/Source/Traffic/peer_port.cxx
@@ -28,9 +28,11 @@
 
 }  // namespace
 
-peer_port::peer_port(traffic_context& parts, node_id own_name, const std::string& address)
+peer_port::peer_port(traffic_context& parts, node_id own_name, const std::string& address,
+                     news_handler news_heard)
     : context(parts),
       self(std::move(own_name)),
+      on_news(std::move(news_heard)),
       descriptor(open_bound_socket(address, SOCK_DGRAM)),
       start(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                            parts.time.wall_now().time_since_epoch())
@@ -92,7 +94,8 @@
 
 void peer_port::tick(steady_time now) {
   gateway::gateway_state& state = this->context.state;
-  if (now < this->next_at) {
+  const bool has_news = !state.store_news.empty();
+  if (now < this->next_at && !has_news) {
     return;
   }
   const std::uint32_t known = count_gateways(state.peers, now);
@@ -101,12 +104,13 @@
   this->next_at = now + std::min(interval, gateway::urgent_interval);
   apply_peer_loads(state.peers, state.endpoints, now);
   gateway::peer_word word = this->make_word(now);
-  if (now < this->next_full_at && !is_urgent(word, this->told)) {
+  if (now < this->next_full_at && !has_news && !is_urgent(word, this->told)) {
     return;
   }
   this->next_full_at = now + interval;
   this->told = word;
   word.placements = std::exchange(state.holders.news, {});
+  word.tables = std::exchange(state.store_news, {});
   this->send_to_all(std::move(word));
   forget_old(state.suspects, now);
   if (now >= this->next_sweep_at) {
@@ -121,12 +125,16 @@
   this->send_to_all(std::move(word));
 }
 
-void peer_port::hear(const gateway::peer_word& word, const Poco::Net::SocketAddress& sender,
+void peer_port::hear(gateway::peer_word word, const Poco::Net::SocketAddress& sender,
                      steady_time now) {
   gateway::gateway_state& state = this->context.state;
   if (word.sender == this->self) {
     return;
   }
+  // Dated by the store's clock, so that news counts also if a later message came first.
+  for (const gateway::table_news& news : std::exchange(word.tables, {})) {
+    this->on_news(news);
+  }
   const auto known = state.peers.rows.find(word.sender);
   const std::uint64_t start_before = known == state.peers.rows.end() ? 0 : known->second.word.start;
   if (take_word(state, word, now) && word.start != start_before &&
@@ -149,9 +157,10 @@
     if (size < 0) {
       return;
     }
-    const auto word = decode_word({buffer.data(), static_cast<std::size_t>(size)});
+    auto word = decode_word({buffer.data(), static_cast<std::size_t>(size)});
     if (word) {
-      this->hear(*word, Poco::Net::SocketAddress(address, length), this->context.time.now());
+      this->hear(std::move(*word), Poco::Net::SocketAddress(address, length),
+                 this->context.time.now());
     } else {
       this->context.metrics.count("chestnuthead_peer_messages_unreadable_total");
     }
--- a/Source/Traffic/peer_port.h
+++ b/Source/Traffic/peer_port.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include <Poco/Net/SocketAddress.h>
@@ -13,8 +14,12 @@
 /// Tells the other gateways of this one's loads and hears of theirs, over UDP.
 class peer_port : public io_watcher {
  public:
-  /// `address` is the IP number and port to hear at.
-  peer_port(traffic_context& context, node_id self, const std::string& address);
+  using news_handler = std::function<void(const gateway::table_news&)>;
+
+  /// `address` is the IP number and port to hear at; `on_news` hears what the store
+  /// has told the peers.
+  peer_port(traffic_context& context, node_id self, const std::string& address,
+            news_handler on_news);
   ~peer_port() override;
   peer_port(const peer_port&) = delete;
   peer_port& operator=(const peer_port&) = delete;
@@ -39,11 +44,11 @@
   [[nodiscard]] gateway::peer_word make_word(steady_time now) const;
   /// Tells a gateway that has started anew where prefixes are held.
   void greet(const Poco::Net::SocketAddress& newcomer, steady_time now);
-  void hear(const gateway::peer_word& word, const Poco::Net::SocketAddress& sender,
-            steady_time now);
+  void hear(gateway::peer_word word, const Poco::Net::SocketAddress& sender, steady_time now);
 
   traffic_context& context;
   node_id self;
+  news_handler on_news;
   int descriptor = -1;
   std::uint64_t start = 0;
   std::uint64_t sequence = 0;
--- a/Tests/Traffic/peer_codec_test.cxx
+++ b/Tests/Traffic/peer_codec_test.cxx
@@ -28,6 +28,16 @@
     CPPUNIT_ASSERT(word.unreachable == back->unreachable);
     CPPUNIT_ASSERT(word.crashes == back->crashes);
     CPPUNIT_ASSERT(word.placements == back->placements);
+    const gateway::table_news& news = back->tables.at(0);
+    CPPUNIT_ASSERT_EQUAL(word.tables[0].table, news.table);
+    CPPUNIT_ASSERT_EQUAL(word.tables[0].version, news.version);
+    CPPUNIT_ASSERT_EQUAL(word.tables[0].unchanged_since, news.unchanged_since);
+    CPPUNIT_ASSERT(word.tables[0].store_time == news.store_time);
+    CPPUNIT_ASSERT_EQUAL(word.tables[0].rows_after, news.rows_after);
+    CPPUNIT_ASSERT(news.has_rows);
+    CPPUNIT_ASSERT_EQUAL(word.tables[0].rows[1].key, news.rows.at(1).key);
+    CPPUNIT_ASSERT_EQUAL(word.tables[0].rows[1].value, news.rows.at(1).value);
+    CPPUNIT_ASSERT(news.rows.at(1).removed);
   }
 
   void no_bytes_do_harm() {
@@ -46,7 +56,7 @@
     for (const std::string claim : {"\xdf\xdf\xff\xff\xff", "\xdd\xdf\xff\xff\xff",
                                     "\xdb\xff\xff\xff\xff", "\xc6\xff\xff\xff\xff"}) {
       CPPUNIT_ASSERT(!decode_word(claim).has_value());
-      CPPUNIT_ASSERT(!decode_word("\x9a\x03" + claim).has_value());
+      CPPUNIT_ASSERT(!decode_word("\x9b\x04" + claim).has_value());
     }
   }
 
@@ -58,6 +68,13 @@
     word.sequence = 4;
     word.leaving = true;
     word.current = true;
+    word.tables.push_back({"servers",
+                           90,
+                           80,
+                           std::chrono::milliseconds{5'000},
+                           70,
+                           true,
+                           {{"one", std::string("\x00{}", 3), false}, {"two", "", true}}});
     word.loads = {{0xFFFF'FFFF'FFFF'FFFF, 3}, {7, 9}};
     word.unreachable = {5};
     word.crashes = {{1, 2}};
