Bound what is taken of answers without end, and refuse names like the framing ones

Ruled out: heads, chunk sizes and trailers without end, which the parser bounds, and bytes that trickle, which end with the time-out.

Names that begin like the framing fields, or have an underscore for the hyphen, are refused.

--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -288,16 +288,34 @@
     return;
   }
   this->call.held.append(bytes);
-  if (this->call.held.size() > held_answer_bytes && is_success(this->call.answer.status)) {
+  if (this->call.held.size() <= held_answer_bytes) {
+    return;
+  }
+  if (is_success(this->call.answer.status)) {
     this->start_passing();
     this->pass_bytes(std::exchange(this->call.held, {}));
+  } else {
+    this->abandon_answer();
   }
 }
 
+void exchange::abandon_answer() {
+  const bool not_executed = this->call.answer.not_executed || this->call.answer.wrong_endpoint;
+  this->call.link->abandon();
+  this->events.partial.clear();
+  this->events.sound = true;
+  this->close_call(attempt_result::broken);
+  this->after(not_executed ? attempt_end::not_executed : attempt_end::unknown);
+}
+
 void exchange::pass_bytes(std::string_view bytes) {
   std::string whole;
   if (this->taken->taken_route->streams) {
     split_events(this->events, bytes, whole);
+    if (!this->events.sound && !this->history.answer_begun) {
+      this->abandon_answer();
+      return;
+    }
     if (!this->events.sound) {
       this->call.link->abandon();
       this->close_call(attempt_result::broken);
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -96,6 +96,9 @@
   void after(gateway::attempt_end end);
   void start_passing();
   void pass_bytes(std::string_view bytes);
+  /// Gives up an answer that goes on without end or sense before the caller has any of
+  /// it.
+  void abandon_answer();
   void take_whole_answer();
   void finish_stream();
   void time_out();
--- a/Source/Traffic/http_client.cxx
+++ b/Source/Traffic/http_client.cxx
@@ -34,6 +34,7 @@
   this->reply.began_at = this->time.now();
   this->give_up_at = this->reply.began_at + wanted.limit;
   this->status = 0;
+  this->too_long = false;
   std::string bytes =
       wanted.method + " " + wanted.target + " HTTP/1.1\r\nHost: " + this->address + "\r\n";
   if (!wanted.body.empty()) {
@@ -57,7 +58,8 @@
   std::string_view rest = bytes;
   while (!rest.empty() && this->present != nullptr && this->busy()) {
     rest.remove_prefix(std::min(rest.size(), this->present->reader.feed(rest)));
-    if (this->present != nullptr && this->present->reader.fault() != http_fault::none) {
+    if (this->present != nullptr &&
+        (this->too_long || this->present->reader.fault() != http_fault::none)) {
       this->drop();
       this->finish(0);
       return;
@@ -75,10 +77,16 @@
 }
 
 void http_client::on_body(std::string_view bytes) {
-  this->reply.body.append(bytes);
+  this->too_long = this->too_long || this->reply.body.size() + bytes.size() > longest_reply_bytes;
+  if (!this->too_long) {
+    this->reply.body.append(bytes);
+  }
 }
 
 void http_client::on_message_end() {
+  if (this->too_long) {
+    return;
+  }
   if (!this->keeps_open) {
     this->drop();
   }
--- a/Source/Traffic/http_client.h
+++ b/Source/Traffic/http_client.h
@@ -31,6 +31,10 @@
   steady_time began_at{};
 };
 
+/// Longest body of a reply that is taken: the store's pages hold a megabyte of values,
+/// and the operators' configuration a few.
+inline constexpr std::size_t longest_reply_bytes = 16U << 20U;
+
 class http_client : public link_listener, public http_listener {
  public:
   http_client(event_loop& loop, const clock& time, std::string address);
@@ -69,6 +73,8 @@
   http_reply reply;
   int status = 0;
   bool keeps_open = true;
+  /// The reply's body is longer than is taken.
+  bool too_long = false;
   steady_time give_up_at{};
 };
 
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -1,6 +1,7 @@
 #include "Traffic/http_reader.h"
 
 #include <algorithm>
+#include <cctype>
 #include <limits>
 
 #include <http_parser.h>
@@ -82,11 +83,28 @@
   return (number < first_printable && byte != '\t') || number == delete_mark;
 }
 
+/// True for a name that some readers take for one of the two fields that frame a
+/// message: with more after it, or with an underscore for the hyphen. A reader behind
+/// this one would find another end of the message.
+bool imitates_framing(std::string_view name) {
+  std::string plain(name);
+  std::transform(plain.begin(), plain.end(), plain.begin(), [](char byte) {
+    return byte == '_' ? '-' : static_cast<char>(std::tolower(static_cast<unsigned char>(byte)));
+  });
+  for (const std::string_view framing : {"content-length", "transfer-encoding"}) {
+    const bool exact = plain == framing && name.find('_') == std::string_view::npos;
+    if (plain.starts_with(framing) && !exact) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /// The parser takes "Content-Length : 5" for a length, but passes the name on with
 /// its space: the next reader would see a field of another name.
 bool is_well_formed(const http_head& head) {
   return std::all_of(head.fields.begin(), head.fields.end(), [](const auto& field) {
-    return !field.first.empty() &&
+    return !field.first.empty() && !imitates_framing(field.first) &&
            std::all_of(field.first.begin(), field.first.end(), is_token_byte) &&
            std::none_of(field.second.begin(), field.second.end(), is_control_byte);
   });
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -365,7 +365,10 @@
          {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
           "Content-Length: 3\r\nContent-Length: 4\r\n", "Transfer-Encoding: xchunked\r\n",
           "Content-Length : 3\r\n", "Content-Length: 3\r\nX-Note: a\x01z\r\n",
-          "Transfer-Encoding : chunked\r\n"}) {
+          "Transfer-Encoding : chunked\r\n", "Transfer-Encodingt: a\r\nContent-Length: 3\r\n",
+          "Content-Length: 3\r\nTransfer_Encoding: chunked\r\n",
+          "Content-Length: 3\r\ncontent_length: 9\r\n",
+          "Content-Length: 3\r\nContent-Length-2: 9\r\n"}) {
       traffic_bench bench;
       bench.plain->scripts = {
           [](connection& caller) { caller.send(traffic_bench::answer_bytes("p1", "paid")); }};
