Tighten the load bound only as far as news is old

Change: both count in proportion to the part of the pool's load that is replaced until the next news.

--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -67,16 +67,20 @@
 struct pool_load {
   double load = 0.0;
   double arrivals = 0.0;
+  /// Part of the load that is replaced until the next news: 0 with fresh news, 1 with
+  /// news older than requests last.
+  double turnover = 0.0;
   /// Load up to which a choice follows prefixes.
   double bound = 0.0;
 };
 
-/// An endpoint's load, or what its part of the pool's recent requests lets expect if
-/// that is more: news of loads is older than many requests last, and all gateways
-/// would send to an endpoint whose requests happen to be few at that moment.
+/// An endpoint's load, raised towards what its part of the pool's recent requests lets
+/// expect as far as news is old: all gateways would send to an endpoint whose requests
+/// happened to be few when they heard of it.
 double expected_load(const endpoint& row, const pool_load& pool, steady_time now) {
+  const double known = load_of(row);
   const double part = pool.arrivals > 0.0 ? recent_arrivals(row, now) / pool.arrivals : 0.0;
-  return std::max(load_of(row), part * pool.load);
+  return known + pool.turnover * std::max(0.0, part * pool.load - known);
 }
 
 /// An endpoint within the bound.
@@ -143,6 +147,15 @@
   return spread.back().row;
 }
 
+/// Load up to which a choice follows prefixes: the multiple of the pool's mean, less
+/// what an endpoint may get by chance before the next news as far as news is old.
+double bounded_load(double mean, double arrivals, double turnover, const fleet_view& fleet) {
+  // However old the news, chats may stay where they were at a usual load.
+  const double least = (1.0 + fleet.load_multiple) / 2.0 * mean + 1.0;
+  const double deviation = std::sqrt(arrivals);
+  return std::max(least, fleet.load_multiple * mean + load_allowance - turnover * deviation);
+}
+
 pool_load load_of_pool(const std::vector<endpoint*>& endpoints, const placement_hints& hints,
                        const fleet_view& fleet, steady_time now) {
   pool_load pool;
@@ -150,7 +163,9 @@
     pool.load += load_of(*row);
     pool.arrivals += recent_arrivals(*row, now);
   }
-  pool.bound = load_bound(endpoints, hints, fleet);
+  pool.turnover = pool.load > 0.0 ? std::min(1.0, hints.expected_meanwhile / pool.load) : 0.0;
+  const double arrivals = hints.expected_meanwhile / static_cast<double>(endpoints.size());
+  pool.bound = bounded_load(mean_load(endpoints), arrivals, pool.turnover, fleet);
   return pool;
 }
 
@@ -223,17 +238,6 @@
          !fleet.domains_out.contains(row.listing.failure_domain);
 }
 
-double load_bound(const std::vector<endpoint*>& endpoints, const placement_hints& hints,
-                  const fleet_view& fleet) {
-  const double mean = mean_load(endpoints);
-  const double arrivals = hints.expected_meanwhile / static_cast<double>(endpoints.size());
-  // About the standard deviation of what comes meanwhile.
-  const double unknown = std::sqrt(arrivals);
-  // However old the news, chats may stay where they were at a usual load.
-  const double least = (1.0 + fleet.load_multiple) / 2.0 * mean + 1.0;
-  return std::max(least, fleet.load_multiple * mean + load_allowance - unknown);
-}
-
 placement_choice choose_endpoint(const std::vector<endpoint*>& endpoints, const pool& pool,
                                  const caller_request& request, const placement_hints& hints,
                                  const fleet_view& fleet, random_source& random, steady_time now) {
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -83,11 +83,6 @@
   double expected_with_prefix = 0.0;
 };
 
-/// Load up to which a choice follows prefixes: the multiple of the pool's mean, less
-/// what an endpoint may get by chance before the next news of the peers' loads.
-double load_bound(const std::vector<endpoint*>& endpoints, const placement_hints& hints,
-                  const fleet_view& fleet);
-
 /// Chooses an endpoint that was not tried: one that holds the prefix, else the
 /// first in rendezvous order, each within the bounded load; else the least
 /// loaded. A prefix with more requests than its holders have room for until the
