Authenticate messages between gateways with a key of the fleet

Cause: what peers say now also confirms that no key was revoked, and any process that reaches the UDP port could say it.

Change: messages carry a keyed hash (BLAKE2b, libsodium) of 16 bytes. The key lies in the table of gateways; the first gateway of a fleet makes it under a condition, the others find it; after 24 hours a new one is made, used once all had 15 s to hear of it, and the one before is still taken. Refused messages are counted and cost no memory.

--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include "Gateway/attempt_rules.h"
 #include "Gateway/crash_suspects.h"
 #include "Gateway/endpoint_table.h"
+#include "Gateway/fleet_keys.h"
 #include "Gateway/peer_table.h"
 #include "Gateway/placement.h"
 #include "Gateway/prefix_holders.h"
@@ -24,6 +25,7 @@
   endpoint_table endpoints;
   fleet_view fleet;
   peer_table peers;
+  fleet_keys keys;
   crash_suspects suspects;
   prefix_holders holders;
   /// What the store has told this gateway and the peers have not heard of yet.
--- a/Source/Traffic/peer_port.cxx
+++ b/Source/Traffic/peer_port.cxx
@@ -11,6 +11,7 @@
 #include "Gateway/peer_news.h"
 #include "Gateway/readiness.h"
 #include "Traffic/byte_link.h"
+#include "Traffic/message_seal.h"
 #include "Traffic/peer_codec.h"
 
 namespace chestnuthead::traffic {
@@ -53,11 +54,12 @@
   word.sender = this->self;
   word.start = this->start;
   word.sequence = ++this->sequence;
-  return encode_word(word);
+  const gateway::fleet_key* key = sending_key(this->context.state.keys, this->context.time.now());
+  return key == nullptr ? std::string() : seal_message(*key, encode_word(word));
 }
 
 void peer_port::send_to(const Poco::Net::SocketAddress& target, const std::string& bytes) const {
-  if (bytes.size() <= longest_message) {
+  if (!bytes.empty() && bytes.size() <= longest_message) {
     // A lost message is made good by the next one.
     ::sendto(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL, target.addr(),
              target.length());
@@ -157,7 +159,13 @@
     if (size < 0) {
       return;
     }
-    auto word = decode_word({buffer.data(), static_cast<std::size_t>(size)});
+    const auto message =
+        open_message(this->context.state.keys, {buffer.data(), static_cast<std::size_t>(size)});
+    if (!message) {
+      this->context.metrics.count("chestnuthead_peer_messages_refused_total");
+      continue;
+    }
+    auto word = decode_word(*message);
     if (word) {
       this->hear(std::move(*word), Poco::Net::SocketAddress(address, length),
                  this->context.time.now());
--- a/Source/Traffic/peer_port.h
+++ b/Source/Traffic/peer_port.h
@@ -36,7 +36,8 @@
   void on_ready(bool readable, bool writable) override;
 
  private:
-  /// The message's bytes, with this gateway's name and the next number.
+  /// The message's bytes, with this gateway's name, the next number and a seal; empty
+  /// while the fleet's key is not known.
   std::string seal(gateway::peer_word word);
   void send_to(const Poco::Net::SocketAddress& target, const std::string& bytes) const;
   void send_to_all(gateway::peer_word word);
--- /dev/null
+++ b/Tests/Gateway/fleet_keys_test.cxx
@@ -0,0 +1,80 @@
+#include "Gateway/fleet_keys.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Gateway/gateway_fixture.h"
+
+namespace chestnuthead::gateway {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class fleet_keys_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(fleet_keys_test);
+  CPPUNIT_TEST(the_first_gateway_makes_the_first_key);
+  CPPUNIT_TEST(a_new_key_is_used_once_all_know_it);
+  CPPUNIT_TEST(keys_are_replaced_on_schedule);
+  CPPUNIT_TEST(keys_come_back_from_their_text);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void the_first_gateway_makes_the_first_key() {
+    fleet_keys keys;
+    CPPUNIT_ASSERT(sending_key(keys, test_start) == nullptr);
+    CPPUNIT_ASSERT(next_key_due(keys, seconds{5}) == std::uint64_t{1});
+    learn_key(keys, 1, key_of('a', seconds{5}, test_start));
+    CPPUNIT_ASSERT(!next_key_due(keys, seconds{6}));
+    CPPUNIT_ASSERT_EQUAL(secret_of('a'), sending_key(keys, test_start)->secret);
+  }
+
+  void a_new_key_is_used_once_all_know_it() {
+    fleet_keys keys;
+    learn_key(keys, 1, key_of('a', seconds{5}, test_start));
+    const steady_time later = test_start + hours{24};
+    learn_key(keys, 2, key_of('b', hours{24}, later));
+    CPPUNIT_ASSERT_EQUAL(secret_of('a'), sending_key(keys, later)->secret);
+    // Hearing of it again does not begin the time anew.
+    learn_key(keys, 2, key_of('b', hours{24}, later + key_spread));
+    CPPUNIT_ASSERT_EQUAL(secret_of('b'), sending_key(keys, later + key_spread)->secret);
+    forget_key(keys, 1);
+    CPPUNIT_ASSERT_EQUAL(secret_of('b'), sending_key(keys, later)->secret);
+  }
+
+  void keys_are_replaced_on_schedule() {
+    fleet_keys keys;
+    learn_key(keys, 1, key_of('a', seconds{0}, test_start));
+    CPPUNIT_ASSERT(!next_key_due(keys, key_life - seconds{1}));
+    CPPUNIT_ASSERT(next_key_due(keys, key_life) == std::uint64_t{2});
+    CPPUNIT_ASSERT(keys_outdated(keys, 2).empty());
+    learn_key(keys, 2, key_of('b', key_life, test_start));
+    CPPUNIT_ASSERT(next_key_due(keys, 2 * key_life) == std::uint64_t{3});
+    CPPUNIT_ASSERT(keys_outdated(keys, 3) == std::vector<std::uint64_t>{1});
+    // The store's clock has begun anew.
+    CPPUNIT_ASSERT(!next_key_due(keys, seconds{3}));
+  }
+
+  void keys_come_back_from_their_text() {
+    const fleet_key key = key_of('\x9f', seconds{7}, test_start);
+    const auto back = parse_key(format_key(key));
+    CPPUNIT_ASSERT(back.has_value());
+    CPPUNIT_ASSERT_EQUAL(key.secret, back->secret);
+    CPPUNIT_ASSERT(back->made_at == seconds{7});
+    for (const char* text : {"", "7", "7 ", "7 abc", "x 00", "7 00"}) {
+      CPPUNIT_ASSERT(!parse_key(text));
+    }
+    CPPUNIT_ASSERT(!parse_key("7 " + std::string(2 * secret_bytes, 'g')));
+  }
+
+ private:
+  static std::string secret_of(char byte) {
+    return std::string(secret_bytes, byte);
+  }
+  static fleet_key key_of(char byte, milliseconds made_at, steady_time known_at) {
+    return {secret_of(byte), made_at, known_at};
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_keys_test);
+
+}  // namespace chestnuthead::gateway
--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -124,6 +124,21 @@
       take(*rows->getObject(at));
     }
   };
+  bool holds = true;
+  std::string present;
+  each("expected_revision", [&](const Poco::JSON::Object& entry) {
+    const std::string table = json_text(entry, "table");
+    const std::string key = json_text(entry, "key");
+    const auto rows = this->tables.find(table);
+    const bool exists = rows != this->tables.end() && rows->second.contains(key);
+    const std::uint64_t found = exists ? rows->second.at(key).version : 0;
+    holds = holds && found == entry.getValue<std::uint64_t>("row_version");
+    present += (present.empty() ? "" : ",") + this->format(table, key);
+  });
+  if (!holds) {
+    send_answer(caller, 412, "{\"rows\":[" + present + this->tail());
+    return;
+  }
   each("set_keys", [this](const Poco::JSON::Object& entry) {
     this->put(json_text(entry, "table"), json_text(entry, "key"),
               decode_base64(json_text(entry, "value")));
