Keep the pages of a table that have come when one fails

A gateway reads 3,000 endpoints in seven pages, each within 0.7 s, and began anew when one of them failed; all others of the fleet read at the same time.

Test: a page that fails is asked again from the last row; it asked for all before.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -107,6 +107,9 @@
 }
 
 double recent_arrivals(const endpoint& row, steady_time now) {
+  if (row.arrivals == 0.0) {
+    return 0.0;
+  }
   const std::chrono::duration<double> passed = now - row.arrivals_at;
   return row.arrivals * std::exp2(-passed / arrivals_half_life);
 }
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -90,43 +90,52 @@
   double room = 0.0;
 };
 
+/// Moves endpoints from `others` to the spread, in rendezvous order, until it has the
+/// room that is needed. Mostly one is enough, so the others are not sorted.
+void widen_spread(std::vector<roomy_endpoint>& spread, std::vector<roomy_endpoint>& others,
+                  std::uint64_t affinity, double lacking) {
+  const auto weight_of = [affinity](const roomy_endpoint& one) {
+    return rendezvous_weight(affinity, one.row->hash);
+  };
+  while (lacking > 0.0 && !others.empty()) {
+    std::size_t best = 0;
+    std::uint64_t best_weight = 0;
+    for (std::size_t place = 0; place < others.size(); ++place) {
+      const std::uint64_t weight = weight_of(others[place]);
+      if (weight > best_weight) {
+        best = place;
+        best_weight = weight;
+      }
+    }
+    spread.push_back(others[best]);
+    lacking -= others[best].room;
+    others[best] = others.back();
+    others.pop_back();
+  }
+}
+
 /// Endpoints within the bound that a request with the prefix may go to: those that
 /// hold it, and as many of the others in rendezvous order as are needed to take the
 /// requests that all gateways send until they hear of each other's.
 std::vector<roomy_endpoint> spread_of_prefix(const std::vector<endpoint*>& open,
                                              const placement_hints& hints, std::uint64_t affinity,
                                              const pool_load& pool, steady_time now) {
-  const double needed = std::max(hints.expected_with_prefix, 1.0);
   std::vector<roomy_endpoint> spread;
   std::vector<roomy_endpoint> others;
   double room = 0.0;
   for (endpoint* row : open) {
-    const double own_room = pool.bound - expected_load(*row, pool, now);
-    if (own_room < 1.0) {
+    const roomy_endpoint one{row, pool.bound - expected_load(*row, pool, now)};
+    if (one.room < 1.0) {
       continue;
     }
     if (holds(*row, hints.holders)) {
-      spread.push_back({row, own_room});
-      room += own_room;
+      spread.push_back(one);
+      room += one.room;
     } else {
-      others.push_back({row, own_room});
-    }
-  }
-  if (room >= needed) {
-    return spread;
-  }
-  std::sort(others.begin(), others.end(),
-            [affinity](const roomy_endpoint& one, const roomy_endpoint& other) {
-              return rendezvous_weight(affinity, one.row->hash) >
-                     rendezvous_weight(affinity, other.row->hash);
-            });
-  for (const roomy_endpoint& other : others) {
-    if (room >= needed) {
-      break;
+      others.push_back(one);
     }
-    spread.push_back(other);
-    room += other.room;
   }
+  widen_spread(spread, others, affinity, std::max(hints.expected_with_prefix, 1.0) - room);
   return spread;
 }
 
--- a/Tests/Platform/table_follower_test.cxx
+++ b/Tests/Platform/table_follower_test.cxx
@@ -1,18 +1,151 @@
 #include "table_follower.h"
 
+#include <deque>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "chestnuthead/seeded_random.h"
+
+#include "Base/process_clock.h"
+#include "Fakes/scripted_endpoint.h"
+#include "Net/json_text.h"
+
 namespace chestnuthead::platform {
 
 using std::chrono::milliseconds;
+using connection = scripted_endpoint::connection;
+
+namespace {
+
+std::string row_text(const std::string& key, std::uint64_t version) {
+  return R"({"table":"t","part":"","key":")" + key + R"(","value":")" + encode_base64(key) +
+         R"(","row_version":)" + std::to_string(version) + "}";
+}
+
+std::string answer_text(const std::string& rows, bool more, std::uint64_t version) {
+  const std::string body = "{\"rows\":[" + rows + R"(],"more_pages":)" + (more ? "true" : "false") +
+                           R"(,"row_version":)" + std::to_string(version) + R"(,"now_ms":)" +
+                           std::to_string(50'000 + version) + "}";
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+scripted_endpoint::script answers(const std::string& text) {
+  return [text](connection& caller) { caller.send(text); };
+}
+
+/// A follower before a store that answers as a test says.
+struct follower_bench {
+  explicit follower_bench(std::deque<scripted_endpoint::script> scripts)
+      : log(this->time, "test", log_level::info, this->lines, 1'000),
+        store(this->loop),
+        follower(
+            this->loop, this->time, this->log, this->random, this->store.address, {"t", {}, {}},
+            [this](const table_change& change) { this->changes.push_back(change); },
+            [this](gateway::table_news told) { this->news.push_back(std::move(told)); }) {
+    this->store.scripts = std::move(scripts);
+    this->follower.set_gateways(50);
+  }
+
+  bool run_until(const std::function<bool()>& condition) {
+    const steady_time give_up_at = this->time.now() + std::chrono::seconds{10};
+    while (!condition() && this->time.now() < give_up_at) {
+      this->loop.run_once(milliseconds{2});
+      this->follower.tick(this->time.now());
+    }
+    return condition();
+  }
+
+  suspend_aware_clock time;
+  line_ring lines;
+  json_log log;
+  seeded_random random{1};
+  traffic::event_loop loop;
+  scripted_endpoint store;
+  std::vector<table_change> changes;
+  std::vector<gateway::table_news> news;
+  table_follower follower;
+};
+
+}  // namespace
 
 class table_follower_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(table_follower_test);
   CPPUNIT_TEST(failed_questions_are_asked_ever_later);
   CPPUNIT_TEST(a_fleet_leaves_a_store_that_comes_back_its_rate);
+  CPPUNIT_TEST(pages_that_came_are_kept_when_one_fails);
+  CPPUNIT_TEST(an_answer_is_told_to_the_peers);
+  CPPUNIT_TEST(a_copy_that_peers_confirm_is_not_asked_for);
+  CPPUNIT_TEST(rows_of_peers_are_taken_and_older_answers_are_not);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Gateways that all start together would else read their first pages for ever.
+  void pages_that_came_are_kept_when_one_fails() {
+    follower_bench bench(
+        {answers(answer_text(row_text("a", 3) + "," + row_text("b", 4), true, 10)),
+         answers("HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n"),
+         answers(answer_text(row_text("b", 4) + "," + row_text("c", 11), false, 12))});
+    CPPUNIT_ASSERT(bench.run_until([&] { return !bench.changes.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, bench.store.requests.size());
+    CPPUNIT_ASSERT(bench.store.requests[2].head.target.ends_with("&from=b"));
+    CPPUNIT_ASSERT(bench.changes[0].whole);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, bench.changes[0].rows.size());
+    // Changes since the first page are still to come.
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.store.requests.size() == 4; }));
+    const std::string asked = bench.store.requests[3].head.target;
+    CPPUNIT_ASSERT_MESSAGE(asked, asked.find("after=10&") != std::string::npos);
+  }
+
+  void an_answer_is_told_to_the_peers() {
+    follower_bench bench({answers(answer_text(row_text("a", 3), false, 10)),
+                          answers(answer_text(row_text("b", 14), false, 15)),
+                          answers(answer_text("", false, 16))});
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.news.size() == 2; }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, bench.news[0].version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{14}, bench.news[0].unchanged_since);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, bench.news[0].rows_after);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), bench.news[0].rows.at(0).value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{14}, bench.news[1].unchanged_since);
+    CPPUNIT_ASSERT(!bench.news[1].has_rows);
+  }
+
+  void a_copy_that_peers_confirm_is_not_asked_for() {
+    follower_bench bench(
+        {answers(answer_text(row_text("a", 3), false, 10)), answers(answer_text("", false, 11))});
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 1; }));
+    const steady_time began = bench.time.now();
+    std::uint64_t version = 11;
+    // Longer than a copy stays without being asked for.
+    CPPUNIT_ASSERT(bench.run_until([&] {
+      const auto passed = std::chrono::duration_cast<milliseconds>(bench.time.now() - began);
+      bench.follower.hear({"t", ++version, 10, milliseconds{50'010} + passed, 0, false, {}});
+      return passed > milliseconds{2'000};
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.store.requests.size());
+    CPPUNIT_ASSERT(bench.follower.news().confirmed > 100);
+    CPPUNIT_ASSERT(!bench.changes.back().own_answer);
+    CPPUNIT_ASSERT(bench.time.now() - bench.changes.back().as_of < milliseconds{200});
+  }
+
+  void rows_of_peers_are_taken_and_older_answers_are_not() {
+    connection* asked = nullptr;
+    follower_bench bench({answers(answer_text(row_text("a", 3), false, 10)),
+                          [&asked](connection& caller) { asked = &caller; }});
+    CPPUNIT_ASSERT(bench.run_until([&] { return asked != nullptr; }));
+    bench.follower.hear({"t", 30, 28, milliseconds{50'030}, 10, true, {{"b", "newer", false}}});
+    CPPUNIT_ASSERT_EQUAL(std::string("newer"), bench.changes.back().rows.at(0).value);
+    // The store answered before, with the row as it was then.
+    asked->send(answer_text(row_text("b", 20), false, 21));
+    const std::size_t before = bench.changes.size();
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() > before; }));
+    CPPUNIT_ASSERT(bench.changes.back().rows.empty());
+    CPPUNIT_ASSERT(bench.news.empty());
+  }
+
   void failed_questions_are_asked_ever_later() {
     const follow_terms terms{"t", {}, milliseconds{1'000}};
     CPPUNIT_ASSERT(retry_after(1, terms) == milliseconds{200});
