Take only whole events for a stream's progress

Cause: a stream whose endpoint sent a byte of an unfinished event now and then was never sent on to another endpoint: each byte counted as a sign of life until the deadline.

Change: an answer's head, bytes of a plain body and whole events count.

--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -119,7 +119,7 @@
   }
   this->call.link = link;
   this->call.endpoint = row.listing.name;
-  this->call.last_bytes_at = now;
+  this->call.progress_at = now;
   begin_request(row, pool, this->context.state.fleet, now);
   if (this->history.sends > 0) {
     this->context.metrics.count("chestnuthead_resends_total", this->pool_label());
@@ -251,7 +251,7 @@
 
 void exchange::on_answer(gateway::endpoint_answer& answer, const http_head& head) {
   this->call.answered = true;
-  this->call.last_bytes_at = this->context.time.now();
+  this->call.progress_at = this->context.time.now();
   this->call.answer = std::move(answer);
   gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->call.endpoint);
   if (row != nullptr && this->call.answer.load) {
@@ -282,7 +282,9 @@
 }
 
 void exchange::on_answer_body(std::string_view bytes) {
-  this->call.last_bytes_at = this->context.time.now();
+  if (!this->taken->taken_route->streams) {
+    this->call.progress_at = this->context.time.now();
+  }
   if (this->call.passing) {
     this->pass_bytes(bytes);
     return;
@@ -330,6 +332,7 @@
     return;
   }
   const steady_time now = this->context.time.now();
+  this->call.progress_at = now;
   if (!this->history.answer_begun) {
     this->history.answer_begun = true;
     this->first_bytes_at = now;
@@ -448,7 +451,7 @@
   }
   const milliseconds limit = silence_limit(*this->taken->taken_route, !this->request.prompt.empty(),
                                            this->history.answer_begun);
-  const steady_time silent_since = this->call.last_bytes_at;
+  const steady_time silent_since = this->call.progress_at;
   if (now - silent_since <= limit) {
     return;
   }
@@ -475,7 +478,7 @@
   this->context.log.write(log_level::info, "endpoint_doubted",
                           {{"endpoint", row->listing.name.value},
                            {"request", this->request.id},
-                           {"waited_ms", milliseconds_between(this->call.last_bytes_at, now)}});
+                           {"waited_ms", milliseconds_between(this->call.progress_at, now)}});
 }
 
 void exchange::time_out() {
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -68,7 +68,9 @@
   struct call_state {
     endpoint_link* link = nullptr;
     endpoint_id endpoint;
-    steady_time last_bytes_at{};
+    /// When the endpoint last sent something of use: the answer's head, bytes of its
+    /// body, or a whole event of a stream.
+    steady_time progress_at{};
     /// An answer's head has come.
     bool answered = false;
     /// The call has waited so long that its endpoint was doubted.
--- a/Tests/Traffic/endless_bytes_test.cxx
+++ b/Tests/Traffic/endless_bytes_test.cxx
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(an_endless_rejection_still_says_not_executed);
   CPPUNIT_TEST(an_endless_event_is_replaced_by_another_endpoint);
   CPPUNIT_TEST(bytes_that_trickle_end_with_the_time_out);
+  CPPUNIT_TEST(a_stream_that_trickles_goes_on_at_another_endpoint);
+  CPPUNIT_TEST(a_slow_stream_is_not_cut);
   CPPUNIT_TEST(an_endless_answer_of_a_service_ends);
   CPPUNIT_TEST_SUITE_END();
 
@@ -124,6 +126,63 @@
     CPPUNIT_ASSERT(bench.run_until([&] { return open->closed; }));
   }
 
+  /// Bytes of an event that never ends are no sign of life.
+  void a_stream_that_trickles_goes_on_at_another_endpoint() {
+    traffic_bench bench(2);
+    connection* open = nullptr;
+    int asked = 0;
+    const auto either = [&](connection& caller) {
+      ++asked;
+      caller.send(traffic_bench::stream_head("c1"));
+      if (asked == 1) {
+        open = &caller;
+        caller.send(traffic_bench::event_chunk(1, 2));
+      } else {
+        caller.send(traffic_bench::event_chunk(3, 4) + "0\r\n\r\n");
+      }
+    };
+    bench.endpoints[0]->scripts = {either};
+    bench.endpoints[1]->scripts = {either};
+    const auto caller = bench.connect();
+    caller->send(traffic_bench::chat_bytes("c1"));
+    CPPUNIT_ASSERT(bench.run_until([&] { return open != nullptr; }));
+    const steady_time began = bench.time.now();
+    steady_time next = began;
+    CPPUNIT_ASSERT(bench.run_until([&] {
+      if (!open->closed && bench.time.now() >= next) {
+        open->send("1\r\nd\r\n");
+        next += milliseconds{50};
+      }
+      return caller->has_answers(1);
+    }));
+    CPPUNIT_ASSERT_EQUAL(2, asked);
+    CPPUNIT_ASSERT_EQUAL(traffic_bench::events(1, 4), traffic_bench::unchunked(caller->bytes));
+    CPPUNIT_ASSERT(bench.time.now() - began < milliseconds{3'000});
+  }
+
+  /// Each pause is shorter than the one after which an endpoint is taken for lost.
+  void a_slow_stream_is_not_cut() {
+    traffic_bench bench(2);
+    connection* open = nullptr;
+    bench.endpoints[0]->scripts = {[&open](connection& caller) {
+      open = &caller;
+      caller.send(traffic_bench::stream_head("c1"));
+    }};
+    bench.endpoints[1]->scripts = bench.endpoints[0]->scripts;
+    const auto caller = bench.connect();
+    caller->send(traffic_bench::chat_bytes("c1"));
+    CPPUNIT_ASSERT(bench.run_until([&] { return open != nullptr; }));
+    constexpr int last = 4;
+    for (int event = 1; event <= last; ++event) {
+      bench.run_for(milliseconds{700});
+      CPPUNIT_ASSERT(!open->closed);
+      open->send(traffic_bench::event_chunk(event, event));
+    }
+    open->send("0\r\n\r\n");
+    CPPUNIT_ASSERT(bench.run_until([&] { return caller->has_answers(1); }));
+    CPPUNIT_ASSERT_EQUAL(traffic_bench::events(1, last), traffic_bench::unchunked(caller->bytes));
+  }
+
   /// As the platform's store is called.
   void an_endless_answer_of_a_service_ends() {
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(nobody_to_ask_is_said_at_once);
   CPPUNIT_TEST(smuggled_bytes_are_rejected);
   CPPUNIT_TEST(a_planned_stop_finishes_what_it_has);
+  CPPUNIT_TEST(callers_that_come_during_a_planned_stop_get_an_answer);
   CPPUNIT_TEST(a_waiting_request_is_read_before_its_connection_is_idle);
   CPPUNIT_TEST_SUITE_END();
 
@@ -397,6 +398,42 @@
     CPPUNIT_ASSERT(bench.run_until([&] { return bench.server->stopped(bench.time.now()); }));
   }
 
+  /// New connections and kept ones send until the process may end; each request that
+  /// was read gets a whole answer.
+  void callers_that_come_during_a_planned_stop_get_an_answer() {
+    traffic_bench bench;
+    bench.plain->scripts = {[&bench](connection& caller) {
+      const std::string id = *find_field(bench.plain->requests.back().head, "Attempt-Id");
+      caller.send(traffic_bench::answer_bytes(id, "paid"));
+    }};
+    std::vector<std::unique_ptr<test_caller>> callers;
+    const auto call = [&bench, &callers] {
+      callers.push_back(bench.connect());
+      callers.back()->send(traffic_bench::payment_bytes("p" + std::to_string(callers.size())));
+    };
+    call();
+    CPPUNIT_ASSERT(bench.run_until([&] { return callers[0]->has_answers(1); }));
+    bench.server->begin_stop(milliseconds{1'600}, bench.time.now());
+    while (!bench.server->stopped(bench.time.now())) {
+      call();
+      bench.run_for(milliseconds{7});
+    }
+    CPPUNIT_ASSERT(callers.size() > 50);
+    int served = 0;
+    int refused = 0;
+    for (const auto& caller : callers) {
+      const bool is_served = caller->bytes.starts_with("HTTP/1.1 200 ");
+      const bool is_refused = caller->bytes.starts_with("HTTP/1.1 503 ");
+      served += is_served ? 1 : 0;
+      refused += is_refused ? 1 : 0;
+      // The last ones may not have been read at all.
+      CPPUNIT_ASSERT(is_served || is_refused || caller->bytes.empty());
+      CPPUNIT_ASSERT(caller->bytes.empty() || caller->has_answers(1));
+    }
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(served), bench.plain->requests.size());
+    CPPUNIT_ASSERT(static_cast<std::size_t>(served + refused) + 3 >= callers.size());
+  }
+
   /// A thread that stood still finds the next request of a kept connection in
   /// the socket: the connection was not idle.
   void a_waiting_request_is_read_before_its_connection_is_idle() {
