--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -73,6 +73,13 @@
   }
 }
 
+std::chrono::milliseconds walk_interval(const endpoint_table& table) {
+  constexpr std::chrono::milliseconds shortest{25};
+  constexpr std::size_t endpoints_at_shortest = 250;
+  const std::size_t times = std::max<std::size_t>(1, table.rows.size() / endpoints_at_shortest);
+  return shortest * static_cast<std::int64_t>(times);
+}
+
 void end_grace(endpoint_table& table, steady_time now) {
   for (auto& [name, row] : table.rows) {
     if (row.missing_until && now >= *row.missing_until) {
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -100,6 +100,10 @@
 void unlist_endpoint(endpoint_table& table, const endpoint_id& name, steady_time gone_at,
                      steady_time now);
 
+/// Time between two walks over all endpoints: it grows with their number, so that the
+/// walks take the same part of a processor in any fleet.
+std::chrono::milliseconds walk_interval(const endpoint_table& table);
+
 /// Ends the grace of entries that are still missing.
 void end_grace(endpoint_table& table, steady_time now);
 
--- a/Source/Traffic/health_checks.cxx
+++ b/Source/Traffic/health_checks.cxx
@@ -104,6 +104,10 @@
     one->tick(now);
   }
   std::erase_if(this->running, [](const auto& entry) { return entry.second->is_over(); });
+  if (now < this->next_walk_at) {
+    return;
+  }
+  this->next_walk_at = now + walk_interval(this->context.state.endpoints);
   for (auto& [name, row] : this->context.state.endpoints.rows) {
     if (this->running.size() >= checks_at_once) {
       return;
--- a/Source/Traffic/health_checks.h
+++ b/Source/Traffic/health_checks.h
@@ -28,6 +28,7 @@
 
   traffic_context& context;
   std::map<endpoint_id, std::unique_ptr<check>> running;
+  steady_time next_walk_at{};
 };
 
 }  // namespace chestnuthead::traffic
