Ask again for events that were taken but not passed on

A stream whose first bytes held a sound event and one out of order was given up before anything was passed on; the next endpoint was asked to go on behind the sound one, which the caller never got.

Change: the stream begins anew as the caller asked.

Test: fails before (the caller's stream began with event 2), passes after.

--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -304,9 +304,10 @@
 void exchange::abandon_answer() {
   const bool not_executed = this->call.answer.not_executed || this->call.answer.wrong_endpoint;
   this->call.link->abandon();
-  this->events.partial.clear();
-  this->events.sound = true;
   this->close_call(attempt_result::broken);
+  // Events that were taken but not passed on must come again.
+  this->events = gateway::event_splitter{};
+  this->events.last_event = this->request.last_event;
   this->after(not_executed ? attempt_end::not_executed : attempt_end::unknown);
 }
 
--- a/Tests/Traffic/endless_bytes_test.cxx
+++ b/Tests/Traffic/endless_bytes_test.cxx
@@ -1,3 +1,7 @@
+#include <optional>
+#include <sstream>
+#include <string>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Traffic/http_client.h"
@@ -14,6 +18,7 @@
   CPPUNIT_TEST(an_endless_answer_of_an_endpoint_ends);
   CPPUNIT_TEST(an_endless_rejection_still_says_not_executed);
   CPPUNIT_TEST(an_endless_event_is_replaced_by_another_endpoint);
+  CPPUNIT_TEST(events_that_were_not_passed_come_from_the_other_endpoint);
   CPPUNIT_TEST(bytes_that_trickle_end_with_the_time_out);
   CPPUNIT_TEST(a_stream_that_trickles_goes_on_at_another_endpoint);
   CPPUNIT_TEST(a_slow_stream_is_not_cut);
@@ -101,6 +106,26 @@
     CPPUNIT_ASSERT_EQUAL(2, asked);
   }
 
+  /// The first endpoint's events are out of order before any was passed on.
+  void events_that_were_not_passed_come_from_the_other_endpoint() {
+    traffic_bench bench(2);
+    int asked = 0;
+    const auto either = [&](connection& caller) {
+      ++asked;
+      const std::string broken =
+          chunk_of(traffic_bench::events(1, 1) + traffic_bench::events(3, 3));
+      const std::string sound = traffic_bench::event_chunk(1, 4);
+      caller.send(traffic_bench::stream_head("c1") + (asked == 1 ? broken : sound) + "0\r\n\r\n");
+    };
+    bench.endpoints[0]->scripts = {either};
+    bench.endpoints[1]->scripts = {either};
+    const auto caller = bench.connect();
+    caller->send(traffic_bench::chat_bytes("c1"));
+    CPPUNIT_ASSERT(bench.run_until([&] { return caller->has_answers(1); }));
+    CPPUNIT_ASSERT_EQUAL(2, asked);
+    CPPUNIT_ASSERT_EQUAL(traffic_bench::events(1, 4), traffic_bench::unchunked(caller->bytes));
+  }
+
   void bytes_that_trickle_end_with_the_time_out() {
     traffic_bench bench;
     auto map = gateway::test_services();
@@ -205,6 +230,12 @@
   }
 
  private:
+  static std::string chunk_of(const std::string& bytes) {
+    std::ostringstream chunk;
+    chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return chunk.str();
+  }
+
   /// Bytes that a gateway may take from an endpoint that answers nothing: what it holds
   /// of an answer, and the buffers of two sockets.
   static constexpr std::size_t most_taken = 8U << 20U;
