--- a/Tests/Platform/table_follower_test.cxx
+++ b/Tests/Platform/table_follower_test.cxx
@@ -80,6 +80,8 @@
   CPPUNIT_TEST(an_answer_is_told_to_the_peers);
   CPPUNIT_TEST(a_copy_that_peers_confirm_is_not_asked_for);
   CPPUNIT_TEST(rows_of_peers_are_taken_and_older_answers_are_not);
+  CPPUNIT_TEST(a_gateway_that_is_cut_off_alone_sees_no_return_of_the_store);
+  CPPUNIT_TEST(the_first_news_after_an_outage_is_its_end);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -131,6 +133,43 @@
     CPPUNIT_ASSERT(bench.time.now() - bench.changes.back().as_of < milliseconds{200});
   }
 
+  /// Entries that lapsed in an outage count for a while after it. Where peers went on
+  /// reading, nothing lapsed: an endpoint that is gone then is gone.
+  void a_gateway_that_is_cut_off_alone_sees_no_return_of_the_store() {
+    follower_bench bench({answers(answer_text(row_text("a", 3), false, 10)),
+                          answers("HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n"),
+                          answers("HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n"),
+                          answers(answer_text("", false, 90))});
+    bench.follower.set_gateways(1);
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 1; }));
+    const auto first = bench.follower.regained_at();
+    CPPUNIT_ASSERT(first.has_value());
+    const steady_time began = bench.time.now();
+    bool answered_again = false;
+    CPPUNIT_ASSERT(bench.run_until([&] {
+      const bool own = bench.changes.back().own_answer && bench.store.requests.size() >= 4;
+      answered_again = answered_again || own;
+      bench.follower.hear(news_at(bench.time.now() - began));
+      return answered_again;
+    }));
+    CPPUNIT_ASSERT(bench.follower.regained_at() == first);
+  }
+
+  void the_first_news_after_an_outage_is_its_end() {
+    follower_bench bench({answers(answer_text(row_text("a", 3), false, 10)),
+                          answers("HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n")});
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 1; }));
+    const steady_time began = bench.time.now();
+    CPPUNIT_ASSERT(bench.run_until(
+        [&] { return bench.time.now() - began > outage_after + milliseconds{50}; }));
+    bench.follower.hear(news_at(bench.time.now() - began));
+    const auto regained = bench.follower.regained_at();
+    CPPUNIT_ASSERT(regained && *regained - began >= outage_after);
+    bench.run_until([&] { return bench.time.now() - *regained > milliseconds{30}; });
+    bench.follower.hear(news_at(bench.time.now() - began));
+    CPPUNIT_ASSERT(bench.follower.regained_at() == regained);
+  }
+
   void rows_of_peers_are_taken_and_older_answers_are_not() {
     connection* asked = nullptr;
     follower_bench bench({answers(answer_text(row_text("a", 3), false, 10)),
@@ -164,6 +203,16 @@
                                  2'000.0 / static_cast<double>(retry_after(9, others).count()));
     CPPUNIT_ASSERT(rate < 2'000.0);
   }
+
+ private:
+  /// News without changes, `passed` after the first answer.
+  static gateway::table_news news_at(steady_time::duration passed) {
+    const auto time = std::chrono::duration_cast<milliseconds>(passed);
+    return {"t", 11 + static_cast<std::uint64_t>(time.count()),
+            10,  milliseconds{50'010} + time,
+            0,   false,
+            {}};
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(table_follower_test);
