--- a/Source/Gateway/attempt_rules.cxx
+++ b/Source/Gateway/attempt_rules.cxx
@@ -38,6 +38,20 @@
   return budget.seconds.back();
 }
 
+/// Requests and resends of the window's seconds.
+resend_budget::second_count sum_of_window(const resend_budget& budget, const resend_terms& terms,
+                                          steady_time now) {
+  const std::int64_t oldest = second_of(now) - terms.window.count();
+  resend_budget::second_count sum;
+  for (const resend_budget::second_count& count : budget.seconds) {
+    if (count.second > oldest) {
+      sum.requests += count.requests;
+      sum.resends += count.resends;
+    }
+  }
+  return sum;
+}
+
 bool may_execute_again(const route& route, const attempt_history& history) {
   if (history.executions == 0) {
     return true;
@@ -87,27 +101,15 @@
 }
 
 double request_rate(const resend_budget& budget, const resend_terms& terms, steady_time now) {
-  const std::int64_t oldest = second_of(now) - terms.window.count();
-  double requests = 0.0;
-  for (const auto& count : budget.seconds) {
-    requests += count.second > oldest ? count.requests : 0;
-  }
+  const std::uint32_t requests = sum_of_window(budget, terms, now).requests;
   return requests / static_cast<double>(terms.window.count());
 }
 
 double resends_left(const resend_budget& budget, const resend_terms& terms, std::uint32_t gateways,
                     steady_time now) {
-  const std::int64_t oldest = second_of(now) - terms.window.count();
-  double requests = 0.0;
-  double resends = 0.0;
-  for (const auto& count : budget.seconds) {
-    if (count.second > oldest) {
-      requests += count.requests;
-      resends += count.resends;
-    }
-  }
+  const resend_budget::second_count sum = sum_of_window(budget, terms, now);
   const double part = terms.allowance / std::max<std::uint32_t>(gateways, 1);
-  return budget_used * (terms.share * requests + part) - resends;
+  return budget_used * (terms.share * sum.requests + part) - sum.resends;
 }
 
 bool resend_allowed(const resend_budget& budget, const resend_terms& terms, std::uint32_t gateways,
--- a/Source/Gateway/clock_bound.cxx
+++ b/Source/Gateway/clock_bound.cxx
@@ -19,6 +19,13 @@
   bound.last_service_time = service_time;
 }
 
+/// The service's time as this process's; `bound.present` must be known.
+steady_time date_by_best(const clock_bound& bound, std::chrono::milliseconds service_time) {
+  const std::chrono::nanoseconds best =
+      std::max(*bound.present, bound.previous.value_or(*bound.present));
+  return steady_time{std::chrono::duration_cast<steady_time::duration>(service_time + best)};
+}
+
 }  // namespace
 
 steady_time date_answer(clock_bound& bound, std::chrono::milliseconds service_time,
@@ -28,9 +35,7 @@
   // service's is at least this.
   const std::chrono::nanoseconds least = began_at.time_since_epoch() - service_time;
   bound.present = std::max(bound.present.value_or(least), least);
-  const std::chrono::nanoseconds best = std::max(*bound.present, bound.previous.value_or(least));
-  const steady_time dated{std::chrono::duration_cast<steady_time::duration>(service_time + best)};
-  return std::clamp(dated, began_at, std::max(began_at, now));
+  return std::clamp(date_by_best(bound, service_time), began_at, std::max(began_at, now));
 }
 
 std::optional<steady_time> date_by_bound(const clock_bound& bound,
@@ -39,10 +44,7 @@
   if (!bound.present || is_old) {
     return std::nullopt;
   }
-  const std::chrono::nanoseconds best =
-      std::max(*bound.present, bound.previous.value_or(*bound.present));
-  const steady_time dated{std::chrono::duration_cast<steady_time::duration>(service_time + best)};
-  return std::min(dated, now);
+  return std::min(date_by_best(bound, service_time), now);
 }
 
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/endpoint_health.cxx
+++ b/Source/Gateway/endpoint_health.cxx
@@ -1,7 +1,8 @@
 #include "Gateway/endpoint_health.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "Base/fading.h"
 
 namespace chestnuthead::gateway {
 
@@ -19,10 +20,8 @@
 constexpr double most_doubted = 0.25;
 
 void fade(endpoint_record& record, steady_time now) {
-  const std::chrono::duration<double> passed = now - record.faded_at;
-  const double kept = std::exp2(-passed / results_half_life);
-  record.recent_failures *= kept;
-  record.recent_requests *= kept;
+  record.recent_failures = faded(record.recent_failures, record.faded_at, results_half_life, now);
+  record.recent_requests = faded(record.recent_requests, record.faded_at, results_half_life, now);
   record.faded_at = now;
 }
 
--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -1,8 +1,8 @@
 #include "Gateway/endpoint_table.h"
 
 #include <algorithm>
-#include <cmath>
 
+#include "Base/fading.h"
 #include "Base/hashing.h"
 
 namespace chestnuthead::gateway {
@@ -114,11 +114,7 @@
 }
 
 double recent_arrivals(const endpoint& row, steady_time now) {
-  if (row.arrivals == 0.0) {
-    return 0.0;
-  }
-  const std::chrono::duration<double> passed = now - row.arrivals_at;
-  return row.arrivals * std::exp2(-passed / arrivals_half_life);
+  return faded(row.arrivals, row.arrivals_at, arrivals_half_life, now);
 }
 
 void note_arrival(endpoint& row, steady_time now) {
--- a/Source/Gateway/fleet_keys.cxx
+++ b/Source/Gateway/fleet_keys.cxx
@@ -4,34 +4,21 @@
 #include <iterator>
 #include <utility>
 
+#include <Poco/DigestEngine.h>
+#include <Poco/Exception.h>
+
 namespace chestnuthead::gateway {
 
 namespace {
 
-constexpr std::string_view digits = "0123456789abcdef";
-constexpr unsigned bits_a_digit = 4;
-
-std::string to_hex(std::string_view bytes) {
-  std::string text;
-  for (const char byte : bytes) {
-    const auto number = static_cast<unsigned char>(byte);
-    text += digits[number >> bits_a_digit];
-    text += digits[number & 0xFU];
-  }
-  return text;
-}
-
+/// The bytes of a hexadecimal text, or nothing if it is not one.
 std::optional<std::string> from_hex(std::string_view text) {
-  std::string bytes;
-  for (std::size_t at = 0; at + 1 < text.size(); at += 2) {
-    const std::size_t high = digits.find(text[at]);
-    const std::size_t low = digits.find(text[at + 1]);
-    if (high == std::string_view::npos || low == std::string_view::npos) {
-      return std::nullopt;
-    }
-    bytes += static_cast<char>((high << bits_a_digit) | low);
+  try {
+    const Poco::DigestEngine::Digest bytes = Poco::DigestEngine::digestFromHex(std::string(text));
+    return std::string(bytes.begin(), bytes.end());
+  } catch (const Poco::DataFormatException&) {
+    return std::nullopt;
   }
-  return text.size() % 2 == 0 ? std::optional(bytes) : std::nullopt;
 }
 
 }  // namespace
@@ -79,7 +66,8 @@
 }
 
 std::string format_key(const fleet_key& key) {
-  return std::to_string(key.made_at.count()) + " " + to_hex(key.secret);
+  return std::to_string(key.made_at.count()) + " " +
+         Poco::DigestEngine::digestToHex({key.secret.begin(), key.secret.end()});
 }
 
 std::optional<fleet_key> parse_key(std::string_view text) {
--- a/Source/Gateway/peer_table.cxx
+++ b/Source/Gateway/peer_table.cxx
@@ -38,6 +38,21 @@
   return !named_lately && !heard_lately;
 }
 
+/// True if this gateway is among the first `places` in the key's rendezvous order, of
+/// itself and the peers that were heard lately and may take a place.
+template <class May>
+bool is_among_first(std::size_t places, const peer_table& table, const node_id& self,
+                    std::uint64_t key, steady_time now, May may) {
+  const std::uint64_t own = rendezvous_weight(key, hash_text(self.value));
+  const std::chrono::milliseconds life = word_life(table);
+  const auto before = std::count_if(table.rows.begin(), table.rows.end(), [&](const auto& entry) {
+    const auto& [name, row] = entry;
+    return now - row.heard_at < life && may(row) &&
+           rendezvous_weight(key, hash_text(name.value)) > own;
+  });
+  return static_cast<std::size_t>(before) < places;
+}
+
 }  // namespace
 
 void list_peer(peer_table& table, const node_id& name, const std::string& address,
@@ -105,27 +120,14 @@
     return false;
   }
   const std::uint64_t key = hash_text(newcomer.sender.value);
-  const std::uint64_t own = rendezvous_weight(key, hash_text(self.value));
-  const std::chrono::milliseconds life = word_life(table);
-  std::size_t before = 0;
-  for (const auto& [name, row] : table.rows) {
-    const bool may_greet =
-        now - row.heard_at < life && is_older(row.word.start, newcomer) && name != newcomer.sender;
-    before += may_greet && rendezvous_weight(key, hash_text(name.value)) > own ? 1 : 0;
-  }
-  return before < greeters;
+  return is_among_first(greeters, table, self, key, now, [&newcomer](const peer& row) {
+    return is_older(row.word.start, newcomer) && row.word.sender != newcomer.sender;
+  });
 }
 
 bool checks_for_all(const peer_table& table, const node_id& self, std::uint64_t endpoint,
                     steady_time now) {
-  const std::uint64_t own = rendezvous_weight(endpoint, hash_text(self.value));
-  const std::chrono::milliseconds life = word_life(table);
-  std::size_t before = 0;
-  for (const auto& [name, row] : table.rows) {
-    const bool heard = now - row.heard_at < life;
-    before += heard && rendezvous_weight(endpoint, hash_text(name.value)) > own ? 1 : 0;
-  }
-  return before < checkers;
+  return is_among_first(checkers, table, self, endpoint, now, [](const peer&) { return true; });
 }
 
 std::chrono::milliseconds word_interval(std::uint32_t gateways) {
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -41,18 +41,6 @@
   return open;
 }
 
-/// Mean over all endpoints that the platform lists: those that are out of
-/// service lower what the others may hold.
-double mean_load(const std::vector<endpoint*>& endpoints) {
-  double total = 0.0;
-  double listed = 0.0;
-  for (const endpoint* row : endpoints) {
-    total += load_of(*row);
-    listed += row->listed ? 1.0 : 0.0;
-  }
-  return listed > 0.0 ? total / listed : 0.0;
-}
-
 endpoint* least_loaded(const std::vector<endpoint*>& endpoints) {
   return *std::min_element(
       endpoints.begin(), endpoints.end(),
@@ -83,10 +71,10 @@
   return known + pool.turnover * std::max(0.0, part * pool.load - known);
 }
 
-/// An endpoint within the bound.
+/// An endpoint that may be drawn.
 struct roomy_endpoint {
   endpoint* row = nullptr;
-  /// Requests that it may get until it reaches the bound.
+  /// Requests that it may get until it reaches the load that is aimed at.
   double room = 0.0;
 };
 
@@ -153,7 +141,12 @@
       return one.row;
     }
   }
-  return spread.back().row;
+  // Only rounding comes here.
+  return std::max_element(spread.begin(), spread.end(),
+                          [](const roomy_endpoint& one, const roomy_endpoint& other) {
+                            return one.room < other.room;
+                          })
+      ->row;
 }
 
 /// Load up to which a choice follows prefixes: the multiple of the pool's mean, less
@@ -168,13 +161,18 @@
 pool_load load_of_pool(const std::vector<endpoint*>& endpoints, const placement_hints& hints,
                        const fleet_view& fleet, steady_time now) {
   pool_load pool;
+  double listed = 0.0;
   for (const endpoint* row : endpoints) {
     pool.load += load_of(*row);
     pool.arrivals += recent_arrivals(*row, now);
+    listed += row->listed ? 1.0 : 0.0;
   }
+  // Over all endpoints that the platform lists: those that are out of service lower
+  // what the others may hold.
+  const double mean = listed > 0.0 ? pool.load / listed : 0.0;
   pool.turnover = pool.load > 0.0 ? std::min(1.0, hints.expected_meanwhile / pool.load) : 0.0;
   const double arrivals = hints.expected_meanwhile / static_cast<double>(endpoints.size());
-  pool.bound = bounded_load(mean_load(endpoints), arrivals, pool.turnover, fleet);
+  pool.bound = bounded_load(mean, arrivals, pool.turnover, fleet);
   return pool;
 }
 
@@ -205,16 +203,13 @@
   for (const endpoint* row : open) {
     loads.push_back(load_of(*row));
   }
-  const double expected = std::max(arrivals, 1.0);
-  const double level = level_after(loads, expected);
-  double left = next_unit(random) * expected;
-  for (std::size_t place = 0; place < open.size(); ++place) {
-    left -= std::max(0.0, level - loads[place]);
-    if (left < 0.0) {
-      return open[place];
-    }
+  const double level = level_after(loads, std::max(arrivals, 1.0));
+  std::vector<roomy_endpoint> lacking;
+  lacking.reserve(open.size());
+  for (endpoint* row : open) {
+    lacking.push_back({row, std::max(0.0, level - load_of(*row))});
   }
-  return least_loaded(open);
+  return draw_by_room(lacking, random);
 }
 
 }  // namespace
--- a/Source/Gateway/prefix_holders.cxx
+++ b/Source/Gateway/prefix_holders.cxx
@@ -1,18 +1,18 @@
 #include "Gateway/prefix_holders.h"
 
 #include <algorithm>
-#include <cmath>
 #include <numbers>
 #include <tuple>
 #include <utility>
 
+#include "Base/fading.h"
+
 namespace chestnuthead::gateway {
 
 namespace {
 
 double recent_uses(const prefix_holder& holder, steady_time now) {
-  const std::chrono::duration<double> passed = now - holder.used_at;
-  return holder.recent_uses * std::exp2(-passed / use_half_life);
+  return faded(holder.recent_uses, holder.used_at, use_half_life, now);
 }
 
 }  // namespace
--- a/Source/Gateway/readiness.h
+++ b/Source/Gateway/readiness.h
@@ -9,9 +9,9 @@
 /// Whether callers should come to this gateway or to another one.
 namespace chestnuthead::gateway {
 
-/// How long a confirmation of the configuration counts as current. A question to
-/// the store is answered within 0.9 s or given up after 1.6 s: an older
-/// confirmation means that the store did not answer at least once.
+/// How long a confirmation of the configuration counts as current. A gateway that
+/// nobody has confirmed asks the store after 1.25 s at most: an older confirmation
+/// means that neither the store nor a peer has answered since.
 inline constexpr std::chrono::milliseconds current_for{1'800};
 
 /// True if the store has confirmed the configuration lately.
--- a/Source/Gateway/store_news.cxx
+++ b/Source/Gateway/store_news.cxx
@@ -27,7 +27,7 @@
     copy.version = std::max(copy.version, news.version);
     return news_use::confirms;
   }
-  if (news.has_rows && news.rows_after <= copy.version) {
+  if (!news.rows.empty() && news.rows_after <= copy.version) {
     copy.version = news.version;
     copy.unchanged_since = news.unchanged_since;
     return news_use::extends;
@@ -48,9 +48,8 @@
 table_news make_news(const std::string& table, const table_copy& copy,
                      std::chrono::milliseconds store_time, std::uint64_t rows_after,
                      const std::vector<table_row>& rows) {
-  table_news news{table, copy.version, copy.unchanged_since, store_time, rows_after, false, {}};
-  if (!rows.empty() && size_of(rows) <= news_bytes) {
-    news.has_rows = true;
+  table_news news{table, copy.version, copy.unchanged_since, store_time, rows_after, {}};
+  if (size_of(rows) <= news_bytes) {
     news.rows = rows;
   }
   return news;
--- a/Source/Gateway/store_news.h
+++ b/Source/Gateway/store_news.h
@@ -30,9 +30,8 @@
   std::uint64_t unchanged_since = 0;
   /// The store's steady clock when it answered.
   std::chrono::milliseconds store_time{0};
-  /// `rows` holds all changes after this version, if `has_rows`.
+  /// `rows` holds all changes after this version; empty if none are told.
   std::uint64_t rows_after = 0;
-  bool has_rows = false;
   std::vector<table_row> rows;
 };
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -262,9 +262,7 @@
     return;
   }
   if (!this->call.answer.is_signed) {
-    this->call.link->abandon();
-    this->close_call(attempt_result::broken);
-    this->after(attempt_end::unknown);
+    this->leave_call(attempt_result::broken, attempt_end::unknown);
     return;
   }
   if (this->taken->taken_route->streams || head.length.value_or(0) > held_answer_bytes) {
@@ -301,14 +299,20 @@
   }
 }
 
+void exchange::leave_call(attempt_result result, attempt_end end) {
+  this->call.link->abandon();
+  this->events.partial.clear();
+  this->close_call(result);
+  this->after(end);
+}
+
 void exchange::abandon_answer() {
   const bool not_executed = this->call.answer.not_executed || this->call.answer.wrong_endpoint;
-  this->call.link->abandon();
-  this->close_call(attempt_result::broken);
   // Events that were taken but not passed on must come again.
   this->events = gateway::event_splitter{};
   this->events.last_event = this->request.last_event;
-  this->after(not_executed ? attempt_end::not_executed : attempt_end::unknown);
+  this->leave_call(attempt_result::broken,
+                   not_executed ? attempt_end::not_executed : attempt_end::unknown);
 }
 
 void exchange::pass_bytes(std::string_view bytes) {
@@ -463,10 +467,7 @@
     }
     return;
   }
-  this->call.link->abandon();
-  this->events.partial.clear();
-  this->close_call(lost ? attempt_result::silent : attempt_result::slow);
-  this->after(attempt_end::unknown);
+  this->leave_call(lost ? attempt_result::silent : attempt_result::slow, attempt_end::unknown);
 }
 
 void exchange::doubt_endpoint(steady_time now) {
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -98,6 +98,8 @@
   void after(gateway::attempt_end end);
   void start_passing();
   void pass_bytes(std::string_view bytes);
+  /// Gives up the call at the present endpoint and does what follows.
+  void leave_call(gateway::attempt_result result, gateway::attempt_end end);
   /// Gives up an answer that goes on without end or sense before the caller has any of
   /// it.
   void abandon_answer();
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -83,21 +83,23 @@
   return (number < first_printable && byte != '\t') || number == delete_mark;
 }
 
-/// True for a name that some readers take for one of the two fields that frame a
-/// message: with more after it, or with an underscore for the hyphen. A reader behind
-/// this one would find another end of the message.
-bool imitates_framing(std::string_view name) {
-  std::string plain(name);
-  std::transform(plain.begin(), plain.end(), plain.begin(), [](char byte) {
-    return byte == '_' ? '-' : static_cast<char>(std::tolower(static_cast<unsigned char>(byte)));
-  });
-  for (const std::string_view framing : {"content-length", "transfer-encoding"}) {
-    const bool exact = plain == framing && name.find('_') == std::string_view::npos;
-    if (plain.starts_with(framing) && !exact) {
-      return true;
-    }
+/// True for a name that some readers take for `framing`: with more after it, or with an
+/// underscore for the hyphen. A reader behind this one would find another end of the
+/// message.
+bool imitates(std::string_view name, std::string_view framing) {
+  if (name.size() < framing.size()) {
+    return false;
   }
-  return false;
+  const bool begins =
+      std::equal(framing.begin(), framing.end(), name.begin(), [](char wanted, char byte) {
+        return wanted == (byte == '_' ? '-' : std::tolower(static_cast<unsigned char>(byte)));
+      });
+  const bool exact = name.size() == framing.size() && name.find('_') == std::string_view::npos;
+  return begins && !exact;
+}
+
+bool imitates_framing(std::string_view name) {
+  return imitates(name, "content-length") || imitates(name, "transfer-encoding");
 }
 
 /// The parser takes "Content-Length : 5" for a length, but passes the name on with
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -10,7 +10,7 @@
 namespace {
 
 /// Changes when the fields do; gateways ignore messages of another version.
-constexpr std::uint32_t message_version = 4;
+constexpr std::uint32_t message_version = 5;
 /// Entries of one list that are taken at most.
 constexpr std::size_t list_limit = 4'096;
 
@@ -39,7 +39,7 @@
 }
 
 void put_table(field_writer& out, const gateway::table_news& news) {
-  constexpr std::size_t fields = 7;
+  constexpr std::size_t fields = 6;
   constexpr std::size_t row_fields = 3;
   out.array(fields);
   out.put(news.table);
@@ -47,7 +47,6 @@
   out.put(news.unchanged_since);
   out.put(news.store_time);
   out.put(news.rows_after);
-  out.put(news.has_rows);
   out.array(news.rows.size() * row_fields);
   for (const gateway::table_row& row : news.rows) {
     out.put(row.key);
@@ -64,7 +63,6 @@
   in.get(news.unchanged_since);
   in.get(news.store_time);
   in.get(news.rows_after);
-  in.get(news.has_rows);
   const msgpack::object& rows = in.object();
   check_length(rows);
   for (field_reader list(rows); !list.at_end();) {
--- a/Source/Traffic/peer_port.cxx
+++ b/Source/Traffic/peer_port.cxx
@@ -29,10 +29,8 @@
 
 }  // namespace
 
-peer_port::peer_port(traffic_context& parts, node_id own_name, const std::string& address,
-                     news_handler news_heard)
+peer_port::peer_port(traffic_context& parts, const std::string& address, news_handler news_heard)
     : context(parts),
-      self(std::move(own_name)),
       on_news(std::move(news_heard)),
       descriptor(open_bound_socket(address, SOCK_DGRAM)),
       start(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -51,7 +49,7 @@
 }
 
 std::string peer_port::seal(gateway::peer_word word) {
-  word.sender = this->self;
+  word.sender = this->context.state.self;
   word.start = this->start;
   word.sequence = ++this->sequence;
   const gateway::fleet_key* key = sending_key(this->context.state.keys, this->context.time.now());
@@ -130,7 +128,7 @@
 void peer_port::hear(gateway::peer_word word, const Poco::Net::SocketAddress& sender,
                      steady_time now) {
   gateway::gateway_state& state = this->context.state;
-  if (word.sender == this->self) {
+  if (word.sender == state.self) {
     return;
   }
   // Dated by the store's clock, so that news counts also if a later message came first.
@@ -140,7 +138,7 @@
   const auto known = state.peers.rows.find(word.sender);
   const std::uint64_t start_before = known == state.peers.rows.end() ? 0 : known->second.word.start;
   if (take_word(state, word, now) && word.start != start_before &&
-      greets(state.peers, this->self, this->start, word, now)) {
+      greets(state.peers, state.self, this->start, word, now)) {
     this->greet(sender, now);
   }
 }
--- a/Source/Traffic/peer_port.h
+++ b/Source/Traffic/peer_port.h
@@ -18,8 +18,7 @@
 
   /// `address` is the IP number and port to hear at; `on_news` hears what the store
   /// has told the peers.
-  peer_port(traffic_context& context, node_id self, const std::string& address,
-            news_handler on_news);
+  peer_port(traffic_context& context, const std::string& address, news_handler on_news);
   ~peer_port() override;
   peer_port(const peer_port&) = delete;
   peer_port& operator=(const peer_port&) = delete;
@@ -48,7 +47,6 @@
   void hear(gateway::peer_word word, const Poco::Net::SocketAddress& sender, steady_time now);
 
   traffic_context& context;
-  node_id self;
   news_handler on_news;
   int descriptor = -1;
   std::uint64_t start = 0;
--- a/Tests/Gateway/store_news_test.cxx
+++ b/Tests/Gateway/store_news_test.cxx
@@ -360,13 +360,11 @@
  private:
   static table_news news(std::uint64_t version, std::uint64_t unchanged_since,
                          std::optional<std::uint64_t> rows_after = std::nullopt) {
-    return {"t",
-            version,
-            unchanged_since,
-            milliseconds{0},
-            rows_after.value_or(0),
-            rows_after.has_value(),
-            {}};
+    table_news made{"t", version, unchanged_since, milliseconds{0}, rows_after.value_or(0), {}};
+    if (rows_after) {
+      made.rows.push_back({"changed", "value", false});
+    }
+    return made;
   }
 };
 
--- a/Tests/Platform/fleet_key_rows_test.cxx
+++ b/Tests/Platform/fleet_key_rows_test.cxx
@@ -30,12 +30,11 @@
   }
 
   void messages_hold_no_keys() {
-    gateway::table_news news{"gateways", 9, 8, {}, 7, true, {{"edge-1", "10.0.0.1:80", false}}};
+    gateway::table_news news{"gateways", 9, 8, {}, 7, {{"edge-1", "10.0.0.1:80", false}}};
     withhold_keys(news);
-    CPPUNIT_ASSERT(news.has_rows);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, news.rows.size());
     news.rows.push_back(sample());
     withhold_keys(news);
-    CPPUNIT_ASSERT(!news.has_rows);
     CPPUNIT_ASSERT(news.rows.empty());
   }
 
--- a/Tests/Platform/table_follower_test.cxx
+++ b/Tests/Platform/table_follower_test.cxx
@@ -112,7 +112,7 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, bench.news[0].rows_after);
     CPPUNIT_ASSERT_EQUAL(std::string("b"), bench.news[0].rows.at(0).value);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{14}, bench.news[1].unchanged_since);
-    CPPUNIT_ASSERT(!bench.news[1].has_rows);
+    CPPUNIT_ASSERT(bench.news[1].rows.empty());
   }
 
   void a_copy_that_peers_confirm_is_not_asked_for() {
@@ -124,7 +124,7 @@
     // Longer than a copy stays without being asked for.
     CPPUNIT_ASSERT(bench.run_until([&] {
       const auto passed = std::chrono::duration_cast<milliseconds>(bench.time.now() - began);
-      bench.follower.hear({"t", ++version, 10, milliseconds{50'010} + passed, 0, false, {}});
+      bench.follower.hear({"t", ++version, 10, milliseconds{50'010} + passed, 0, {}});
       return passed > milliseconds{2'000};
     }));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.store.requests.size());
@@ -175,7 +175,7 @@
     follower_bench bench({answers(answer_text(row_text("a", 3), false, 10)),
                           [&asked](connection& caller) { asked = &caller; }});
     CPPUNIT_ASSERT(bench.run_until([&] { return asked != nullptr; }));
-    bench.follower.hear({"t", 30, 28, milliseconds{50'030}, 10, true, {{"b", "newer", false}}});
+    bench.follower.hear({"t", 30, 28, milliseconds{50'030}, 10, {{"b", "newer", false}}});
     CPPUNIT_ASSERT_EQUAL(std::string("newer"), bench.changes.back().rows.at(0).value);
     // The store answered before, with the row as it was then.
     asked->send(answer_text(row_text("b", 20), false, 21));
@@ -208,9 +208,7 @@
   /// News without changes, `passed` after the first answer.
   static gateway::table_news news_at(steady_time::duration passed) {
     const auto time = std::chrono::duration_cast<milliseconds>(passed);
-    return {"t", 11 + static_cast<std::uint64_t>(time.count()),
-            10,  milliseconds{50'010} + time,
-            0,   false,
+    return {"t", 11 + static_cast<std::uint64_t>(time.count()), 10, milliseconds{50'010} + time, 0,
             {}};
   }
 };
--- a/Tests/Traffic/peer_codec_test.cxx
+++ b/Tests/Traffic/peer_codec_test.cxx
@@ -34,7 +34,7 @@
     CPPUNIT_ASSERT_EQUAL(word.tables[0].unchanged_since, news.unchanged_since);
     CPPUNIT_ASSERT(word.tables[0].store_time == news.store_time);
     CPPUNIT_ASSERT_EQUAL(word.tables[0].rows_after, news.rows_after);
-    CPPUNIT_ASSERT(news.has_rows);
+    CPPUNIT_ASSERT_EQUAL(word.tables[0].rows.size(), news.rows.size());
     CPPUNIT_ASSERT_EQUAL(word.tables[0].rows[1].key, news.rows.at(1).key);
     CPPUNIT_ASSERT_EQUAL(word.tables[0].rows[1].value, news.rows.at(1).value);
     CPPUNIT_ASSERT(news.rows.at(1).removed);
@@ -56,7 +56,7 @@
     for (const std::string claim : {"\xdf\xdf\xff\xff\xff", "\xdd\xdf\xff\xff\xff",
                                     "\xdb\xff\xff\xff\xff", "\xc6\xff\xff\xff\xff"}) {
       CPPUNIT_ASSERT(!decode_word(claim).has_value());
-      CPPUNIT_ASSERT(!decode_word("\x9b\x04" + claim).has_value());
+      CPPUNIT_ASSERT(!decode_word("\x9b\x05" + claim).has_value());
     }
   }
 
@@ -73,7 +73,6 @@
                            80,
                            std::chrono::milliseconds{5'000},
                            70,
-                           true,
                            {{"one", std::string("\x00{}", 3), false}, {"two", "", true}}});
     word.loads = {{0xFFFF'FFFF'FFFF'FFFF, 3}, {7, 9}};
     word.unreachable = {5};
