Read the table instead of changes that are longer, and wait while an answer comes

A gateway on a small VM that the store had turned away held its configuration for 17 s after the store served it again. Cause: a feed tells every version of a row, here some forty configurations, and the whole answer had to come within 700 ms; each retry began anew, unseen in the logs. Ruled out: a longer limit for the whole answer, with which a silent store goes unnoticed for as long.

An answer is now given up after 700 ms without a byte, or 10 s in all; of each row only the last change is taken; changes longer than twice the table are not read, the table is. Failures in a row are logged at each doubling, with their reason, and counted.

--- a/Source/Gateway/store_news.cxx
+++ b/Source/Gateway/store_news.cxx
@@ -1,6 +1,9 @@
 #include "Gateway/store_news.h"
 
 #include <algorithm>
+#include <functional>
+#include <set>
+#include <utility>
 
 namespace chestnuthead::gateway {
 
@@ -16,6 +19,18 @@
 
 }  // namespace
 
+std::vector<table_row> newest_of_each(std::vector<table_row> changes) {
+  std::set<std::string, std::less<>> seen;
+  std::vector<table_row> newest;
+  for (auto place = changes.rbegin(); place != changes.rend(); ++place) {
+    if (seen.insert(place->key).second) {
+      newest.push_back(std::move(*place));
+    }
+  }
+  std::reverse(newest.begin(), newest.end());
+  return newest;
+}
+
 news_use take_news(table_copy& copy, const table_news& news) {
   if (!copy.complete || news.version < news.unchanged_since) {
     return news_use::none;
--- a/Source/Gateway/store_news.h
+++ b/Source/Gateway/store_news.h
@@ -21,6 +21,10 @@
   bool removed = false;
 };
 
+/// The last of the changes of each row, in the order of the rows' last changes. A feed
+/// tells every change of a row that has changed often.
+std::vector<table_row> newest_of_each(std::vector<table_row> changes);
+
 /// What one answer of the store said of a table.
 struct table_news {
   std::string table;
--- a/Source/Traffic/http_client.cxx
+++ b/Source/Traffic/http_client.cxx
@@ -13,6 +13,22 @@
   byte_link link;
 };
 
+std::string_view name_of(call_outcome outcome) {
+  switch (outcome) {
+    case call_outcome::answered:
+      return "answered";
+    case call_outcome::silent:
+      return "silent";
+    case call_outcome::unfinished:
+      return "unfinished";
+    case call_outcome::too_long:
+      return "too_long";
+    case call_outcome::broken:
+      break;
+  }
+  return "broken";
+}
+
 http_client::http_client(event_loop& io, const clock& source, std::string target)
     : loop(io), time(source), address(std::move(target)) {}
 
@@ -32,8 +48,9 @@
   this->done = std::move(hearer);
   this->reply = http_reply{};
   this->reply.began_at = this->time.now();
-  this->give_up_at = this->reply.began_at + wanted.limit;
-  this->status = 0;
+  this->heard_at = this->reply.began_at;
+  this->begun = false;
+  this->present_call = wanted;
   this->too_long = false;
   std::string bytes =
       wanted.method + " " + wanted.target + " HTTP/1.1\r\nHost: " + this->address + "\r\n";
@@ -47,21 +64,33 @@
 }
 
 void http_client::tick() {
-  const bool refused_at_once = this->present != nullptr && this->present->link.failed();
-  if (this->busy() && (refused_at_once || this->time.now() >= this->give_up_at)) {
-    this->drop();
-    this->finish(0);
+  if (!this->busy()) {
+    return;
+  }
+  if (this->present != nullptr && this->present->link.failed()) {
+    this->give_up(call_outcome::broken);
+    return;
+  }
+  const steady_time now = this->time.now();
+  const bool is_silent = now - this->heard_at >= this->present_call.silence_limit;
+  const bool is_late = now - this->reply.began_at >= this->present_call.limit;
+  if (is_silent || is_late) {
+    this->give_up(this->begun ? call_outcome::unfinished : call_outcome::silent);
   }
 }
 
 void http_client::on_bytes(std::string_view bytes) {
+  this->begun = true;
+  this->heard_at = this->time.now();
   std::string_view rest = bytes;
   while (!rest.empty() && this->present != nullptr && this->busy()) {
     rest.remove_prefix(std::min(rest.size(), this->present->reader.feed(rest)));
-    if (this->present != nullptr &&
-        (this->too_long || this->present->reader.fault() != http_fault::none)) {
-      this->drop();
-      this->finish(0);
+    if (this->too_long) {
+      this->give_up(call_outcome::too_long);
+      return;
+    }
+    if (this->present != nullptr && this->present->reader.fault() != http_fault::none) {
+      this->give_up(call_outcome::broken);
       return;
     }
   }
@@ -71,13 +100,14 @@
 }
 
 bool http_client::on_head(http_head& head) {
-  this->status = head.status;
-  this->keeps_open = head.keeps_open;
-  return true;
+  this->reply.head = head;
+  this->too_long = head.length.value_or(0) > this->present_call.most_bytes;
+  return !this->too_long;
 }
 
 void http_client::on_body(std::string_view bytes) {
-  this->too_long = this->too_long || this->reply.body.size() + bytes.size() > longest_reply_bytes;
+  this->reply.received_bytes += bytes.size();
+  this->too_long = this->too_long || this->reply.received_bytes > this->present_call.most_bytes;
   if (!this->too_long) {
     this->reply.body.append(bytes);
   }
@@ -87,22 +117,31 @@
   if (this->too_long) {
     return;
   }
-  if (!this->keeps_open) {
+  if (!this->reply.head.keeps_open) {
     this->drop();
   }
-  this->finish(this->status);
+  this->finish(call_outcome::answered);
 }
 
 void http_client::on_end(link_end /*end*/) {
   this->drop();
   if (this->busy()) {
-    this->finish(0);
+    this->finish(call_outcome::broken);
   }
 }
 
-void http_client::finish(int result) {
+void http_client::give_up(call_outcome outcome) {
+  if (this->present != nullptr) {
+    this->present->link.discard();
+  }
+  this->drop();
+  this->finish(outcome);
+}
+
+void http_client::finish(call_outcome outcome) {
   const std::function<void(http_reply)> hearer = std::exchange(this->done, nullptr);
-  this->reply.status = result;
+  this->reply.outcome = outcome;
+  this->reply.status = outcome == call_outcome::answered ? this->reply.head.status : 0;
   if (hearer != nullptr) {
     hearer(std::exchange(this->reply, {}));
   }
--- a/Source/Traffic/http_client.h
+++ b/Source/Traffic/http_client.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "chestnuthead/clock.h"
 
@@ -14,27 +17,53 @@
 /// Calls to an HTTP service over one kept connection, one at a time.
 namespace chestnuthead::traffic {
 
+/// Longest body of a reply that is taken: the store's pages hold a megabyte of values,
+/// and the operators' configuration a few.
+inline constexpr std::size_t longest_reply_bytes = 16U << 20U;
+
 struct http_call {
   std::string method = "GET";
   /// Path and query.
   std::string target;
   std::string body;
-  /// Longest time until the whole answer.
+  /// Longest time without a byte of the answer.
+  std::chrono::milliseconds silence_limit{1'000};
+  /// Longest time until the whole answer, however steadily it comes.
   std::chrono::milliseconds limit{1'000};
+  /// Longest body that is read.
+  std::size_t most_bytes = longest_reply_bytes;
+};
+
+/// How a call ended.
+enum class call_outcome : std::uint8_t {
+  /// A whole answer came.
+  answered,
+  /// Nothing of the answer came within the time allowed.
+  silent,
+  /// The answer began, but stopped coming or took too long.
+  unfinished,
+  /// The connection could not be opened or broke, or what came was not an answer.
+  broken,
+  /// The answer is longer than the caller wanted to read.
+  too_long,
 };
 
+/// The outcome in lower case with underscores.
+std::string_view name_of(call_outcome outcome);
+
 struct http_reply {
+  call_outcome outcome = call_outcome::broken;
   /// 0 if no whole answer came: the call may or may not have been carried out.
   int status = 0;
+  /// Headers of a whole answer.
+  http_head head;
   std::string body;
+  /// Bytes of the body that came, also of an answer that is not whole.
+  std::size_t received_bytes = 0;
   /// When the call was begun.
   steady_time began_at{};
 };
 
-/// Longest body of a reply that is taken: the store's pages hold a megabyte of values,
-/// and the operators' configuration a few.
-inline constexpr std::size_t longest_reply_bytes = 16U << 20U;
-
 class http_client : public link_listener, public http_listener {
  public:
   http_client(event_loop& loop, const clock& time, std::string address);
@@ -63,7 +92,9 @@
   struct connection;
 
   void drop();
-  void finish(int status);
+  void finish(call_outcome outcome);
+  /// Gives up the connection with the call.
+  void give_up(call_outcome outcome);
 
   event_loop& loop;
   const clock& time;
@@ -71,11 +102,13 @@
   std::unique_ptr<connection> present;
   std::function<void(http_reply)> done;
   http_reply reply;
-  int status = 0;
-  bool keeps_open = true;
+  http_call present_call;
   /// The reply's body is longer than is taken.
   bool too_long = false;
-  steady_time give_up_at{};
+  /// Bytes of the answer have come.
+  bool begun = false;
+  /// When the latest of them came, or the call was begun.
+  steady_time heard_at{};
 };
 
 }  // namespace chestnuthead::traffic
--- a/Tests/Gateway/store_news_test.cxx
+++ b/Tests/Gateway/store_news_test.cxx
@@ -282,6 +282,7 @@
   CPPUNIT_TEST(rows_are_taken_only_without_a_gap);
   CPPUNIT_TEST(an_answer_older_than_the_copy_is_left_out);
   CPPUNIT_TEST(news_that_contradicts_itself_means_nothing);
+  CPPUNIT_TEST(only_the_last_change_of_a_row_counts);
   CPPUNIT_TEST(no_copy_is_taken_for_complete_that_is_not);
   CPPUNIT_TEST(changes_reach_all_within_the_bound);
   CPPUNIT_TEST(questions_do_not_grow_with_the_fleet);
@@ -317,6 +318,15 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{65}, copy.unchanged_since);
   }
 
+  void only_the_last_change_of_a_row_counts() {
+    const std::vector<table_row> rows = newest_of_each(
+        {{"a", "1", false}, {"b", "1", false}, {"a", "2", false}, {"c", "1", false}, {"b", "", true}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, rows.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("2"), rows[0].value);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), rows[1].key);
+    CPPUNIT_ASSERT(rows[2].removed);
+  }
+
   void news_that_contradicts_itself_means_nothing() {
     table_copy copy{true, 50, 40, 0};
     CPPUNIT_ASSERT(take_news(copy, news(60, 90, 10)) == news_use::none);
--- a/Tests/Platform/table_follower_test.cxx
+++ b/Tests/Platform/table_follower_test.cxx
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -10,8 +11,8 @@
 
 #include "chestnuthead/seeded_random.h"
 
-#include "Base/process_clock.h"
 #include "Fakes/scripted_endpoint.h"
+#include "Fakes/stepped_clock.h"
 #include "Net/json_text.h"
 
 namespace chestnuthead::platform {
@@ -37,6 +38,20 @@
   return [text](connection& caller) { caller.send(text); };
 }
 
+/// Bytes on a link that carries so many a millisecond.
+struct slow_link {
+  connection* receiver = nullptr;
+  std::string waiting;
+  std::size_t bytes_a_millisecond = 1'250;
+
+  void step() {
+    if (this->receiver != nullptr && !this->waiting.empty()) {
+      this->receiver->send(this->waiting.substr(0, this->bytes_a_millisecond));
+      this->waiting.erase(0, this->bytes_a_millisecond);
+    }
+  }
+};
+
 /// A follower before a store that answers as a test says.
 struct follower_bench {
   explicit follower_bench(std::deque<scripted_endpoint::script> scripts)
@@ -53,13 +68,34 @@
   bool run_until(const std::function<bool()>& condition) {
     const steady_time give_up_at = this->time.now() + std::chrono::seconds{10};
     while (!condition() && this->time.now() < give_up_at) {
-      this->loop.run_once(milliseconds{2});
+      this->link.step();
+      this->loop.run_once(milliseconds{0});
+      this->loop.run_once(milliseconds{0});
+      this->time.advance(milliseconds{1});
       this->follower.tick(this->time.now());
     }
     return condition();
   }
 
-  suspend_aware_clock time;
+  /// A script that answers over the slow link.
+  scripted_endpoint::script slowly(std::function<std::string(const std::string& target)> answer) {
+    return [this, answer](connection& caller) {
+      this->link.receiver = &caller;
+      this->link.waiting = answer(this->store.requests.back().head.target);
+    };
+  }
+
+  std::string take_log() {
+    std::string text;
+    this->lines.flush(pipe_piece, [&text](std::string_view piece) {
+      text += piece;
+      return true;
+    });
+    return text;
+  }
+
+  slow_link link;
+  stepped_clock time;
   line_ring lines;
   json_log log;
   seeded_random random{1};
@@ -82,9 +118,80 @@
   CPPUNIT_TEST(rows_of_peers_are_taken_and_older_answers_are_not);
   CPPUNIT_TEST(a_gateway_that_is_cut_off_alone_sees_no_return_of_the_store);
   CPPUNIT_TEST(the_first_news_after_an_outage_is_its_end);
+  CPPUNIT_TEST(a_copy_that_is_far_behind_is_read_whole);
+  CPPUNIT_TEST(changes_that_keep_coming_are_waited_for);
+  CPPUNIT_TEST(an_answer_that_stops_coming_is_given_up);
+  CPPUNIT_TEST(failures_in_a_row_are_logged_ever_more_rarely);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// A feed tells all versions of a row, and the link of a small VM does not carry forty
+  /// configurations within the time that a store may be silent.
+  void a_copy_that_is_far_behind_is_read_whole() {
+    follower_bench bench({});
+    std::uint64_t newest = 10;
+    bench.store.scripts = {bench.slowly([&newest](const std::string& target) {
+      if (!target.starts_with("/-/rows-feed")) {
+        return answer_text(long_row(newest), false, newest);
+      }
+      std::string rows;
+      for (std::uint64_t version = newest - 39; version <= newest; ++version) {
+        rows += (rows.empty() ? "" : ",") + long_row(version);
+      }
+      return answer_text(rows, false, newest);
+    })};
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 1; }));
+    newest = 60;
+    const steady_time behind_at = bench.time.now();
+    CPPUNIT_ASSERT(bench.run_until([&] {
+      const auto& rows = bench.changes.back().rows;
+      return !rows.empty() && rows.back().value.starts_with("60:");
+    }));
+    CPPUNIT_ASSERT(bench.time.now() - behind_at < std::chrono::seconds{2});
+    CPPUNIT_ASSERT(bench.changes.back().whole);
+    const std::string log = bench.take_log();
+    CPPUNIT_ASSERT_MESSAGE(log, log.find("store_changes_skipped") != std::string::npos);
+  }
+
+  void changes_that_keep_coming_are_waited_for() {
+    follower_bench bench({});
+    bench.link.bytes_a_millisecond = 40;
+    std::uint64_t newest = 10;
+    bench.store.scripts = {bench.slowly(
+        [&newest](const std::string&) { return answer_text(long_row(newest), false, newest); })};
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 1; }));
+    const steady_time began = bench.time.now();
+    newest = 11;
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 2; }));
+    CPPUNIT_ASSERT(bench.changes.back().rows.at(0).value.starts_with("11:"));
+    CPPUNIT_ASSERT(!bench.changes.back().whole);
+    CPPUNIT_ASSERT(bench.time.now() - began > milliseconds{800});
+    CPPUNIT_ASSERT(bench.follower.traffic().failures.empty());
+  }
+
+  void an_answer_that_stops_coming_is_given_up() {
+    follower_bench bench({answers(answer_text(row_text("a", 3), false, 10)),
+                          answers("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{")});
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.store.requests.size() == 2; }));
+    const steady_time asked = bench.time.now();
+    CPPUNIT_ASSERT(bench.run_until([&] { return !bench.follower.traffic().failures.empty(); }));
+    CPPUNIT_ASSERT(bench.time.now() - asked < milliseconds{750});
+    CPPUNIT_ASSERT_EQUAL(std::string("unfinished"),
+                         bench.follower.traffic().failures.begin()->first);
+  }
+
+  void failures_in_a_row_are_logged_ever_more_rarely() {
+    follower_bench bench({answers(answer_text(row_text("a", 3), false, 10)),
+                          answers("HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n")});
+    CPPUNIT_ASSERT(bench.run_until(
+        [&] { return refusals(bench) >= 9; }));
+    const std::string log = bench.take_log();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(log, 1, count_of(log, "\"store_lost\""));
+    // After the second, the fourth and the eighth failure.
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(log, 3, count_of(log, "\"store_still_lost\""));
+    CPPUNIT_ASSERT(log.find(R"("reason":"refused")") != std::string::npos);
+  }
+
   /// Gateways that all start together would else read their first pages for ever.
   void pages_that_came_are_kept_when_one_fails() {
     follower_bench bench(
@@ -205,6 +312,28 @@
   }
 
  private:
+  /// A row of some 33 KB whose value begins with its version.
+  static std::string long_row(std::uint64_t version) {
+    const std::string value = std::to_string(version) + ":" + std::string(25'000, 'c');
+    return R"({"table":"t","part":"","key":"config","value":")" + encode_base64(value) +
+           R"(","row_version":)" + std::to_string(version) + "}";
+  }
+
+  static std::uint64_t refusals(const follower_bench& bench) {
+    const auto& failures = bench.follower.traffic().failures;
+    const auto place = failures.find("refused");
+    return place == failures.end() ? 0 : place->second;
+  }
+
+  static int count_of(const std::string& text, const std::string& wanted) {
+    int count = 0;
+    for (std::size_t at = text.find(wanted); at != std::string::npos;
+         at = text.find(wanted, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+
   /// News without changes, `passed` after the first answer.
   static gateway::table_news news_at(steady_time::duration passed) {
     const auto time = std::chrono::duration_cast<milliseconds>(passed);
--- a/Tests/Traffic/endless_bytes_test.cxx
+++ b/Tests/Traffic/endless_bytes_test.cxx
@@ -220,7 +220,7 @@
     }};
     traffic::http_client client(bench.loop, bench.time, bench.plain->address);
     std::optional<traffic::http_reply> reply;
-    client.call({"GET", "/rows", {}, std::chrono::minutes{1}},
+    client.call({"GET", "/rows", {}, std::chrono::minutes{1}, std::chrono::minutes{1}},
                 [&reply](const traffic::http_reply& got) { reply = got; });
     CPPUNIT_ASSERT(bench.run_until([&] { return open != nullptr; }));
     CPPUNIT_ASSERT(flood(bench, *open, chunk) < 2 * traffic::longest_reply_bytes);
