Reset connections of requests that were given up, and drop those of absent callers

A request whose caller had given up reached its endpoint five seconds later, once a one-way link was whole: a connection that is closed in order still delivers what the network holds. Such connections are now reset. A request that is read after its caller has closed, because the gateway stood still or its link was cut, is no longer sent.

Both tests fail without the change.

--- a/Source/Traffic/byte_link.cxx
+++ b/Source/Traffic/byte_link.cxx
@@ -88,6 +88,21 @@
   this->open = false;
 }
 
+void byte_link::discard() {
+  if (this->descriptor >= 0) {
+    const linger at_once{1, 0};
+    ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  }
+  this->close();
+}
+
+bool byte_link::is_ended_by_peer() const {
+  char byte = 0;
+  const ssize_t count =
+      ::recv(this->descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void byte_link::update_interest() {
   const io_interest wanted{!this->paused && this->open, !this->open || this->unsent() > 0};
   if (wanted.read != this->interest.read || wanted.write != this->interest.write) {
--- a/Source/Traffic/byte_link.h
+++ b/Source/Traffic/byte_link.h
@@ -50,8 +50,13 @@
   /// Says that nothing more is sent, once all bytes are; the other side then
   /// ends the connection in order.
   void finish_sending();
-  /// Ends the connection. Bytes that were not sent yet are lost.
+  /// Ends the connection. Bytes that were not sent yet are lost; those that the network
+  /// has taken still arrive, however late.
   void close();
+  /// Ends the connection with a reset, so that nothing of what was sent arrives later.
+  void discard();
+  /// True if the other side has already ended the connection and no bytes are left.
+  [[nodiscard]] bool is_ended_by_peer() const;
 
   [[nodiscard]] bool is_open() const {
     return this->open;
--- a/Source/Traffic/caller_link.cxx
+++ b/Source/Traffic/caller_link.cxx
@@ -112,11 +112,24 @@
     this->answer_fault(*this->refused);
     return;
   }
+  if (this->link.is_ended_by_peer()) {
+    this->reject_of_absent_caller();
+    return;
+  }
   this->active = std::make_unique<exchange>(this->context, *this, std::move(*this->request),
                                             std::exchange(this->body, {}));
   this->active->start();
 }
 
+void caller_link::reject_of_absent_caller() {
+  // The gateway stood still, or a cut link is whole again.
+  this->context.metrics.count("chestnuthead_requests_total",
+                              "pool=\"none\",outcome=\"caller_left\"");
+  this->context.log.write(log_level::info, "request_rejected",
+                          {{"reason", std::string("caller_left")}, {"request", this->request->id}});
+  this->remove();
+}
+
 void caller_link::answer_fault(error_kind kind) {
   const error_answer& answer = answer_for(kind);
   this->keeps_open = false;
--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -37,6 +37,8 @@
 
 void endpoint_link::abandon() {
   this->listener = nullptr;
+  // A request that was given up must not reach the endpoint once a cut link is whole.
+  this->link.discard();
   this->owner.remove(*this);
 }
 
--- a/Tests/Fakes/scripted_endpoint.cxx
+++ b/Tests/Fakes/scripted_endpoint.cxx
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "Fakes/local_address.h"
@@ -12,14 +11,11 @@
 
 scripted_endpoint::connection::connection(scripted_endpoint& endpoint, int socket)
     : owner(endpoint),
-      descriptor(socket),
       reader(traffic::http_kind::request, *this),
       link(endpoint.loop, socket, *this) {}
 
 void scripted_endpoint::connection::reset() {
-  const linger now{1, 0};
-  ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-  this->link.close();
+  this->link.discard();
 }
 
 void scripted_endpoint::connection::on_bytes(std::string_view bytes) {
@@ -29,8 +25,9 @@
   }
 }
 
-void scripted_endpoint::connection::on_end(traffic::link_end /*end*/) {
+void scripted_endpoint::connection::on_end(traffic::link_end how) {
   this->closed = true;
+  this->end = how;
 }
 
 bool scripted_endpoint::connection::on_head(traffic::http_head& head) {
--- a/Tests/Fakes/scripted_endpoint.h
+++ b/Tests/Fakes/scripted_endpoint.h
@@ -51,12 +51,12 @@
     void on_body(std::string_view bytes) override;
     void on_message_end() override;
 
-    /// The gateway has closed this connection.
+    /// The gateway has ended this connection.
     bool closed = false;
+    traffic::link_end end = traffic::link_end::closed;
 
    private:
     scripted_endpoint& owner;
-    int descriptor;
     traffic::http_reader reader;
     traffic::byte_link link;
     request present;
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -36,6 +36,8 @@
   CPPUNIT_TEST(an_answer_cut_short_is_not_passed);
   CPPUNIT_TEST(rested_connections_are_left_where_they_were_forgotten);
   CPPUNIT_TEST(the_endpoint_is_told_when_the_caller_leaves);
+  CPPUNIT_TEST(a_request_that_was_given_up_does_not_arrive_later);
+  CPPUNIT_TEST(a_request_is_not_sent_for_a_caller_that_has_left);
   CPPUNIT_TEST(a_route_time_out_gets_its_answer);
   CPPUNIT_TEST(an_endpoint_is_doubted_after_a_second_of_silence);
   CPPUNIT_TEST(a_dark_domain_is_checked_a_few_endpoints_at_a_time);
@@ -337,6 +339,35 @@
     CPPUNIT_ASSERT(bench.run_until([&] { return bench.plain->requests.size() >= 60; }));
   }
 
+  /// Its bytes may wait at a cut link: a connection that is closed in order still
+  /// delivers them.
+  void a_request_that_was_given_up_does_not_arrive_later() {
+    traffic_bench bench;
+    connection* open = nullptr;
+    bench.plain->scripts = {[&open](connection& caller) { open = &caller; }};
+    const auto caller = bench.connect();
+    caller->send(traffic_bench::payment_bytes("p1"));
+    CPPUNIT_ASSERT(bench.run_until([&] { return open != nullptr; }));
+    caller->close();
+    CPPUNIT_ASSERT(bench.run_until([&] { return open->closed; }));
+    CPPUNIT_ASSERT(open->end == traffic::link_end::broken);
+  }
+
+  /// The gateway stood still, or the caller's link was cut, until the caller gave up.
+  void a_request_is_not_sent_for_a_caller_that_has_left() {
+    traffic_bench bench;
+    bench.plain->scripts = {
+        [](connection& caller) { caller.send(traffic_bench::answer_bytes("p1", "paid")); }};
+    const auto caller = bench.connect();
+    caller->send(traffic_bench::payment_bytes("p1"));
+    CPPUNIT_ASSERT(bench.run_until([&] { return caller->has_answers(1); }));
+    caller->send(traffic_bench::payment_bytes("p2"));
+    caller->close();
+    CPPUNIT_ASSERT(bench.run_until(
+        [&] { return contains(bench.take_log(), R"("reason":"caller_left","request":"p2")"); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.plain->requests.size());
+  }
+
   void a_route_time_out_gets_its_answer() {
     traffic_bench bench;
     bench.plain->scripts = {[](connection& /*caller*/) {}};
