Bear a store that comes back from a copy some seconds old

The store tells its era with each answer. In a new one versions are given out again, and what was written lately is missing until its writer writes it again. Copies of tables and news between gateways confirmed each other by version alone, so a copy could be confirmed by the answers of another era; an older configuration could be taken for the newest, and an endpoint that had left could come back by an old entry.

Copies, news and bounds on the store's clock now belong to one era. Entries of endpoints are ordered by their heartbeats. Gateways write their entries and the fleet's keys again, and note settled eras for those that start. Orders of operators are decided in Source.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -28,6 +28,10 @@
   table.by_hash[row.hash] = &row;
 }
 
+void remember_gone(endpoint_table& table, const endpoint& row, steady_time now) {
+  table.gone[row.listing.name] = {row.listing.started, row.listing.heartbeat, now};
+}
+
 bool same_life(const endpoint_listing& before, const endpoint_listing& after) {
   return before.started == after.started && before.address == after.address &&
          before.pool == after.pool;
@@ -59,6 +63,29 @@
   return is_new_life;
 }
 
+bool is_outdated(endpoint_table& table, const endpoint_listing& listing,
+                 std::optional<steady_time> copied_at, steady_time now) {
+  const bool has_starts = listing.started != 0;
+  const auto memory = has_starts ? gone_memory : nameless_gone_memory;
+  const bool may_be_copied = copied_at && now - *copied_at < memory;
+  const auto known = table.rows.find(listing.name);
+  if (known != table.rows.end() && known->second.listed) {
+    const endpoint_listing& latest = known->second.listing;
+    return (has_starts || may_be_copied) && latest.started == listing.started &&
+           listing.heartbeat < latest.heartbeat;
+  }
+  const auto gone = table.gone.find(listing.name);
+  if (!may_be_copied || gone == table.gone.end() || gone->second.started != listing.started ||
+      now - gone->second.gone_at >= memory) {
+    return false;
+  }
+  // The last heartbeats before the entry was removed may have been missed.
+  const bool lives = gone->second.in_copy && listing.heartbeat > gone->second.heartbeat;
+  gone->second.in_copy = true;
+  gone->second.heartbeat = std::max(gone->second.heartbeat, listing.heartbeat);
+  return !lives;
+}
+
 void unlist_endpoint(endpoint_table& table, const endpoint_id& name, steady_time gone_at,
                      steady_time now) {
   endpoint* row = find_endpoint(table, name);
@@ -70,6 +97,7 @@
     row->missing_until = gone_at;
   } else {
     row->listed = false;
+    remember_gone(table, *row, now);
   }
 }
 
@@ -85,11 +113,14 @@
     if (row.missing_until && now >= *row.missing_until) {
       row.listed = false;
       row.missing_until.reset();
+      remember_gone(table, row, now);
     }
   }
 }
 
-void forget_unlisted(endpoint_table& table) {
+void forget_unlisted(endpoint_table& table, steady_time now) {
+  std::erase_if(table.gone,
+                [now](const auto& entry) { return now - entry.second.gone_at >= gone_memory; });
   const std::size_t erased = std::erase_if(table.rows, [](const auto& entry) {
     return !entry.second.listed && entry.second.in_flight == 0;
   });
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -31,6 +31,8 @@
   std::chrono::milliseconds cold_for{0};
   /// Start of this incarnation, in Unix milliseconds; 0 if not said.
   std::int64_t started = 0;
+  /// Grows with the endpoint's heartbeats since its start; 0 if not said.
+  std::uint64_t heartbeat = 0;
 };
 
 /// Results of the requests sent to an endpoint.
@@ -84,8 +86,19 @@
   endpoint_record record;
 };
 
+/// The last entry of an endpoint that the platform has ceased to list.
+struct gone_endpoint {
+  std::int64_t started = 0;
+  std::uint64_t heartbeat = 0;
+  steady_time gone_at{};
+  /// The entry has been seen again since, in a copy of the platform's list.
+  bool in_copy = false;
+};
+
 struct endpoint_table {
   std::map<endpoint_id, endpoint> rows;
+  /// Endpoints that went lately.
+  std::map<endpoint_id, gone_endpoint> gone;
   /// Rows by pool, in the order of their names.
   std::map<pool_id, std::vector<endpoint*>> by_pool;
   /// Rows by `endpoint::hash`.
@@ -96,6 +109,19 @@
 /// anew loses all that was known of its earlier life. True if it is new or did.
 bool list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now);
 
+/// How long an endpoint that is gone is remembered.
+inline constexpr std::chrono::seconds gone_memory{60};
+/// The same where entries do not tell an endpoint's starts apart: it may have started again
+/// under its name.
+inline constexpr std::chrono::seconds nameless_gone_memory{10};
+
+/// True if the entry is older than what is known of the endpoint: it has told more
+/// heartbeats since, or its entry was removed. `copied_at` is when the platform last came
+/// back from a copy of its list, which may hold such entries: one that was removed counts
+/// again only once a heartbeat more than in the copy shows that the endpoint lives.
+bool is_outdated(endpoint_table& table, const endpoint_listing& listing,
+                 std::optional<steady_time> copied_at, steady_time now);
+
 /// How long after the platform's return an entry may be missing that lapsed
 /// while the platform was away: endpoints that live are listed again within
 /// about two seconds.
@@ -113,8 +139,8 @@
 /// Ends the grace of entries that are still missing.
 void end_grace(endpoint_table& table, steady_time now);
 
-/// Forgets unlisted endpoints that have no requests left.
-void forget_unlisted(endpoint_table& table);
+/// Forgets unlisted endpoints that have no requests left, and those gone for long.
+void forget_unlisted(endpoint_table& table, steady_time now);
 
 /// The endpoint of that name, or nullptr.
 endpoint* find_endpoint(endpoint_table& table, const endpoint_id& name);
--- a/Source/Gateway/fleet_keys.cxx
+++ b/Source/Gateway/fleet_keys.cxx
@@ -1,12 +1,14 @@
 #include "Gateway/fleet_keys.h"
 
+#include <algorithm>
 #include <charconv>
-#include <iterator>
 #include <utility>
 
 #include <Poco/DigestEngine.h>
 #include <Poco/Exception.h>
 
+#include "Base/hashing.h"
+
 namespace chestnuthead::gateway {
 
 namespace {
@@ -24,24 +26,54 @@
 }  // namespace
 
 void learn_key(fleet_keys& keys, std::uint64_t number, fleet_key key) {
-  const auto place = keys.rows.find(number);
-  if (place == keys.rows.end() || place->second.secret != key.secret) {
-    keys.rows[number] = std::move(key);
+  const key_name name{number, hash_text(key.secret)};
+  const std::string row = key.row;
+  const auto [place, is_new] = keys.rows.try_emplace(name, std::move(key));
+  if (!is_new && !row.empty()) {
+    place->second.row = row;
   }
 }
 
-void forget_key(fleet_keys& keys, std::uint64_t number) {
-  keys.rows.erase(number);
+void forget_key(fleet_keys& keys, const std::string& row) {
+  std::erase_if(keys.rows, [&row](const auto& entry) { return entry.second.row == row; });
+}
+
+void keep_rows(fleet_keys& keys, const std::set<std::string>& rows) {
+  std::erase_if(keys.rows, [&rows](const auto& entry) {
+    return !entry.second.row.empty() && !rows.contains(entry.second.row);
+  });
+}
+
+void forget_rows(fleet_keys& keys) {
+  for (auto& [name, key] : keys.rows) {
+    key.row.clear();
+  }
+}
+
+const std::pair<const key_name, fleet_key>* lost_key(const fleet_keys& keys) {
+  const auto place = std::find_if(keys.rows.begin(), keys.rows.end(),
+                                  [](const auto& entry) { return entry.second.row.empty(); });
+  return place == keys.rows.end() ? nullptr : &*place;
+}
+
+bool is_number_taken(const fleet_keys& keys, const key_name& name) {
+  return std::any_of(keys.rows.begin(), keys.rows.end(), [&name](const auto& entry) {
+    return entry.first.number == name.number && entry.first != name && !entry.second.row.empty();
+  });
 }
 
 const fleet_key* sending_key(const fleet_keys& keys, steady_time now) {
-  if (keys.rows.empty()) {
-    return nullptr;
+  const auto all_know = std::find_if(keys.rows.rbegin(), keys.rows.rend(), [now](const auto& entry) {
+    return now - entry.second.known_at >= key_spread;
+  });
+  if (all_know != keys.rows.rend()) {
+    return &all_know->second;
   }
-  const auto newest = std::prev(keys.rows.end());
-  const bool all_know = now - newest->second.known_at >= key_spread;
-  const bool is_only = newest == keys.rows.begin();
-  return is_only || all_know ? &newest->second : &std::prev(newest)->second;
+  const auto known_longest = std::min_element(
+      keys.rows.begin(), keys.rows.end(), [](const auto& one, const auto& other) {
+        return one.second.known_at < other.second.known_at;
+      });
+  return known_longest == keys.rows.end() ? nullptr : &known_longest->second;
 }
 
 std::optional<std::uint64_t> next_key_due(const fleet_keys& keys,
@@ -49,20 +81,20 @@
   if (keys.rows.empty()) {
     return 1;
   }
-  const auto& [number, newest] = *keys.rows.rbegin();
+  const auto& [name, newest] = *keys.rows.rbegin();
   // A store whose clock began anew says nothing about a key's age.
   const bool is_old = store_time - newest.made_at >= key_life;
-  return is_old ? std::optional(number + 1) : std::nullopt;
+  return is_old ? std::optional(name.number + 1) : std::nullopt;
 }
 
-std::vector<std::uint64_t> keys_outdated(const fleet_keys& keys, std::uint64_t newest) {
-  std::vector<std::uint64_t> numbers;
-  for (const auto& [number, key] : keys.rows) {
-    if (number + keys_kept <= newest) {
-      numbers.push_back(number);
+std::vector<std::string> rows_outdated(const fleet_keys& keys, std::uint64_t newest) {
+  std::vector<std::string> rows;
+  for (const auto& [name, key] : keys.rows) {
+    if (name.number + keys_kept <= newest && !key.row.empty()) {
+      rows.push_back(key.row);
     }
   }
-  return numbers;
+  return rows;
 }
 
 std::string format_key(const fleet_key& key) {
@@ -81,7 +113,7 @@
   if (!secret || secret->size() != secret_bytes) {
     return std::nullopt;
   }
-  return fleet_key{*secret, std::chrono::milliseconds{made_at}, {}};
+  return fleet_key{*secret, std::chrono::milliseconds{made_at}, {}, {}};
 }
 
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -15,6 +16,7 @@
 #include "Gateway/placement.h"
 #include "Gateway/prefix_holders.h"
 #include "Gateway/service_map.h"
+#include "Gateway/store_era.h"
 
 /// All tables of one gateway. One thread owns them.
 namespace chestnuthead::gateway {
@@ -29,12 +31,15 @@
   peer_table peers;
   loss_reports losses;
   fleet_keys keys;
+  store_eras eras;
   crash_suspects suspects;
   prefix_holders holders;
   /// What the store has told this gateway and the peers have not heard of yet.
   std::vector<table_news> store_news;
   resend_terms resends;
   std::map<pool_id, resend_budget> resend_budgets;
+  /// Version of the configuration that the store holds; 0 if it was not read.
+  std::uint64_t stored_configuration = 0;
   /// Latest moment at which `services` was known to be the newest version.
   steady_time confirmed_at{};
   /// How long after `confirmed_at` keys are still accepted.
--- /dev/null
+++ b/Source/Gateway/operator_orders.cxx
@@ -0,0 +1,75 @@
+#include "Gateway/operator_orders.h"
+
+#include <algorithm>
+#include <iterator>
+#include <memory>
+#include <utility>
+
+#include "Gateway/peer_table.h"
+
+namespace chestnuthead::gateway {
+
+namespace {
+
+void take_configuration(gateway_state& state, service_map map, orders_effect& effect) {
+  state.stored_configuration = map.version;
+  if (state.services != nullptr && map.version <= state.services->version) {
+    effect.configuration_outdated = map.version < state.services->version;
+    return;
+  }
+  state.services = std::make_shared<const service_map>(std::move(map));
+  effect.configuration_taken = true;
+}
+
+/// Endpoints that were idle for a while may have become cold.
+void cool_domain(gateway_state& state, const failure_domain_id& domain, steady_time now) {
+  for (auto& [name, row] : state.endpoints.rows) {
+    const pool* found =
+        state.services == nullptr ? nullptr : find_pool(*state.services, row.listing.pool);
+    if (row.listing.failure_domain == domain && found != nullptr) {
+      row.cold_until = std::max(row.cold_until, now + found->warm_up);
+    }
+  }
+}
+
+void take_domains(gateway_state& state, const orders_change& change, orders_effect& effect,
+                  steady_time now) {
+  std::set<failure_domain_id> back = change.domains_back;
+  if (change.whole && is_settled(state.eras, change.as_of)) {
+    std::set_difference(state.fleet.domains_out.begin(), state.fleet.domains_out.end(),
+                        change.domains_out.begin(), change.domains_out.end(),
+                        std::inserter(back, back.end()));
+  }
+  for (const failure_domain_id& domain : change.domains_out) {
+    if (state.fleet.domains_out.insert(domain).second) {
+      effect.domains_out.push_back(domain);
+    }
+  }
+  for (const failure_domain_id& domain : back) {
+    if (state.fleet.domains_out.erase(domain) > 0) {
+      cool_domain(state, domain, now);
+      effect.domains_back.push_back(domain);
+    }
+  }
+}
+
+bool has_newest_configuration(const gateway_state& state, steady_time now) {
+  const std::uint64_t own = state.services == nullptr ? 0 : state.services->version;
+  return state.stored_configuration >= own && newest_configuration(state.peers, now) <= own;
+}
+
+}  // namespace
+
+orders_effect take_orders(gateway_state& state, orders_change change, steady_time now) {
+  orders_effect effect;
+  if (change.configuration) {
+    take_configuration(state, std::move(*change.configuration), effect);
+  }
+  take_domains(state, change, effect, now);
+  if (is_settled(state.eras, change.as_of) && has_newest_configuration(state, now)) {
+    state.confirmed_at = std::max(state.confirmed_at, change.as_of);
+  }
+  return effect;
+}
+
+}  // namespace chestnuthead::gateway
--- a/Source/Gateway/peer_table.cxx
+++ b/Source/Gateway/peer_table.cxx
@@ -85,6 +85,17 @@
   return static_cast<std::uint32_t>(table.rows.size()) + 1;
 }
 
+std::uint64_t newest_configuration(const peer_table& table, steady_time now) {
+  const std::chrono::milliseconds life = word_life(table);
+  std::uint64_t newest = 0;
+  for (const auto& [name, row] : table.rows) {
+    if (now - row.heard_at < life) {
+      newest = std::max(newest, row.word.configuration);
+    }
+  }
+  return newest;
+}
+
 void apply_peer_loads(const peer_table& table, endpoint_table& endpoints, steady_time now) {
   std::unordered_map<std::uint64_t, double> totals;
   const std::chrono::milliseconds life = word_life(table);
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -56,6 +56,8 @@
   std::vector<crash_word> crashes;
   /// The store has confirmed the sender's configuration lately.
   bool current = false;
+  /// Version of the configuration that the sender has in force; 0 if it has none.
+  std::uint64_t configuration = 0;
   /// The sender's process ends in order.
   bool leaving = false;
 };
@@ -109,6 +111,9 @@
 /// included.
 std::uint32_t count_gateways(peer_table& table, steady_time now);
 
+/// Newest version of the configuration that peers which were heard lately have in force.
+std::uint64_t newest_configuration(const peer_table& table, steady_time now);
+
 /// Sets the load that the peers put on each endpoint.
 void apply_peer_loads(const peer_table& table, endpoint_table& endpoints, steady_time now);
 
--- a/Source/Gateway/store_news.cxx
+++ b/Source/Gateway/store_news.cxx
@@ -35,6 +35,9 @@
   if (!copy.complete || news.version < news.unchanged_since) {
     return news_use::none;
   }
+  if (news.era != copy.era) {
+    return news.era > copy.era ? news_use::newer_era : news_use::none;
+  }
   if (news.unchanged_since <= copy.version) {
     if (news.version >= copy.unchanged_since) {
       copy.unchanged_since = std::min(copy.unchanged_since, news.unchanged_since);
@@ -63,7 +66,7 @@
 table_news make_news(const std::string& table, const table_copy& copy,
                      std::chrono::milliseconds store_time, std::uint64_t rows_after,
                      const std::vector<table_row>& rows) {
-  table_news news{table, copy.version, copy.unchanged_since, store_time, rows_after, {}};
+  table_news news{table, copy.version, copy.unchanged_since, store_time, rows_after, {}, copy.era};
   if (size_of(rows) <= news_bytes) {
     news.rows = rows;
   }
--- a/Source/Gateway/store_news.h
+++ b/Source/Gateway/store_news.h
@@ -37,6 +37,8 @@
   /// `rows` holds all changes after this version; empty if none are told.
   std::uint64_t rows_after = 0;
   std::vector<table_row> rows;
+  /// The store's era: versions mean something within one era only.
+  std::uint64_t era = 0;
 };
 
 /// How far this gateway's copy of a table reaches.
@@ -49,11 +51,14 @@
   std::uint64_t unchanged_since = 0;
   /// Newest version, as peers tell, that the copy must reach.
   std::uint64_t wanted_version = 0;
+  /// The store's era in which the table was read.
+  std::uint64_t era = 0;
 };
 
 /// What news of a peer means for a copy.
 enum class news_use : std::uint8_t {
-  /// Nothing: the copy is not complete, or the news contradicts itself.
+  /// Nothing: the copy is not complete, or the news contradicts itself or is of an era
+  /// that is over.
   none,
   /// The copy was complete at the time of the news.
   confirms,
@@ -61,6 +66,8 @@
   extends,
   /// The copy lacks changes: the store must be asked.
   behind,
+  /// The store has begun another era: the table must be read whole.
+  newer_era,
 };
 
 /// Takes in news and says what follows. With `extends` the caller must take the rows.
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -39,7 +39,7 @@
 }
 
 void put_table(field_writer& out, const gateway::table_news& news) {
-  constexpr std::size_t fields = 6;
+  constexpr std::size_t fields = 7;
   constexpr std::size_t row_fields = 3;
   out.array(fields);
   out.put(news.table);
@@ -53,6 +53,7 @@
     out.put_bytes(row.value);
     out.put(row.removed);
   }
+  out.put(news.era);
 }
 
 gateway::table_news read_table(const msgpack::object& object) {
@@ -71,13 +72,14 @@
     list.get_bytes(row.value);
     list.get(row.removed);
   }
+  in.get(news.era);
   return news;
 }
 
 }  // namespace
 
 std::string encode_word(const gateway::peer_word& word) {
-  constexpr std::size_t fields = 12;
+  constexpr std::size_t fields = 13;
   field_writer out;
   out.array(fields);
   out.put(message_version);
@@ -86,6 +88,7 @@
   out.put(word.sequence);
   out.put(word.leaving);
   out.put(word.current);
+  out.put(word.configuration);
   out.array(word.loads.size() * 2);
   for (const gateway::peer_load& load : word.loads) {
     out.put(load.endpoint);
@@ -133,6 +136,7 @@
     in.get(word.sequence);
     in.get(word.leaving);
     in.get(word.current);
+    in.get(word.configuration);
     read_pairs(in.object(), word.loads, &gateway::peer_load::endpoint,
                &gateway::peer_load::in_flight);
     const msgpack::object& unreachable = in.object();
--- a/Source/Traffic/peer_port.cxx
+++ b/Source/Traffic/peer_port.cxx
@@ -78,6 +78,7 @@
   gateway::peer_word word = own_word(state.endpoints, now);
   word.crashes = recent_crashes(state.suspects, now);
   word.current = is_current(state, now);
+  word.configuration = state.services == nullptr ? 0 : state.services->version;
   return word;
 }
 
--- a/Tests/Platform/fleet_key_rows_test.cxx
+++ b/Tests/Platform/fleet_key_rows_test.cxx
@@ -16,6 +16,10 @@
     const auto decoded = decode_key_row(sample());
     CPPUNIT_ASSERT(decoded && decoded->key);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, decoded->number);
+    CPPUNIT_ASSERT_EQUAL(key_row_name(12), decoded->key->row);
+    const auto spare = decode_key_row({spare_key_row_name({12, 345}), sample().value, false});
+    CPPUNIT_ASSERT(spare && spare->key);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, spare->number);
     const auto removed = decode_key_row({key_row_name(12), "", true});
     CPPUNIT_ASSERT(removed && !removed->key);
   }
@@ -40,7 +44,7 @@
 
  private:
   static gateway::table_row sample() {
-    const gateway::fleet_key key{std::string(gateway::secret_bytes, 's'), {}, {}};
+    const gateway::fleet_key key{std::string(gateway::secret_bytes, 's'), {}, {}, {}};
     return {key_row_name(12), format_key(key), false};
   }
 };
--- a/Tests/Platform/table_follower_test.cxx
+++ b/Tests/Platform/table_follower_test.cxx
@@ -27,11 +27,14 @@
          R"(","row_version":)" + std::to_string(version) + "}";
 }
 
-std::string answer_text(const std::string& rows, bool more, std::uint64_t version) {
+std::string answer_text(const std::string& rows, bool more, std::uint64_t version,
+                        std::uint64_t era = 0) {
   const std::string body = "{\"rows\":[" + rows + R"(],"more_pages":)" + (more ? "true" : "false") +
                            R"(,"row_version":)" + std::to_string(version) + R"(,"now_ms":)" +
                            std::to_string(50'000 + version) + "}";
-  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  const std::string told = era == 0 ? "" : "Store-Era: " + std::to_string(era) + "\r\n";
+  return "HTTP/1.1 200 OK\r\n" + told + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 scripted_endpoint::script answers(const std::string& text) {
@@ -119,6 +122,10 @@
   CPPUNIT_TEST(a_gateway_that_is_cut_off_alone_sees_no_return_of_the_store);
   CPPUNIT_TEST(the_first_news_after_an_outage_is_its_end);
   CPPUNIT_TEST(a_copy_that_is_far_behind_is_read_whole);
+  CPPUNIT_TEST(a_new_era_is_read_whole_though_its_versions_fit);
+  CPPUNIT_TEST(news_of_a_new_era_starts_a_read);
+  CPPUNIT_TEST(news_of_an_era_that_is_over_means_nothing);
+  CPPUNIT_TEST(pages_of_two_eras_are_not_joined);
   CPPUNIT_TEST(changes_that_keep_coming_are_waited_for);
   CPPUNIT_TEST(an_answer_that_stops_coming_is_given_up);
   CPPUNIT_TEST(failures_in_a_row_are_logged_ever_more_rarely);
@@ -153,6 +160,54 @@
     CPPUNIT_ASSERT_MESSAGE(log, log.find("store_changes_skipped") != std::string::npos);
   }
 
+  /// The store came back from a copy and has given out the same versions again: a feed
+  /// from one of them answers well, but of other rows.
+  void a_new_era_is_read_whole_though_its_versions_fit() {
+    follower_bench bench({answers(answer_text(row_text("a", 3), false, 10, 4)),
+                          answers(answer_text("", false, 12, 5)),
+                          answers(answer_text(row_text("b", 2), false, 12, 5))});
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 2; }));
+    CPPUNIT_ASSERT(bench.changes[1].whole);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, bench.changes[1].era);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), bench.changes[1].rows.at(0).key);
+    CPPUNIT_ASSERT(bench.store.requests.at(2).head.target.starts_with("/-/rows-get"));
+    CPPUNIT_ASSERT(bench.news.empty());
+    CPPUNIT_ASSERT(bench.take_log().find("store_era_changed") != std::string::npos);
+  }
+
+  void news_of_a_new_era_starts_a_read() {
+    follower_bench bench({answers(answer_text(row_text("a", 3), false, 10, 4)),
+                          answers(answer_text(row_text("b", 2), false, 9, 5))});
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 1; }));
+    // Though its date can't be told, and its versions would confirm the copy.
+    bench.follower.hear({"t", 11, 9, milliseconds{1}, 0, {}, 5});
+    const steady_time heard = bench.time.now();
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 2; }));
+    CPPUNIT_ASSERT(bench.time.now() - heard < milliseconds{20});
+    CPPUNIT_ASSERT(bench.changes[1].whole);
+    CPPUNIT_ASSERT(bench.changes[1].own_answer);
+  }
+
+  void news_of_an_era_that_is_over_means_nothing() {
+    follower_bench bench({answers(answer_text(row_text("a", 3), false, 10, 5))});
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 1; }));
+    bench.follower.hear({"t", 40, 8, milliseconds{50'011}, 0, {}, 4});
+    bench.follower.hear({"t", 40, 39, milliseconds{50'011}, 9, {{"c", "old", false}}, 4});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.changes.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, bench.follower.news().confirmed);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, bench.follower.news().behind);
+  }
+
+  void pages_of_two_eras_are_not_joined() {
+    follower_bench bench({answers(answer_text(row_text("a", 3), true, 10, 4)),
+                          answers(answer_text(row_text("x", 4), false, 8, 5)),
+                          answers(answer_text(row_text("b", 4), false, 9, 5))});
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.changes[0].rows.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), bench.changes[0].rows[0].key);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, bench.changes[0].era);
+  }
+
   void changes_that_keep_coming_are_waited_for() {
     follower_bench bench({});
     bench.link.bytes_a_millisecond = 40;
--- a/Tests/Traffic/message_seal_test.cxx
+++ b/Tests/Traffic/message_seal_test.cxx
@@ -16,9 +16,9 @@
  public:
   void sealed_messages_are_opened_with_any_known_key() {
     gateway::fleet_keys keys;
-    keys.rows[1] = {make_secret(), {}, {}};
-    keys.rows[2] = {make_secret(), {}, {}};
-    for (const auto& [number, key] : keys.rows) {
+    keys.rows[{1, 0}] = {make_secret(), {}, {}, {}};
+    keys.rows[{2, 0}] = {make_secret(), {}, {}, {}};
+    for (const auto& [name, key] : keys.rows) {
       const std::string sealed = seal_message(key, "news");
       CPPUNIT_ASSERT_EQUAL(std::size_t{4} + seal_bytes, sealed.size());
       CPPUNIT_ASSERT(open_message(keys, sealed) == std::string_view("news"));
@@ -27,8 +27,8 @@
 
   void changed_cut_and_foreign_messages_are_refused() {
     gateway::fleet_keys keys;
-    keys.rows[1] = {make_secret(), {}, {}};
-    const std::string sealed = seal_message(keys.rows[1], "some news of a gateway");
+    keys.rows[{1, 0}] = {make_secret(), {}, {}, {}};
+    const std::string sealed = seal_message(keys.rows[{1, 0}], "some news of a gateway");
     for (std::size_t at = 0; at < sealed.size(); ++at) {
       for (int bit = 0; bit < 8; ++bit) {
         std::string changed = sealed;
@@ -40,7 +40,7 @@
     CPPUNIT_ASSERT(!open_message(keys, sealed + "x"));
     gateway::fleet_keys others;
     CPPUNIT_ASSERT(!open_message(others, sealed));
-    others.rows[1] = {make_secret(), {}, {}};
+    others.rows[{1, 0}] = {make_secret(), {}, {}, {}};
     CPPUNIT_ASSERT(!open_message(others, sealed));
   }
 
--- a/Tests/Traffic/peer_codec_test.cxx
+++ b/Tests/Traffic/peer_codec_test.cxx
@@ -22,6 +22,7 @@
     CPPUNIT_ASSERT_EQUAL(word.start, back->start);
     CPPUNIT_ASSERT_EQUAL(word.sequence, back->sequence);
     CPPUNIT_ASSERT_EQUAL(word.current, back->current);
+    CPPUNIT_ASSERT_EQUAL(word.configuration, back->configuration);
     CPPUNIT_ASSERT(back->leaving);
     CPPUNIT_ASSERT_EQUAL(word.loads[1].endpoint, back->loads.at(1).endpoint);
     CPPUNIT_ASSERT_EQUAL(word.loads[1].in_flight, back->loads.at(1).in_flight);
@@ -39,6 +40,7 @@
     CPPUNIT_ASSERT_EQUAL(word.tables[0].rows[1].key, news.rows.at(1).key);
     CPPUNIT_ASSERT_EQUAL(word.tables[0].rows[1].value, news.rows.at(1).value);
     CPPUNIT_ASSERT(news.rows.at(1).removed);
+    CPPUNIT_ASSERT_EQUAL(word.tables[0].era, news.era);
   }
 
   void no_bytes_do_harm() {
@@ -57,7 +59,7 @@
     for (const std::string claim : {"\xdf\xdf\xff\xff\xff", "\xdd\xdf\xff\xff\xff",
                                     "\xdb\xff\xff\xff\xff", "\xc6\xff\xff\xff\xff"}) {
       CPPUNIT_ASSERT(!decode_word(claim).has_value());
-      CPPUNIT_ASSERT(!decode_word("\x9c\x06" + claim).has_value());
+      CPPUNIT_ASSERT(!decode_word("\x9d\x06" + claim).has_value());
     }
   }
 
@@ -74,7 +76,9 @@
                            80,
                            std::chrono::milliseconds{5'000},
                            70,
-                           {{"one", std::string("\x00{}", 3), false}, {"two", "", true}}});
+                           {{"one", std::string("\x00{}", 3), false}, {"two", "", true}},
+                           4});
+    word.configuration = 71;
     word.loads = {{0xFFFF'FFFF'FFFF'FFFF, 3}, {7, 9}};
     word.unreachable = {5};
     word.leaving_endpoints = {{6, 1'700'000'000'000}, {7, 0}};
