--- a/Tests/Soak/soak.cxx
+++ b/Tests/Soak/soak.cxx
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::array<option, 9> switches{{
+constexpr std::array<option, 10> switches{{
     {"seed", required_argument, nullptr, 's'},
     {"seeds", required_argument, nullptr, 'n'},
     {"length", required_argument, nullptr, 'l'},
@@ -24,6 +24,7 @@
     {"gateways", required_argument, nullptr, 'c'},
     {"leave-out", required_argument, nullptr, 'o'},
     {"shrink", no_argument, nullptr, 'r'},
+    {"store-copies", required_argument, nullptr, 'e'},
     {nullptr, 0, nullptr, 0},
 }};
 
@@ -119,13 +120,16 @@
       case 'o':
         options.left_out = read_numbers(optarg);
         break;
+      case 'e':
+        options.store_copies = std::atoi(optarg);
+        break;
       case 'r':
         shrinks = true;
         break;
       default:
         std::cerr << "usage: soak [--seed N] [--seeds COUNT] [--length SECONDS] "
                      "[--gateway PROGRAM] [--gateways COUNT] [--folder FOLDER] "
-                     "[--leave-out NUMBERS] [--shrink]\n";
+                     "[--leave-out NUMBERS] [--shrink] [--store-copies COUNT]\n";
         return 2;
     }
   }
--- a/Tests/Soak/soak_endpoint.h
+++ b/Tests/Soak/soak_endpoint.h
@@ -36,6 +36,9 @@
   /// Share of requests that are executed and whose answer is lost.
   double lost_share = 0.0;
 
+  /// The endpoint says in its answers that it takes no new work.
+  bool leaving = false;
+
   const std::string name;
   fault_proxy& proxy() {
     return this->way_in;
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -68,8 +68,7 @@
            R"(/","timeout_ms":4000,"target_latency_ms":300,"service":")" + pool + "\"," + rest +
            "}";
   };
-  this->store->put(
-      "op", "config",
+  this->configuration =
       R"({"version":)" + std::to_string(++this->configuration_version) + R"(,"routes":[)" +
           route("chat", chat_pool,
                 R"("type":"stream","stream_resume":true,"max_attempts":2,"gap_target_ms":250)") +
@@ -79,17 +78,35 @@
           R"(],"services":[{"name":"engines","health_check_path":"/healthz",)"
           R"("max_connections":300},{"name":"orders","health_check_path":"/healthz",)"
           R"("max_connections":300}],"limits":{},"tenants":[{"name":"schools","api_keys":[)" +
-          key_list + "]}]}");
+          key_list + "]}]}";
+  this->write_to_store("op", "config", this->configuration);
+}
+
+void soak_run::write_to_store(const std::string& table, const std::string& key,
+                              const std::string& value) {
+  // What can't be written now is once the store is back.
+  if (!this->store->is_away()) {
+    this->store->put(table, key, value);
+  }
 }
 
 void soak_run::list(const std::string& endpoint, const std::string& state) {
+  if (state == "ready" && this->states[endpoint] == "draining") {
+    // It has left and started again.
+    ++this->starts[endpoint];
+  }
+  this->states[endpoint] = state;
   for (const auto& one : this->endpoints) {
     if (one->name == endpoint) {
       const bool plain = endpoint.starts_with("plain");
-      this->store->put("servers", endpoint,
-                       R"({"service":")" + (plain ? plain_pool : chat_pool) + R"(","address":")" +
-                           one->proxy().address + R"(","zone":"north","batch_slots":64,"state":")" +
-                           state + R"(","warmup_remaining_ms":0,"born":1})");
+      one->leaving = state == "draining";
+      this->write_to_store(
+          "servers", endpoint,
+          R"({"service":")" + (plain ? plain_pool : chat_pool) + R"(","address":")" +
+              one->proxy().address + R"(","zone":"north","batch_slots":64,"state":")" + state +
+              R"(","warmup_remaining_ms":0,"born":)" +
+              std::to_string(1 + this->starts[endpoint]) + R"(,"sequence":)" +
+              std::to_string(++this->heartbeats) + "}");
     }
   }
 }
@@ -192,10 +209,44 @@
   gateway.signal(SIGTERM);
 }
 
+void soak_run::restore_store(seeded_random& dice) {
+  const milliseconds away{static_cast<int>(next_below(dice, 1'500))};
+  const milliseconds rewritten = away + milliseconds{static_cast<int>(next_below(dice, 1'500))};
+  this->note("the store comes back from a copy after " + std::to_string(away.count()) +
+             " ms, and is written again after " + std::to_string(rewritten.count()) + " ms");
+  for (const auto& gateway : this->gateways) {
+    this->disturb(gateway->name, rewritten + milliseconds{100});
+  }
+  this->store->come_back_from_copy(away);
+  this->tasks.after(rewritten, [this] {
+    this->store->put("op", "config", this->configuration);
+    for (const auto& [endpoint, state] : std::map(this->states)) {
+      this->list(endpoint, state);
+    }
+  });
+}
+
+void soak_run::schedule_copies() {
+  constexpr milliseconds copy_interval{700};
+  for (milliseconds at{0}; at < this->options.length; at += copy_interval) {
+    this->tasks.after(at, [this] { this->store->keep_copy(); });
+  }
+  const auto dice = std::make_shared<seeded_random>(~this->options.seed);
+  const milliseconds length = this->options.length;
+  for (int count = 0; count < this->options.store_copies; ++count) {
+    const auto at = next_below(*dice, static_cast<std::uint64_t>(length.count()));
+    this->tasks.after(milliseconds{static_cast<std::int64_t>(at)},
+                      [this, dice] { this->restore_store(*dice); });
+  }
+}
+
 void soak_run::revoke_key() {
   if (this->keys.size() < 2) {
     return;
   }
+  if (this->store->is_away()) {
+    return;
+  }
   const std::string key = this->keys.back();
   this->note("revoke " + key);
   this->keys.pop_back();
@@ -318,6 +369,7 @@
 std::vector<std::string> soak_run::play() {
   this->build();
   this->tasks.after(start_time, [this] { this->schedule_faults(); });
+  this->tasks.after(start_time, [this] { this->schedule_copies(); });
   // The longest fault ends at most this long after the last one began.
   constexpr milliseconds longest_fault{8'500};
   const steady_time faults_end =
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -27,6 +27,8 @@
   std::string folder;
   int gateways = 3;
   int callers = 24;
+  /// Times that the store comes back from a copy, beside the schedule of faults.
+  int store_copies = 0;
   /// Faults of the schedule that are left out, by their numbers.
   std::set<std::size_t> left_out;
 };
@@ -47,6 +49,7 @@
  private:
   void build();
   void write_configuration();
+  void write_to_store(const std::string& table, const std::string& key, const std::string& value);
   void list(const std::string& endpoint, const std::string& state);
   void schedule_faults();
   /// Each fault draws from a source of its own, so that it stays the same when
@@ -55,6 +58,9 @@
   void disturb_gateway(soak_gateway& gateway);
   void disturb_store();
   void disturb_endpoint(soak_endpoint& endpoint);
+  /// The store comes back from a copy; operators and endpoints write again what it lost.
+  void restore_store(seeded_random& dice);
+  void schedule_copies();
   void revoke_key();
   void planned_change();
   void stop_in_order(soak_gateway& gateway);
@@ -88,6 +94,11 @@
   std::vector<std::string> keys;
   std::string schedule;
   std::uint64_t configuration_version = 0;
+  /// What operators and endpoints have written last, with the endpoints' heartbeats.
+  std::string configuration;
+  std::map<std::string, std::string> states;
+  std::map<std::string, int> starts;
+  std::uint64_t heartbeats = 0;
   std::uint64_t asked = 0;
   int served_in_row = 0;
   bool calm = false;
--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -22,14 +22,6 @@
   return {};
 }
 
-void send_answer(scripted_endpoint::connection& caller, int status, const std::string& body) {
-  if (!caller.closed) {
-    caller.send("HTTP/1.1 " + std::to_string(status) +
-                " Answer\r\nContent-Type: application/json\r\nContent-Length: " +
-                std::to_string(body.size()) + "\r\n\r\n" + body);
-  }
-}
-
 }  // namespace
 
 row_store::row_store(traffic::event_loop& loop, task_queue& queue, const clock& source)
@@ -47,6 +39,38 @@
   this->history.push_back({this->version, table, key});
 }
 
+void row_store::answer(scripted_endpoint::connection& caller, int status,
+                       const std::string& body) const {
+  if (!caller.closed) {
+    caller.send("HTTP/1.1 " + std::to_string(status) +
+                " Answer\r\nContent-Type: application/json\r\nStore-Era: " +
+                std::to_string(this->era) + "\r\nContent-Length: " + std::to_string(body.size()) +
+                "\r\n\r\n" + body);
+  }
+}
+
+void row_store::keep_copy() {
+  constexpr std::size_t most_copies = 6;
+  this->copies.push_back({this->tables, this->version});
+  if (this->copies.size() > most_copies) {
+    this->copies.pop_front();
+  }
+}
+
+void row_store::come_back_from_copy(std::chrono::milliseconds away) {
+  if (this->copies.empty()) {
+    return;
+  }
+  const copied_rows copy = this->copies.front();
+  this->copies.clear();
+  this->tables = copy.tables;
+  this->version = copy.version;
+  std::erase_if(this->history,
+                [&copy](const change& one) { return one.version > copy.version; });
+  ++this->era;
+  this->away_until = this->time.now() + away;
+}
+
 void row_store::forget_history() {
   this->history.clear();
   this->oldest_known = this->version;
@@ -75,6 +99,10 @@
   const scripted_endpoint::request asked = this->port.requests.back();
   this->port.requests.clear();
   const std::string& target = asked.head.target;
+  if (this->is_away()) {
+    this->answer(caller, 503, "{}");
+    return;
+  }
   const std::string table = query_value(target, "table");
   if (target.starts_with("/-/rows-tx")) {
     this->write(caller, asked.body);
@@ -83,7 +111,7 @@
     for (const auto& [key, unused] : this->tables[table]) {
       rows += (rows.empty() ? "" : ",") + this->format(table, key);
     }
-    send_answer(caller, 200, "{\"rows\":[" + rows + this->tail());
+    this->answer(caller, 200, "{\"rows\":[" + rows + this->tail());
   } else {
     const auto wait = std::chrono::milliseconds{std::stoll(query_value(target, "wait_ms"))};
     this->answer_feed(caller, table, std::stoull(query_value(target, "after")),
@@ -93,8 +121,8 @@
 
 void row_store::answer_feed(scripted_endpoint::connection& caller, const std::string& table,
                             std::uint64_t after, steady_time give_up_at) {
-  if (after < this->oldest_known) {
-    send_answer(caller, 410, "{}");
+  if (after < this->oldest_known || after > this->version) {
+    this->answer(caller, 410, "{}");
     return;
   }
   std::set<std::string> keys;
@@ -113,7 +141,7 @@
   for (const std::string& key : keys) {
     rows += (rows.empty() ? "" : ",") + this->format(table, key);
   }
-  send_answer(caller, 200, "{\"rows\":[" + rows + this->tail());
+  this->answer(caller, 200, "{\"rows\":[" + rows + this->tail());
 }
 
 void row_store::write(scripted_endpoint::connection& caller, const std::string& body) {
@@ -136,7 +164,7 @@
     present += (present.empty() ? "" : ",") + this->format(table, key);
   });
   if (!holds) {
-    send_answer(caller, 412, "{\"rows\":[" + present + this->tail());
+    this->answer(caller, 412, "{\"rows\":[" + present + this->tail());
     return;
   }
   each("set_keys", [this](const Poco::JSON::Object& entry) {
@@ -146,7 +174,7 @@
   each("delete", [this](const Poco::JSON::Object& entry) {
     this->put(json_text(entry, "table"), json_text(entry, "key"), {});
   });
-  send_answer(caller, 200, "{\"row_version\":" + std::to_string(this->version) + "}");
+  this->answer(caller, 200, "{\"row_version\":" + std::to_string(this->version) + "}");
 }
 
 }  // namespace chestnuthead::soak
