Copy the longest prefix that anybody holds to an endpoint that lacks it

Cause: only holders of a request's whole shared prefix were known as sources, so a new endpoint, or the home of a new subject, read the parts that most requests begin with again.

--- a/Source/Gateway/fleet_keys.cxx
+++ b/Source/Gateway/fleet_keys.cxx
@@ -25,12 +25,11 @@
 
 }  // namespace
 
-void learn_key(fleet_keys& keys, std::uint64_t number, fleet_key key) {
+void learn_key(fleet_keys& keys, std::uint64_t number, const fleet_key& key) {
   const key_name name{number, hash_text(key.secret)};
-  const std::string row = key.row;
-  const auto [place, is_new] = keys.rows.try_emplace(name, std::move(key));
-  if (!is_new && !row.empty()) {
-    place->second.row = row;
+  const auto [place, is_new] = keys.rows.try_emplace(name, key);
+  if (!is_new && !key.row.empty()) {
+    place->second.row = key.row;
   }
 }
 
@@ -63,14 +62,14 @@
 }
 
 const fleet_key* sending_key(const fleet_keys& keys, steady_time now) {
-  const auto all_know = std::find_if(keys.rows.rbegin(), keys.rows.rend(), [now](const auto& entry) {
-    return now - entry.second.known_at >= key_spread;
-  });
+  const auto all_know =
+      std::find_if(keys.rows.rbegin(), keys.rows.rend(),
+                   [now](const auto& entry) { return now - entry.second.known_at >= key_spread; });
   if (all_know != keys.rows.rend()) {
     return &all_know->second;
   }
-  const auto known_longest = std::min_element(
-      keys.rows.begin(), keys.rows.end(), [](const auto& one, const auto& other) {
+  const auto known_longest =
+      std::min_element(keys.rows.begin(), keys.rows.end(), [](const auto& one, const auto& other) {
         return one.second.known_at < other.second.known_at;
       });
   return known_longest == keys.rows.end() ? nullptr : &known_longest->second;
--- a/Source/Gateway/fleet_keys.h
+++ b/Source/Gateway/fleet_keys.h
@@ -51,7 +51,7 @@
 inline constexpr std::size_t keys_kept = 2;
 
 /// Takes in a key; one that is known already keeps its time.
-void learn_key(fleet_keys& keys, std::uint64_t number, fleet_key key);
+void learn_key(fleet_keys& keys, std::uint64_t number, const fleet_key& key);
 
 /// The row is gone from the store, and so is its key.
 void forget_key(fleet_keys& keys, const std::string& row);
--- a/Source/Gateway/peer_news.cxx
+++ b/Source/Gateway/peer_news.cxx
@@ -80,6 +80,9 @@
       note_arrival(*place->second, now);
     }
   }
+  for (const prefix_word& shorter : word.shorter_prefixes) {
+    hear_placement(state.holders, shorter, now);
+  }
   for (const leaving_word& leaving : word.leaving_endpoints) {
     hear_leaving(state.endpoints, leaving, now);
   }
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -50,6 +50,8 @@
   std::vector<leaving_word> leaving_endpoints;
   /// Where the sender has placed prefixes since its last message.
   std::vector<prefix_word> placements;
+  /// The same for shorter prefixes of these requests, where that is news.
+  std::vector<prefix_word> shorter_prefixes;
   /// What the store has told the sender since its last message.
   std::vector<table_news> tables;
   /// Recent suspicions against requests.
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -219,6 +219,33 @@
   return draw_by_room(lacking, random);
 }
 
+/// Hashes of the prompt's prefixes, the shortest first; the last part of a prompt belongs
+/// to the request or its chat alone.
+std::vector<std::uint64_t> prefixes_of(const caller_request& request) {
+  const std::size_t shared = request.prompt.size() > 1 ? request.prompt.size() - 1 : 1;
+  std::vector<std::uint64_t> prefixes;
+  std::uint64_t hash = 0;
+  for (std::size_t place = 0; place < shared && place < request.prompt.size(); ++place) {
+    hash = rendezvous_weight(hash, request.prompt[place].id);
+    prefixes.push_back(hash);
+  }
+  return prefixes;
+}
+
+/// The first of the holders that can be reached. One that is leaving serves until it is
+/// gone.
+const endpoint* first_in_reach(const std::vector<endpoint*>& endpoints,
+                               const std::vector<std::uint64_t>& holders, steady_time now) {
+  for (const std::uint64_t holder : holders) {
+    for (const endpoint* row : endpoints) {
+      if (row->hash == holder && row->listed && !row->misplaced && !is_set_aside(*row, now)) {
+        return row;
+      }
+    }
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 std::string_view name_of(choice_reason reason) {
@@ -236,12 +263,17 @@
 }
 
 std::uint64_t affinity_of(const caller_request& request) {
-  const std::size_t shared = request.prompt.size() > 1 ? request.prompt.size() - 1 : 1;
-  std::uint64_t hash = 0;
-  for (std::size_t place = 0; place < shared && place < request.prompt.size(); ++place) {
-    hash = rendezvous_weight(hash, request.prompt[place].id);
+  const std::vector<std::uint64_t> prefixes = prefixes_of(request);
+  return prefixes.empty() ? 0 : prefixes.back();
+}
+
+std::vector<std::uint64_t> shorter_prefixes(const caller_request& request) {
+  std::vector<std::uint64_t> prefixes = prefixes_of(request);
+  if (!prefixes.empty()) {
+    prefixes.pop_back();
   }
-  return hash;
+  std::reverse(prefixes.begin(), prefixes.end());
+  return prefixes;
 }
 
 bool in_service(const endpoint& row, const fleet_view& fleet, steady_time now) {
@@ -298,13 +330,15 @@
   if (holds(chosen, hints.holders)) {
     return nullptr;
   }
-  // The holder used last is the likeliest to hold the prefix still. One that is
-  // leaving serves until it is gone.
-  for (const std::uint64_t holder : hints.holders) {
-    for (const endpoint* row : endpoints) {
-      if (row->hash == holder && row->listed && !row->misplaced && !is_set_aside(*row, now)) {
-        return row;
-      }
+  if (const endpoint* source = first_in_reach(endpoints, hints.holders, now)) {
+    return source;
+  }
+  for (const std::vector<std::uint64_t>& holders : hints.shorter_holders) {
+    if (holds(chosen, holders)) {
+      return nullptr;
+    }
+    if (const endpoint* source = first_in_reach(endpoints, holders, now)) {
+      return source;
     }
   }
   return nullptr;
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -69,6 +69,10 @@
 /// Hash that requests with the same shared prefix have in common.
 std::uint64_t affinity_of(const caller_request& request);
 
+/// The same for each shorter prefix that ends with a part, the longest first: requests of
+/// many chats begin with the same parts.
+std::vector<std::uint64_t> shorter_prefixes(const caller_request& request);
+
 /// True if new requests may go to the endpoint at all.
 bool in_service(const endpoint& row, const fleet_view& fleet, steady_time now);
 
@@ -83,6 +87,8 @@
   std::vector<endpoint_id> tried;
   /// `endpoint::hash` of those that may cache the request's prefix.
   std::vector<std::uint64_t> holders;
+  /// The same for each of `shorter_prefixes`.
+  std::vector<std::vector<std::uint64_t>> shorter_holders;
   /// Requests that all gateways together are expected to send to the pool until
   /// the next news of the peers' loads.
   double expected_meanwhile = 0.0;
@@ -98,8 +104,8 @@
                                  const caller_request& request, const placement_hints& hints,
                                  const fleet_view& fleet, random_source& random, steady_time now);
 
-/// The endpoint from which the chosen one can copy the prefix, or nullptr if
-/// the chosen one holds it itself or nobody in reach does.
+/// The endpoint from which the chosen one can copy the longest part of the prefix that it
+/// does not hold itself, or nullptr if nobody in reach holds more than it does.
 const endpoint* prefix_source(const std::vector<endpoint*>& endpoints, const endpoint& chosen,
                               const placement_hints& hints, steady_time now);
 
--- a/Source/Gateway/prefix_holders.cxx
+++ b/Source/Gateway/prefix_holders.cxx
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// A shorter prefix is told again after this time of an endpoint.
+constexpr auto told_again_after = holder_life / 2;
+
 double recent_uses(const prefix_holder& holder, steady_time now) {
   return faded(holder.recent_uses, holder.used_at, use_half_life, now);
 }
@@ -40,6 +43,23 @@
   }
 }
 
+void note_shorter_prefix(prefix_holders& table, const prefix_word& word, steady_time now) {
+  const auto place = table.rows.find(word.prefix);
+  const bool told =
+      place != table.rows.end() && std::any_of(place->second.begin(), place->second.end(),
+                                               [&word, now](const prefix_holder& holder) {
+                                                 return holder.endpoint == word.endpoint &&
+                                                        now - holder.used_at < told_again_after;
+                                               });
+  if (told) {
+    return;
+  }
+  hear_placement(table, word, now);
+  if (table.shorter_news.size() < news_kept) {
+    table.shorter_news.push_back(word);
+  }
+}
+
 void forget_endpoint(prefix_holders& table, std::uint64_t endpoint) {
   for (auto& [prefix, holders] : table.rows) {
     std::erase_if(holders,
--- a/Source/Gateway/prefix_holders.h
+++ b/Source/Gateway/prefix_holders.h
@@ -35,6 +35,8 @@
   std::unordered_map<std::uint64_t, std::vector<prefix_holder>> rows;
   /// Own placements that the peers have not heard of yet.
   std::vector<prefix_word> news;
+  /// The same for the shorter prefixes of placed requests.
+  std::vector<prefix_word> shorter_news;
 };
 
 /// How long a placement is remembered after its last use: an engine's cache
@@ -50,6 +52,10 @@
 /// This gateway has sent a request with the prefix to the endpoint.
 void note_placement(prefix_holders& table, const prefix_word& word, steady_time now);
 
+/// The same for a shorter prefix of the request. It is told once in a while only, as most
+/// requests share their first parts with many others.
+void note_shorter_prefix(prefix_holders& table, const prefix_word& word, steady_time now);
+
 /// Another gateway has done so.
 void hear_placement(prefix_holders& table, const prefix_word& word, steady_time now);
 
--- a/Source/Traffic/byte_link.cxx
+++ b/Source/Traffic/byte_link.cxx
@@ -98,8 +98,7 @@
 
 bool byte_link::is_ended_by_peer() const {
   char byte = 0;
-  const ssize_t count =
-      ::recv(this->descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t count = ::recv(this->descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
   return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -75,6 +75,7 @@
   this->taken = std::move(std::get<gateway::admission>(result));
   this->fingerprint = fingerprint_of(this->request, this->body);
   this->prefix = affinity_of(this->request);
+  this->shorter_prefixes = gateway::shorter_prefixes(this->request);
   if (is_refused(this->context.state.suspects, this->fingerprint, this->arrived_at)) {
     this->answer_error(error_kind::request_refused_after_crashes, gateway::suspicion_life);
     return;
@@ -131,6 +132,9 @@
   ++this->history.executions;
   if (!this->request.prompt.empty()) {
     note_placement(this->context.state.holders, {this->prefix, row.hash}, now);
+    for (const std::uint64_t shorter : this->shorter_prefixes) {
+      note_shorter_prefix(this->context.state.holders, {shorter, row.hash}, now);
+    }
   }
   link->start({this->encode_call(row, now), this->request.id, this->request.method == "HEAD"},
               *this);
@@ -160,6 +164,10 @@
   if (!this->request.prompt.empty()) {
     const gateway::prefix_holders& holders = this->context.state.holders;
     this->hints.holders = holders_of(holders, this->prefix, now);
+    this->hints.shorter_holders.clear();
+    for (const std::uint64_t shorter : this->shorter_prefixes) {
+      this->hints.shorter_holders.push_back(holders_of(holders, shorter, now));
+    }
     this->hints.expected_with_prefix =
         use_rate(holders, this->prefix, now) * this->unknown_time().count();
   }
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -134,6 +134,8 @@
   int stream_status = 0;
   steady_time arrived_at{};
   std::uint64_t fingerprint = 0;
+  /// `gateway::shorter_prefixes` of the request.
+  std::vector<std::uint64_t> shorter_prefixes;
   /// `affinity_of` the request.
   std::uint64_t prefix = 0;
   std::optional<steady_time> first_bytes_at;
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -76,10 +76,18 @@
   return news;
 }
 
+void put_placements(field_writer& out, const std::vector<gateway::prefix_word>& placements) {
+  out.array(placements.size() * 2);
+  for (const gateway::prefix_word& placement : placements) {
+    out.put(placement.prefix);
+    out.put(placement.endpoint);
+  }
+}
+
 }  // namespace
 
 std::string encode_word(const gateway::peer_word& word) {
-  constexpr std::size_t fields = 13;
+  constexpr std::size_t fields = 14;
   field_writer out;
   out.array(fields);
   out.put(message_version);
@@ -108,11 +116,8 @@
     out.put(crash.request);
     out.put(crash.endpoint);
   }
-  out.array(word.placements.size() * 2);
-  for (const gateway::prefix_word& placement : word.placements) {
-    out.put(placement.prefix);
-    out.put(placement.endpoint);
-  }
+  put_placements(out, word.placements);
+  put_placements(out, word.shorter_prefixes);
   out.array(word.tables.size());
   for (const gateway::table_news& news : word.tables) {
     put_table(out, news);
@@ -148,8 +153,10 @@
                &gateway::leaving_word::started);
     read_pairs(in.object(), word.crashes, &gateway::crash_word::request,
                &gateway::crash_word::endpoint);
-    read_pairs(in.object(), word.placements, &gateway::prefix_word::prefix,
-               &gateway::prefix_word::endpoint);
+    for (auto* placements : {&word.placements, &word.shorter_prefixes}) {
+      read_pairs(in.object(), *placements, &gateway::prefix_word::prefix,
+                 &gateway::prefix_word::endpoint);
+    }
     const msgpack::object& tables = in.object();
     check_length(tables);
     for (field_reader list(tables); !list.at_end();) {
--- a/Source/Traffic/peer_port.cxx
+++ b/Source/Traffic/peer_port.cxx
@@ -111,6 +111,7 @@
   this->next_full_at = now + interval;
   this->told = word;
   word.placements = std::exchange(state.holders.news, {});
+  word.shorter_prefixes = std::exchange(state.holders.shorter_news, {});
   word.tables = std::exchange(state.store_news, {});
   this->send_to_all(std::move(word));
   forget_old(state.suspects, now);
--- a/Tests/Gateway/placement_test.cxx
+++ b/Tests/Gateway/placement_test.cxx
@@ -314,8 +314,10 @@
   static placement_choice choice_for(gateway_state& state, std::uint64_t chat,
                                      const std::vector<endpoint_id>& tried) {
     seeded_random random(1);
+    placement_hints hints;
+    hints.tried = tried;
     return choose_endpoint(endpoints_of(state.endpoints, engine_pool), engine_pool_settings(),
-                           chat_request(chat), {tried, {}}, state.fleet, random, test_start);
+                           chat_request(chat), hints, state.fleet, random, test_start);
   }
 
   static endpoint* choose(gateway_state& state, std::uint64_t chat,
--- a/Tests/Gateway/prefix_holders_test.cxx
+++ b/Tests/Gateway/prefix_holders_test.cxx
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(a_prefix_is_copied_from_the_holder_used_last);
   CPPUNIT_TEST(a_leaving_holder_still_gives_its_prefix);
   CPPUNIT_TEST(a_holder_needs_no_source);
+  CPPUNIT_TEST(an_empty_endpoint_copies_the_longest_prefix_that_is_held);
+  CPPUNIT_TEST(shorter_prefixes_are_told_once_in_a_while);
   CPPUNIT_TEST(unused_placements_are_forgotten);
   CPPUNIT_TEST(an_endpoint_that_started_anew_holds_nothing);
   CPPUNIT_TEST(memory_is_bounded);
@@ -76,7 +78,8 @@
     note_placement(state.holders, {9, all[0]->hash}, test_start);
     note_placement(state.holders, {9, all[1]->hash}, test_start + std::chrono::seconds{1});
     const auto now = test_start + std::chrono::seconds{2};
-    const placement_hints hints{{}, holders_of(state.holders, 9, now)};
+    placement_hints hints;
+    hints.holders = holders_of(state.holders, 9, now);
     CPPUNIT_ASSERT(prefix_source(all, *all[2], hints, now) == all[1]);
     note_result(*all[1], attempt_result::unreachable, 0.0, now);
     CPPUNIT_ASSERT(prefix_source(all, *all[2], hints, now) == all[0]);
@@ -88,17 +91,54 @@
     gateway_state state = test_state(2);
     const std::vector<endpoint*> all = endpoints_of(state.endpoints, engine_pool);
     all[0]->listing.leaving = true;
-    const placement_hints hints{{}, {all[0]->hash}};
+    placement_hints hints;
+    hints.holders = {all[0]->hash};
     CPPUNIT_ASSERT(prefix_source(all, *all[1], hints, test_start) == all[0]);
   }
 
   void a_holder_needs_no_source() {
     gateway_state state = test_state(2);
     const std::vector<endpoint*> all = endpoints_of(state.endpoints, engine_pool);
-    const placement_hints hints{{}, {all[0]->hash, all[1]->hash}};
+    placement_hints hints;
+    hints.holders = {all[0]->hash, all[1]->hash};
     CPPUNIT_ASSERT(prefix_source(all, *all[1], hints, test_start) == nullptr);
   }
 
+  /// A new endpoint's first request of a chat that nobody holds: what it has in common
+  /// with all other chats need not be read again.
+  void an_empty_endpoint_copies_the_longest_prefix_that_is_held() {
+    gateway_state state = test_state(3);
+    const std::vector<endpoint*> all = endpoints_of(state.endpoints, engine_pool);
+    caller_request request = chat_request(5);
+    request.prompt.insert(request.prompt.begin() + 1, {77, 300});
+    const std::vector<std::uint64_t> shorter = shorter_prefixes(request);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, shorter.size());
+    caller_request other = chat_request(6);
+    CPPUNIT_ASSERT(shorter_prefixes(other) == std::vector<std::uint64_t>{shorter[1]});
+    CPPUNIT_ASSERT(affinity_of(request) != shorter[0]);
+
+    placement_hints hints;
+    hints.shorter_holders = {{}, {all[0]->hash}};
+    CPPUNIT_ASSERT(prefix_source(all, *all[2], hints, test_start) == all[0]);
+    hints.shorter_holders = {{all[1]->hash}, {all[0]->hash}};
+    CPPUNIT_ASSERT(prefix_source(all, *all[2], hints, test_start) == all[1]);
+    // The chosen one holds as much as anybody.
+    hints.shorter_holders = {{}, {all[0]->hash, all[2]->hash}};
+    CPPUNIT_ASSERT(prefix_source(all, *all[2], hints, test_start) == nullptr);
+  }
+
+  void shorter_prefixes_are_told_once_in_a_while() {
+    prefix_holders table;
+    for (int request = 0; request < 100; ++request) {
+      note_shorter_prefix(table, {1, 2}, test_start + request * std::chrono::milliseconds{100});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.shorter_news.size());
+    note_shorter_prefix(table, {1, 3}, test_start);
+    note_shorter_prefix(table, {1, 2}, test_start + holder_life / 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, table.shorter_news.size());
+    CPPUNIT_ASSERT(table.news.empty());
+  }
+
   void unused_placements_are_forgotten() {
     prefix_holders table;
     note_placement(table, {1, 2}, test_start);
@@ -131,7 +171,8 @@
     seeded_random random(1);
     const caller_request request = chat_request(chat);
     const std::uint64_t prefix = affinity_of(request);
-    const placement_hints hints{{}, holders_of(state.holders, prefix, test_start)};
+    placement_hints hints;
+    hints.holders = holders_of(state.holders, prefix, test_start);
     const auto choice =
         choose_endpoint(endpoints_of(state.endpoints, engine_pool), engine_pool_settings(), request,
                         hints, state.fleet, random, test_start);
--- a/Tests/Gateway/store_era_test.cxx
+++ b/Tests/Gateway/store_era_test.cxx
@@ -268,8 +268,8 @@
         list_endpoint(state.endpoints, entry, this->local());
       }
     }
-    const steady_time gone_at = is_settled(state.eras, as_of) ? this->local()
-                                                              : settled_from(state.eras);
+    const steady_time gone_at =
+        is_settled(state.eras, as_of) ? this->local() : settled_from(state.eras);
     for (auto& [name, row] : state.endpoints.rows) {
       if (row.listed && !answer.rows.endpoints.contains(name)) {
         unlist_endpoint(state.endpoints, name, gone_at, this->local());
--- a/Tests/Gateway/store_news_test.cxx
+++ b/Tests/Gateway/store_news_test.cxx
@@ -319,8 +319,11 @@
   }
 
   void only_the_last_change_of_a_row_counts() {
-    const std::vector<table_row> rows = newest_of_each(
-        {{"a", "1", false}, {"b", "1", false}, {"a", "2", false}, {"c", "1", false}, {"b", "", true}});
+    const std::vector<table_row> rows = newest_of_each({{"a", "1", false},
+                                                        {"b", "1", false},
+                                                        {"a", "2", false},
+                                                        {"c", "1", false},
+                                                        {"b", "", true}});
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, rows.size());
     CPPUNIT_ASSERT_EQUAL(std::string("2"), rows[0].value);
     CPPUNIT_ASSERT_EQUAL(std::string("c"), rows[1].key);
--- a/Tests/Platform/placement_record_test.cxx
+++ b/Tests/Platform/placement_record_test.cxx
@@ -35,13 +35,14 @@
       this->row = json_text(*rows->getObject(0), "value");
       ++this->writes;
     }
-    const std::string rows =
-        this->row.empty() ? "" : R"({"table":"prefixes","part":"","key":"recent","value":")" +
-                                     this->row + R"(","row_version":3})";
+    const std::string rows = this->row.empty()
+                                 ? ""
+                                 : R"({"table":"prefixes","part":"","key":"recent","value":")" +
+                                       this->row + R"(","row_version":3})";
     const std::string body = "{\"rows\":[" + rows + R"(],"row_version":9,"now_ms":)" +
                              std::to_string(this->store_clock.count()) + "}";
-    caller.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-                "\r\n\r\n" + body);
+    caller.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                body);
   }
 
   bool run_until(placement_record& record, const std::function<bool()>& condition) {
@@ -71,8 +72,7 @@
 struct gateway_bench {
   gateway_bench(row_bench& bench, gateway::gateway_state tables)
       : state(std::move(tables)),
-        record(bench.loop, bench.time, bench.log, bench.random, this->state,
-               bench.store.address) {}
+        record(bench.loop, bench.time, bench.log, bench.random, this->state, bench.store.address) {}
 
   gateway::gateway_state state;
   placement_record record;
@@ -122,8 +122,8 @@
     const steady_time asked = bench.time.now();
     bench.run_until(gateway.record, [&] { return bench.time.now() - asked > milliseconds{50}; });
     CPPUNIT_ASSERT(gateway.state.holders.rows.empty());
-    list_endpoint(gateway.state.endpoints,
-                  gateway::listing_of("engine-0", gateway::engine_pool), bench.time.now());
+    list_endpoint(gateway.state.endpoints, gateway::listing_of("engine-0", gateway::engine_pool),
+                  bench.time.now());
     gateway.state.endpoints_known = true;
     CPPUNIT_ASSERT(
         bench.run_until(gateway.record, [&] { return !gateway.state.holders.rows.empty(); }));
--- a/Tests/Platform/table_follower_test.cxx
+++ b/Tests/Platform/table_follower_test.cxx
@@ -238,8 +238,7 @@
   void failures_in_a_row_are_logged_ever_more_rarely() {
     follower_bench bench({answers(answer_text(row_text("a", 3), false, 10)),
                           answers("HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n")});
-    CPPUNIT_ASSERT(bench.run_until(
-        [&] { return refusals(bench) >= 9; }));
+    CPPUNIT_ASSERT(bench.run_until([&] { return refusals(bench) >= 9; }));
     const std::string log = bench.take_log();
     CPPUNIT_ASSERT_EQUAL_MESSAGE(log, 1, count_of(log, "\"store_lost\""));
     // After the second, the fourth and the eighth failure.
--- a/Tests/Soak/soak_endpoint.cxx
+++ b/Tests/Soak/soak_endpoint.cxx
@@ -59,9 +59,8 @@
   }
   const std::string request = field(head, "Attempt-Id");
   this->book[request].push_back({this->name, field(head, "Tenant"), this->time.now()});
-  const std::string answer_head =
-      "Attempt-Id: " + request + "\r\nResponse-Signature: s-" + request + "\r\n" +
-      (this->leaving ? "Server-Leaving: 1\r\n" : "");
+  const std::string answer_head = "Attempt-Id: " + request + "\r\nResponse-Signature: s-" +
+                                  request + "\r\n" + (this->leaving ? "Server-Leaving: 1\r\n" : "");
   if (next_unit(this->random) < this->error_share) {
     caller.send("HTTP/1.1 500 Error\r\n" + answer_head + "Content-Length: 0\r\n\r\n");
     return;
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -70,15 +70,15 @@
   };
   this->configuration =
       R"({"version":)" + std::to_string(++this->configuration_version) + R"(,"routes":[)" +
-          route("chat", chat_pool,
-                R"("type":"stream","stream_resume":true,"max_attempts":2,"gap_target_ms":250)") +
-          "," + route("guide", chat_pool, R"("type":"stream","max_attempts":1)") + "," +
-          route("pay", plain_pool, R"("type":"unsafe","max_attempts":1)") + "," +
-          route("look", plain_pool, R"("type":"safe","max_attempts":2)") +
-          R"(],"services":[{"name":"engines","health_check_path":"/healthz",)"
-          R"("max_connections":300},{"name":"orders","health_check_path":"/healthz",)"
-          R"("max_connections":300}],"limits":{},"tenants":[{"name":"schools","api_keys":[)" +
-          key_list + "]}]}";
+      route("chat", chat_pool,
+            R"("type":"stream","stream_resume":true,"max_attempts":2,"gap_target_ms":250)") +
+      "," + route("guide", chat_pool, R"("type":"stream","max_attempts":1)") + "," +
+      route("pay", plain_pool, R"("type":"unsafe","max_attempts":1)") + "," +
+      route("look", plain_pool, R"("type":"safe","max_attempts":2)") +
+      R"(],"services":[{"name":"engines","health_check_path":"/healthz",)"
+      R"("max_connections":300},{"name":"orders","health_check_path":"/healthz",)"
+      R"("max_connections":300}],"limits":{},"tenants":[{"name":"schools","api_keys":[)" +
+      key_list + "]}]}";
   this->write_to_store("op", "config", this->configuration);
 }
 
@@ -104,9 +104,8 @@
           "servers", endpoint,
           R"({"service":")" + (plain ? plain_pool : chat_pool) + R"(","address":")" +
               one->proxy().address + R"(","zone":"north","batch_slots":64,"state":")" + state +
-              R"(","warmup_remaining_ms":0,"born":)" +
-              std::to_string(1 + this->starts[endpoint]) + R"(,"sequence":)" +
-              std::to_string(++this->heartbeats) + "}");
+              R"(","warmup_remaining_ms":0,"born":)" + std::to_string(1 + this->starts[endpoint]) +
+              R"(,"sequence":)" + std::to_string(++this->heartbeats) + "}");
     }
   }
 }
--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -42,10 +42,10 @@
 void row_store::answer(scripted_endpoint::connection& caller, int status,
                        const std::string& body) const {
   if (!caller.closed) {
-    caller.send("HTTP/1.1 " + std::to_string(status) +
-                " Answer\r\nContent-Type: application/json\r\nStore-Era: " +
-                std::to_string(this->era) + "\r\nContent-Length: " + std::to_string(body.size()) +
-                "\r\n\r\n" + body);
+    caller.send(
+        "HTTP/1.1 " + std::to_string(status) +
+        " Answer\r\nContent-Type: application/json\r\nStore-Era: " + std::to_string(this->era) +
+        "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
 }
 
@@ -65,8 +65,7 @@
   this->copies.clear();
   this->tables = copy.tables;
   this->version = copy.version;
-  std::erase_if(this->history,
-                [&copy](const change& one) { return one.version > copy.version; });
+  std::erase_if(this->history, [&copy](const change& one) { return one.version > copy.version; });
   ++this->era;
   this->away_until = this->time.now() + away;
 }
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -220,7 +220,8 @@
     }
     const auto caller = bench.connect();
     caller->send(traffic_bench::chat_bytes("c1"));
-    CPPUNIT_ASSERT(bench.run_until([&] { return !traffic_bench::unchunked(caller->bytes).empty(); }));
+    CPPUNIT_ASSERT(
+        bench.run_until([&] { return !traffic_bench::unchunked(caller->bytes).empty(); }));
     CPPUNIT_ASSERT(!contains(caller->bytes, "Server-Leaving"));
     const std::size_t left = bench.endpoints[0]->requests.empty() ? 1 : 0;
     scripted_endpoint& other = *bench.endpoints[1 - left];
--- a/Tests/Traffic/peer_codec_test.cxx
+++ b/Tests/Traffic/peer_codec_test.cxx
@@ -30,6 +30,7 @@
     CPPUNIT_ASSERT(word.leaving_endpoints == back->leaving_endpoints);
     CPPUNIT_ASSERT(word.crashes == back->crashes);
     CPPUNIT_ASSERT(word.placements == back->placements);
+    CPPUNIT_ASSERT(word.shorter_prefixes == back->shorter_prefixes);
     const gateway::table_news& news = back->tables.at(0);
     CPPUNIT_ASSERT_EQUAL(word.tables[0].table, news.table);
     CPPUNIT_ASSERT_EQUAL(word.tables[0].version, news.version);
@@ -59,7 +60,7 @@
     for (const std::string claim : {"\xdf\xdf\xff\xff\xff", "\xdd\xdf\xff\xff\xff",
                                     "\xdb\xff\xff\xff\xff", "\xc6\xff\xff\xff\xff"}) {
       CPPUNIT_ASSERT(!decode_word(claim).has_value());
-      CPPUNIT_ASSERT(!decode_word("\x9d\x06" + claim).has_value());
+      CPPUNIT_ASSERT(!decode_word("\x9e\x06" + claim).has_value());
     }
   }
 
@@ -81,6 +82,7 @@
     word.configuration = 71;
     word.loads = {{0xFFFF'FFFF'FFFF'FFFF, 3}, {7, 9}};
     word.unreachable = {5};
+    word.shorter_prefixes = {{31, 6}};
     word.leaving_endpoints = {{6, 1'700'000'000'000}, {7, 0}};
     word.crashes = {{1, 2}};
     word.placements = {{3, 4}, {5, 6}};
