--- a/Tests/Platform/table_follower_test.cxx
+++ b/Tests/Platform/table_follower_test.cxx
@@ -81,7 +81,8 @@
   }
 
   /// A script that answers over the slow link.
-  scripted_endpoint::script slowly(std::function<std::string(const std::string& target)> answer) {
+  scripted_endpoint::script slowly(
+      const std::function<std::string(const std::string& target)>& answer) {
     return [this, answer](connection& caller) {
       this->link.receiver = &caller;
       this->link.waiting = answer(this->store.requests.back().head.target);
