Drop a fleet key whose row holds another one, and remember gone endpoints for 20 s

An operator who removes a key's row replaces it; a gateway that missed the removal and saw the next key in the same row went on taking the old one.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -66,8 +66,7 @@
 bool is_outdated(endpoint_table& table, const endpoint_listing& listing,
                  std::optional<steady_time> copied_at, steady_time now) {
   const bool has_starts = listing.started != 0;
-  const auto memory = has_starts ? gone_memory : nameless_gone_memory;
-  const bool may_be_copied = copied_at && now - *copied_at < memory;
+  const bool may_be_copied = copied_at && now - *copied_at < gone_memory;
   const auto known = table.rows.find(listing.name);
   if (known != table.rows.end() && known->second.listed) {
     const endpoint_listing& latest = known->second.listing;
@@ -76,7 +75,7 @@
   }
   const auto gone = table.gone.find(listing.name);
   if (!may_be_copied || gone == table.gone.end() || gone->second.started != listing.started ||
-      now - gone->second.gone_at >= memory) {
+      now - gone->second.gone_at >= gone_memory) {
     return false;
   }
   // The last heartbeats before the entry was removed may have been missed.
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -109,11 +109,9 @@
 /// anew loses all that was known of its earlier life. True if it is new or did.
 bool list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now);
 
-/// How long an endpoint that is gone is remembered.
-inline constexpr std::chrono::seconds gone_memory{60};
-/// The same where entries do not tell an endpoint's starts apart: it may have started again
-/// under its name.
-inline constexpr std::chrono::seconds nameless_gone_memory{10};
+/// How long an endpoint that is gone is remembered: longer than a copy is old and than the
+/// platform then lists one that is silent.
+inline constexpr std::chrono::seconds gone_memory{20};
 
 /// True if the entry is older than what is known of the endpoint: it has told more
 /// heartbeats since, or its entry was removed. `copied_at` is when the platform last came
--- a/Source/Gateway/fleet_keys.cxx
+++ b/Source/Gateway/fleet_keys.cxx
@@ -27,6 +27,10 @@
 
 void learn_key(fleet_keys& keys, std::uint64_t number, const fleet_key& key) {
   const key_name name{number, hash_text(key.secret)};
+  // A row that holds another key now has been replaced.
+  std::erase_if(keys.rows, [&](const auto& entry) {
+    return entry.first != name && !key.row.empty() && entry.second.row == key.row;
+  });
   const auto [place, is_new] = keys.rows.try_emplace(name, key);
   if (!is_new && !key.row.empty()) {
     place->second.row = key.row;
--- a/Tests/Gateway/fleet_keys_test.cxx
+++ b/Tests/Gateway/fleet_keys_test.cxx
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(keys_come_back_from_their_text);
   CPPUNIT_TEST(keys_that_the_store_lost_are_written_again);
   CPPUNIT_TEST(two_keys_of_one_number_are_both_taken);
+  CPPUNIT_TEST(a_key_whose_row_holds_another_one_is_gone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -39,6 +40,15 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, keys.rows.size());
   }
 
+  /// An operator has removed the row, and the removal was missed.
+  void a_key_whose_row_holds_another_one_is_gone() {
+    fleet_keys keys;
+    learn_key(keys, 1, key_of('a', seconds{5}, test_start, "key/1"));
+    learn_key(keys, 1, key_of('b', seconds{9}, test_start, "key/1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, keys.rows.size());
+    CPPUNIT_ASSERT_EQUAL(secret_of('b'), keys.rows.begin()->second.secret);
+  }
+
   /// Made before and after the store came back from a copy.
   void two_keys_of_one_number_are_both_taken() {
     fleet_keys keys;
