--- a/Source/Traffic/caller_link.cxx
+++ b/Source/Traffic/caller_link.cxx
@@ -113,7 +113,7 @@
     return;
   }
   if (this->link.is_ended_by_peer()) {
-    this->reject_of_absent_caller();
+    this->drop_absent_caller();
     return;
   }
   this->active = std::make_unique<exchange>(this->context, *this, std::move(*this->request),
@@ -121,7 +121,7 @@
   this->active->start();
 }
 
-void caller_link::reject_of_absent_caller() {
+void caller_link::drop_absent_caller() {
   // The gateway stood still, or a cut link is whole again.
   this->context.metrics.count("chestnuthead_requests_total",
                               "pool=\"none\",outcome=\"caller_left\"");
--- a/Source/Traffic/caller_link.h
+++ b/Source/Traffic/caller_link.h
@@ -66,7 +66,7 @@
   void read_buffered();
   void answer_fault(error_kind kind);
   /// Ends the connection of a caller that left before its request was read.
-  void reject_of_absent_caller();
+  void drop_absent_caller();
   void close_in_order();
   void remove();
   [[nodiscard]] bool stays_open() const;
--- a/Source/Traffic/placements_codec.cxx
+++ b/Source/Traffic/placements_codec.cxx
@@ -11,11 +11,12 @@
 /// Changes when the fields do; records of another version are ignored.
 constexpr std::uint32_t record_version = 1;
 /// Numbers of the list that are taken at most: two a placement.
-constexpr std::size_t list_limit = 8'192;
+constexpr std::size_t numbers_limit = 8'192;
 
 /// Memory is taken for what an array claims before its elements are read.
-const msgpack::unpack_limit limits(list_limit, /* map */ 0, /* str */ 0, /* bin */ 0, /* ext */ 0,
-                                   /* depth */ 2);
+const msgpack::unpack_limit record_limits(numbers_limit, /* map */ 0, /* str */ 0, /* bin */ 0,
+                                          /* ext */ 0,
+                                          /* depth */ 2);
 
 }  // namespace
 
@@ -36,7 +37,7 @@
 std::optional<placements_record> decode_placements(std::string_view bytes) {
   try {
     const msgpack::object_handle handle =
-        msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limits);
+        msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, record_limits);
     field_reader in(handle.get());
     std::uint32_t version = 0;
     in.get(version);
