Look for holders of shorter prefixes only where a copy may be needed

Each attempt collected and sorted the holders of each shorter prefix, and nearly all endpoints hold the shortest, though only an endpoint that lacks the whole prefix uses them: they are now found when such an endpoint is chosen.

--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -130,6 +130,9 @@
   }
   ++this->history.sends;
   ++this->history.executions;
+  if (chosen.reason != gateway::choice_reason::holds_prefix) {
+    this->find_shorter_holders(now);
+  }
   if (!this->request.prompt.empty()) {
     note_placement(this->context.state.holders, {this->prefix, row.hash}, now);
     for (const std::uint64_t shorter : this->shorter_prefixes) {
@@ -141,6 +144,13 @@
   return true;
 }
 
+void exchange::find_shorter_holders(steady_time now) {
+  this->hints.shorter_holders.clear();
+  for (const std::uint64_t shorter : this->shorter_prefixes) {
+    this->hints.shorter_holders.push_back(holders_of(this->context.state.holders, shorter, now));
+  }
+}
+
 std::chrono::duration<double> exchange::unknown_time() const {
   // The peers' loads are up to one interval old, and what the peers send until their
   // next message is not known either.
@@ -164,10 +174,6 @@
   if (!this->request.prompt.empty()) {
     const gateway::prefix_holders& holders = this->context.state.holders;
     this->hints.holders = holders_of(holders, this->prefix, now);
-    this->hints.shorter_holders.clear();
-    for (const std::uint64_t shorter : this->shorter_prefixes) {
-      this->hints.shorter_holders.push_back(holders_of(holders, shorter, now));
-    }
     this->hints.expected_with_prefix =
         use_rate(holders, this->prefix, now) * this->unknown_time().count();
   }
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -84,6 +84,9 @@
   };
 
   void send_to_endpoint();
+  /// Finds who holds shorter prefixes of the request, for an endpoint that may have to copy
+  /// one. Most endpoints hold the shortest, so it is not done for each request.
+  void find_shorter_holders(steady_time now);
   /// Time of which the peers' requests are not known.
   [[nodiscard]] std::chrono::duration<double> unknown_time() const;
   /// `gateway::placement_hints::expected_meanwhile` for the request's pool.
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -38,6 +38,17 @@
   }
 }
 
+/// Writes entries as `read_pairs` reads them.
+template <class Entry, class First, class Second>
+void put_pairs(field_writer& out, const std::vector<Entry>& entries, First Entry::*first,
+               Second Entry::*second) {
+  out.array(entries.size() * 2);
+  for (const Entry& entry : entries) {
+    out.put(entry.*first);
+    out.put(entry.*second);
+  }
+}
+
 void put_table(field_writer& out, const gateway::table_news& news) {
   constexpr std::size_t fields = 7;
   constexpr std::size_t row_fields = 3;
@@ -76,14 +87,6 @@
   return news;
 }
 
-void put_placements(field_writer& out, const std::vector<gateway::prefix_word>& placements) {
-  out.array(placements.size() * 2);
-  for (const gateway::prefix_word& placement : placements) {
-    out.put(placement.prefix);
-    out.put(placement.endpoint);
-  }
-}
-
 }  // namespace
 
 std::string encode_word(const gateway::peer_word& word) {
@@ -97,27 +100,17 @@
   out.put(word.leaving);
   out.put(word.current);
   out.put(word.configuration);
-  out.array(word.loads.size() * 2);
-  for (const gateway::peer_load& load : word.loads) {
-    out.put(load.endpoint);
-    out.put(load.in_flight);
-  }
+  put_pairs(out, word.loads, &gateway::peer_load::endpoint, &gateway::peer_load::in_flight);
   out.array(word.unreachable.size());
   for (const std::uint64_t endpoint : word.unreachable) {
     out.put(endpoint);
   }
-  out.array(word.leaving_endpoints.size() * 2);
-  for (const gateway::leaving_word& leaving : word.leaving_endpoints) {
-    out.put(leaving.endpoint);
-    out.put(leaving.started);
-  }
-  out.array(word.crashes.size() * 2);
-  for (const gateway::crash_word& crash : word.crashes) {
-    out.put(crash.request);
-    out.put(crash.endpoint);
+  put_pairs(out, word.leaving_endpoints, &gateway::leaving_word::endpoint,
+            &gateway::leaving_word::started);
+  put_pairs(out, word.crashes, &gateway::crash_word::request, &gateway::crash_word::endpoint);
+  for (const auto* placements : {&word.placements, &word.shorter_prefixes}) {
+    put_pairs(out, *placements, &gateway::prefix_word::prefix, &gateway::prefix_word::endpoint);
   }
-  put_placements(out, word.placements);
-  put_placements(out, word.shorter_prefixes);
   out.array(word.tables.size());
   for (const gateway::table_news& news : word.tables) {
     put_table(out, news);
