Carry out operators' roll-outs

Cause: orders in op/rollout were ignored, so requests went to all versions that were listed, and no status was written.

Change: the gateways read the orders and the endpoints' versions. While a roll-out is in progress each gateway keeps its requests to the new version within its part of the allowed exposure, compares the results of both versions with sequential tests, and shares its counts with its peers. Any gateway may write the next step: one row holds the agreed record, and is written together with the status on the condition that neither it nor the order has changed. The peer message has version 7: it carries the results, and the versions of the store's rows.

--- a/Source/Gateway/clock_bound.cxx
+++ b/Source/Gateway/clock_bound.cxx
@@ -21,13 +21,19 @@
 
 /// Converts the service's time to this process's clock; `bound.present` must be set.
 steady_time date_by_best(const clock_bound& bound, std::chrono::milliseconds service_time) {
-  const std::chrono::nanoseconds best =
-      std::max(*bound.present, bound.previous.value_or(*bound.present));
+  const std::chrono::nanoseconds best = *best_offset(bound);
   return steady_time{std::chrono::duration_cast<steady_time::duration>(service_time + best)};
 }
 
 }  // namespace
 
+std::optional<std::chrono::nanoseconds> best_offset(const clock_bound& bound) {
+  if (!bound.present) {
+    return bound.previous;
+  }
+  return std::max(*bound.present, bound.previous.value_or(*bound.present));
+}
+
 steady_time date_answer(clock_bound& bound, std::chrono::milliseconds service_time,
                         steady_time began_at, steady_time now) {
   rotate_period(bound, service_time, now);
--- a/Source/Gateway/clock_bound.h
+++ b/Source/Gateway/clock_bound.h
@@ -33,4 +33,7 @@
 std::optional<steady_time> date_by_bound(const clock_bound& bound,
                                          std::chrono::milliseconds service_time, steady_time now);
 
+/// Lower bound of this process's time minus the service's; nothing if none is known.
+std::optional<std::chrono::nanoseconds> best_offset(const clock_bound& bound);
+
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -33,6 +33,8 @@
   std::int64_t started = 0;
   /// Number that grows with each heartbeat since the endpoint's start; 0 if not reported.
   std::uint64_t heartbeat = 0;
+  /// Version of the endpoint's software; empty if not reported.
+  std::string version;
 };
 
 /// Health of an endpoint, from the results of its requests and health checks.
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -15,6 +15,8 @@
 #include "Gateway/peer_table.h"
 #include "Gateway/placement.h"
 #include "Gateway/prefix_holders.h"
+#include "Gateway/rollout.h"
+#include "Gateway/rollout_schedule.h"
 #include "Gateway/service_map.h"
 #include "Gateway/store_era.h"
 
@@ -34,12 +36,16 @@
   store_eras eras;
   crash_suspects suspects;
   prefix_holders holders;
+  rollout_table rollouts;
+  rollout_terms rollout_limits;
   /// Updates from the store that have not been sent to the peers yet.
   std::vector<table_update> table_updates;
   resend_terms resends;
   std::map<pool_id, resend_budget> resend_budgets;
   /// Version of the configuration in the store; 0 if it was not read.
   std::uint64_t stored_configuration = 0;
+  /// Time that this gateway's copy of the operators' orders reflects.
+  steady_time orders_as_of{};
   /// Latest time at which `services` was confirmed to be the newest version.
   steady_time confirmed_at{};
   /// How long after `confirmed_at` callers' keys are still accepted.
--- a/Source/Gateway/operator_orders.cxx
+++ b/Source/Gateway/operator_orders.cxx
@@ -53,6 +53,30 @@
   }
 }
 
+void apply_rollouts(gateway_state& state, const store_orders& change, orders_effect& effect) {
+  // The orders were not among those read before. At the first read it is not known when they
+  // were given; the stored record tells.
+  const steady_time read_after =
+      state.orders_as_of == steady_time{} ? change.as_of : state.orders_as_of;
+  std::set<pool_id> ordered;
+  for (const rollout_order& order : change.rollouts) {
+    ordered.insert(order.pool);
+    if (apply_rollout_order(state.rollouts, order, read_after)) {
+      effect.rollouts.push_back(order);
+    }
+  }
+  for (const pool_id& removed : change.rollouts_removed) {
+    remove_rollout_order(state.rollouts, removed);
+  }
+  if (change.whole && is_settled(state.eras, change.as_of)) {
+    for (auto& [pool, row] : state.rollouts.rows) {
+      if (!ordered.contains(pool)) {
+        row.order.reset();
+      }
+    }
+  }
+}
+
 bool has_newest_configuration(const gateway_state& state, steady_time now) {
   const std::uint64_t own = state.services == nullptr ? 0 : state.services->version;
   return state.stored_configuration >= own && newest_configuration(state.peers, now) <= own;
@@ -66,6 +90,9 @@
     apply_configuration(state, std::move(*change.configuration), effect);
   }
   apply_domains(state, change, effect, now);
+  apply_rollouts(state, change, effect);
+  state.orders_as_of = std::max(state.orders_as_of, change.as_of);
+  accept_versions(state.rollouts, state.orders_as_of);
   if (is_settled(state.eras, change.as_of) && has_newest_configuration(state, now)) {
     state.confirmed_at = std::max(state.confirmed_at, change.as_of);
   }
--- a/Source/Gateway/operator_orders.h
+++ b/Source/Gateway/operator_orders.h
@@ -18,6 +18,8 @@
   std::optional<service_map> configuration;
   std::set<failure_domain_id> domains_out;
   std::set<failure_domain_id> domains_back;
+  std::vector<rollout_order> rollouts;
+  std::set<pool_id> rollouts_removed;
   /// The rows are the complete tables and not just changes.
   bool whole = false;
   /// The rows reflect all writes that the store had acknowledged by this time.
@@ -31,12 +33,15 @@
   bool configuration_outdated = false;
   std::vector<failure_domain_id> domains_out;
   std::vector<failure_domain_id> domains_back;
+  /// Roll-outs that have just been ordered.
+  std::vector<rollout_order> rollouts;
 };
 
 /// Applies rows of the store. A configuration is never replaced by an older one. Until the
 /// store's era is settled, a failure domain that is missing from the rows stays out of
-/// service, and the configuration is not confirmed. It isn't confirmed either while the store
-/// or a peer shows that this gateway's configuration, or the store's, is not the newest.
+/// service, a missing roll-out stays ordered, and the configuration is not confirmed. It isn't
+/// confirmed either while the store or a peer shows that this gateway's configuration, or the
+/// store's, is not the newest.
 orders_effect apply_orders(gateway_state& state, store_orders change, steady_time now);
 
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/peer_message.cxx
+++ b/Source/Gateway/peer_message.cxx
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "Gateway/endpoint_health.h"
+#include "Gateway/rollout_decision.h"
 
 namespace chestnuthead::gateway {
 
@@ -88,6 +89,9 @@
   for (const leaving_report& leaving : message.leaving_endpoints) {
     apply_leaving_report(state.endpoints, leaving, now);
   }
+  for (const rollout_report& report : message.rollouts) {
+    apply_rollout_report(state.rollouts, message.sender, report);
+  }
   const hash_list newly_lost_hashes = newly_lost(before, message.unreachable);
   if (!newly_lost_hashes.empty()) {
     drop_expired_reports(state.losses, now);
--- a/Source/Gateway/peer_table.cxx
+++ b/Source/Gateway/peer_table.cxx
@@ -39,11 +39,11 @@
   return !recently_listed && !recently_received;
 }
 
-/// True if this gateway is among the first `places` in the key's rendezvous order, which
-/// consists of this gateway and the peers with recent messages for which `may` is true.
+/// Number of peers with recent messages for which `may` is true that come before this gateway
+/// in the key's rendezvous order.
 template <class May>
-bool is_among_first(std::size_t places, const peer_table& table, const node_id& self,
-                    std::uint64_t key, steady_time now, May may) {
+std::size_t count_before(const peer_table& table, const node_id& self, std::uint64_t key,
+                         steady_time now, May may) {
   const std::uint64_t own = rendezvous_weight(key, hash_text(self.value));
   const std::chrono::milliseconds lifetime = peer_message_lifetime(table);
   const auto before = std::count_if(table.rows.begin(), table.rows.end(), [&](const auto& entry) {
@@ -51,7 +51,7 @@
     return now - row.received_at < lifetime && may(row) &&
            rendezvous_weight(key, hash_text(name.value)) > own;
   });
-  return static_cast<std::size_t>(before) < places;
+  return static_cast<std::size_t>(before);
 }
 
 }  // namespace
@@ -133,16 +133,21 @@
     return false;
   }
   const std::uint64_t key = hash_text(newcomer.sender.value);
-  return is_among_first(
-      initial_placement_senders, table, self, key, now, [&newcomer](const peer& row) {
-        return is_older(row.message.start, newcomer) && row.message.sender != newcomer.sender;
-      });
+  const std::size_t before = count_before(table, self, key, now, [&newcomer](const peer& row) {
+    return is_older(row.message.start, newcomer) && row.message.sender != newcomer.sender;
+  });
+  return before < initial_placement_senders;
 }
 
 bool is_designated_checker(const peer_table& table, const node_id& self, std::uint64_t endpoint,
                            steady_time now) {
-  return is_among_first(designated_checkers, table, self, endpoint, now,
-                        [](const peer&) { return true; });
+  return rank_among_peers(table, self, endpoint, now) < designated_checkers;
+}
+
+std::uint32_t rank_among_peers(const peer_table& table, const node_id& self, std::uint64_t key,
+                               steady_time now) {
+  const auto any = [](const peer&) { return true; };
+  return static_cast<std::uint32_t>(count_before(table, self, key, now, any));
 }
 
 std::chrono::milliseconds peer_message_interval(std::uint32_t gateways) {
@@ -162,7 +167,12 @@
       return std::find(known.begin(), known.end(), entry) == known.end();
     });
   };
-  return is_new(message.unreachable, before.unreachable) ||
+  const auto count_bad = [](const std::vector<rollout_report>& reports) {
+    return std::count_if(reports.begin(), reports.end(),
+                         [](const rollout_report& report) { return report.found_bad; });
+  };
+  return count_bad(message.rollouts) > count_bad(before.rollouts) ||
+         is_new(message.unreachable, before.unreachable) ||
          is_new(message.crashes, before.crashes) ||
          is_new(message.leaving_endpoints, before.leaving_endpoints);
 }
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -14,6 +14,7 @@
 #include "Gateway/endpoint_table.h"
 #include "Gateway/placement.h"
 #include "Gateway/prefix_holders.h"
+#include "Gateway/rollout.h"
 #include "Gateway/table_updates.h"
 
 /// The messages that gateways exchange, so that limits apply to the sum over all gateways,
@@ -57,6 +58,8 @@
   std::vector<table_update> tables;
   /// Recent crashes.
   std::vector<crash_report> crashes;
+  /// Roll-outs in progress, with the sender's results since their orders.
+  std::vector<rollout_report> rollouts;
   /// The store has recently confirmed the sender's configuration.
   bool current = false;
   /// Version of the configuration that the sender has in force; 0 if it has none.
@@ -134,6 +137,11 @@
 bool is_designated_checker(const peer_table& table, const node_id& self, std::uint64_t endpoint,
                            steady_time now);
 
+/// Number of gateways with recent messages that come before this one in the key's rendezvous
+/// order.
+std::uint32_t rank_among_peers(const peer_table& table, const node_id& self, std::uint64_t key,
+                               steady_time now);
+
 /// Time between two messages to each peer. It grows with the fleet, so that a gateway sends
 /// and receives about 65 messages per second whatever the number of gateways.
 std::chrono::milliseconds peer_message_interval(std::uint32_t gateways);
@@ -141,8 +149,8 @@
 /// Shortest time between two urgent messages.
 inline constexpr std::chrono::milliseconds urgent_interval{700};
 
-/// True if the message reports a lost or leaving endpoint or a crash that the previous
-/// message did not, so that it should be sent before the next regular message.
+/// True if the message reports a lost or leaving endpoint, a crash or a bad version that the
+/// previous message did not, so that it should be sent before the next regular message.
 bool is_urgent(const peer_message& message, const peer_message& before);
 
 /// Age at which a peer's message expires: two message intervals or more, so that one lost
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -22,10 +22,10 @@
          !fleet.domains_out.contains(row.listing.failure_domain);
 }
 
-bool may_choose(const endpoint& row, const std::vector<endpoint_id>& tried, const fleet_view& fleet,
+bool may_choose(const endpoint& row, const placement_hints& hints, const fleet_view& fleet,
                 steady_time now) {
-  return in_service(row, fleet, now) &&
-         std::find(tried.begin(), tried.end(), row.listing.name) == tried.end();
+  return in_service(row, fleet, now) && in_scope(row, hints.scope) &&
+         std::find(hints.tried.begin(), hints.tried.end(), row.listing.name) == hints.tried.end();
 }
 
 /// Load from which the endpoint is not chosen; unlimited if its slots are not known.
@@ -299,7 +299,7 @@
                                  const fleet_view& fleet, random_source& random, steady_time now) {
   std::vector<endpoint*> candidates;
   for (endpoint* row : endpoints) {
-    if (may_choose(*row, hints.tried, fleet, now)) {
+    if (may_choose(*row, hints, fleet, now)) {
       candidates.push_back(row);
     }
   }
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -11,6 +11,7 @@
 #include "chestnuthead/random_source.h"
 
 #include "Gateway/endpoint_table.h"
+#include "Gateway/rollout.h"
 
 /// Load balancing with bounded loads: sends a request to the endpoint that is likely to cache
 /// the longest prefix of its prompt, unless the endpoint's load exceeds a configured multiple
@@ -93,6 +94,8 @@
   double expected_arrivals = 0.0;
   /// The number of these that have this request's prefix.
   double expected_with_prefix = 0.0;
+  /// The endpoints that the request may be sent to by their versions.
+  version_scope scope;
 };
 
 /// Chooses an endpoint that was not tried: one that holds the prefix, else the first in
--- a/Source/Gateway/request.h
+++ b/Source/Gateway/request.h
@@ -46,6 +46,13 @@
   return target.substr(0, target.find('?'));
 }
 
+/// Tokens of the prompt that an endpoint has to read: the last part only, if it caches the
+/// prefix before it.
+inline std::uint32_t tokens_to_read(const caller_request& request, bool prefix_cached) {
+  return prefix_cached && !request.prompt.empty() ? request.prompt.back().tokens
+                                                  : request.prompt_tokens;
+}
+
 /// The head of an endpoint's answer.
 struct endpoint_answer {
   int status = 0;
--- a/Source/Gateway/table_updates.h
+++ b/Source/Gateway/table_updates.h
@@ -19,6 +19,8 @@
   std::string key;
   std::string value;
   bool removed = false;
+  /// The store's version at which the row was last written; 0 if not known.
+  std::uint64_t version = 0;
 };
 
 /// Reduces changes to the last one of each row, in the order of these changes. A feed
--- a/Source/Traffic/attempt_log.h
+++ b/Source/Traffic/attempt_log.h
@@ -10,6 +10,7 @@
 #include "chestnuthead/ids.h"
 
 #include "Gateway/placement.h"
+#include "Gateway/rollout_schedule.h"
 #include "Net/json_log.h"
 
 /// Records a request's attempts, so that they can be logged once the request has ended and
@@ -32,8 +33,15 @@
   std::string_view result;
   /// HTTP status of the endpoint's answer; 0 if none was received.
   int status = 0;
-  /// Stream events forwarded to the caller.
+  /// Events of the endpoint's stream.
   std::uint64_t events = 0;
+  /// When the first and the latest bytes of the answer were forwarded.
+  std::optional<steady_time> first_bytes_at;
+  std::optional<steady_time> last_bytes_at;
+  /// Tokens of the prompt that the endpoint probably had to read.
+  std::uint32_t tokens_to_read = 0;
+  /// Why the endpoint's version was chosen.
+  gateway::version_choice version_choice = gateway::version_choice::settled;
 };
 
 /// Whole milliseconds between two points in time.
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Traffic/endpoint_notices.h"
+#include "Traffic/rollout_results.h"
 
 namespace chestnuthead::traffic {
 
@@ -114,6 +115,9 @@
   record.load = load_of(row);
   record.load_bound = chosen.load_bound;
   record.holders = this->hints.holders.size();
+  record.version_choice = this->version_choice;
+  record.tokens_to_read =
+      tokens_to_read(this->request, chosen.reason == gateway::choice_reason::holds_prefix);
   record.began_at = now;
   this->attempts.push_back(std::move(record));
   if (link == nullptr) {
@@ -123,7 +127,9 @@
   this->call.link = link;
   this->call.endpoint = row.listing.name;
   this->call.progress_at = now;
+  this->call.events_before = this->events.events;
   begin_request(row, pool, this->context.state.fleet, now);
+  count_send(this->context.state.rollouts, row, *this->admitted->taken_route);
   if (this->history.sends > 0) {
     this->context.metrics.count("chestnuthead_resends_total", this->pool_label());
     count_resend(this->context.state.resend_budgets[pool.name], this->context.state.resends, now);
@@ -167,6 +173,27 @@
          this->load_staleness().count();
 }
 
+gateway::placement_choice exchange::choose(steady_time now) {
+  const gateway::gateway_state& state = this->context.state;
+  const gateway::pool& pool = *this->admitted->taken_pool;
+  const std::vector<gateway::endpoint*>& endpoints = endpoints_of(state.endpoints, pool.name);
+  gateway::chosen_scope versions =
+      choose_scope(state.rollouts, endpoints, pool, *this->admitted->taken_route,
+                   state.rollout_limits, state.fleet.gateways, this->context.random, now);
+  this->version_choice = versions.choice;
+  this->hints.scope = std::move(versions.scope);
+  gateway::placement_choice choice = choose_endpoint(endpoints, pool, this->request, this->hints,
+                                                     state.fleet, this->context.random, now);
+  if (versions.choice != gateway::version_choice::settled &&
+      std::holds_alternative<gateway::no_choice>(choice)) {
+    this->version_choice = gateway::version_choice::settled;
+    this->hints.scope = settled_scope(state.rollouts, pool.name);
+    choice = choose_endpoint(endpoints, pool, this->request, this->hints, state.fleet,
+                             this->context.random, now);
+  }
+  return choice;
+}
+
 void exchange::send_to_endpoint() {
   const steady_time now = this->context.time.now();
   const gateway::pool& pool = *this->admitted->taken_pool;
@@ -178,9 +205,7 @@
         use_rate(holders, this->prefix, now) * this->load_staleness().count();
   }
   while (true) {
-    const gateway::placement_choice choice =
-        choose_endpoint(endpoints_of(this->context.state.endpoints, pool.name), pool, this->request,
-                        this->hints, this->context.state.fleet, this->context.random, now);
+    const gateway::placement_choice choice = this->choose(now);
     if (const auto* none = std::get_if<gateway::no_choice>(&choice)) {
       this->last_no_choice = *none;
       break;
@@ -222,6 +247,13 @@
     return;
   }
   end_request(*row);
+  attempt_record attempt = this->attempts.back();
+  attempt.events = this->events.events - this->call.events_before;
+  const bool executed = !this->call.answer.not_executed && !this->call.answer.wrong_endpoint;
+  if (executed) {
+    count_rollout_result(this->context.state.rollouts, *row, *this->admitted->taken_route, attempt,
+                         result, this->context.time.now());
+  }
   const double peers =
       failing_share(endpoints_of(this->context.state.endpoints, this->admitted->taken_pool->name));
   const bool was_set_aside = is_ejected(*row, this->context.time.now());
@@ -358,6 +390,9 @@
   }
   const steady_time now = this->context.time.now();
   this->call.progress_at = now;
+  attempt_record& attempt = this->attempts.back();
+  attempt.first_bytes_at = attempt.first_bytes_at.value_or(now);
+  attempt.last_bytes_at = now;
   if (!this->history.answer_begun) {
     this->history.answer_begun = true;
     this->first_bytes_at = now;
@@ -443,7 +478,8 @@
 
 void exchange::suspect_crash() {
   const gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->call.endpoint);
-  if (row != nullptr) {
+  // A retired version's endpoints are stopped with requests in flight.
+  if (row != nullptr && !is_retired(this->context.state.rollouts, *row)) {
     record_crash(this->context.state.suspects, {this->fingerprint, row->hash},
                  this->context.time.now());
   }
@@ -594,6 +630,7 @@
     fields.push_back({"chosen_by", std::string(name_of(last.reason))});
     fields.push_back({"endpoint_load", last.load});
     fields.push_back({"load_bound", last.load_bound});
+    fields.push_back({"version_choice", std::string(name_of(last.version_choice))});
     fields.push_back({"holders", static_cast<std::int64_t>(last.holders)});
     fields.push_back({"reason", std::string(last.result)});
     fields.push_back({"endpoint_status", std::int64_t{last.status}});
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -76,6 +76,8 @@
     bool answered = false;
     /// The call has waited so long that this was counted against its endpoint.
     bool long_wait_reported = false;
+    /// Events of the request's earlier attempts.
+    std::uint64_t events_before = 0;
     gateway::endpoint_answer answer;
     /// The answer is forwarded to the caller while it is received.
     bool forwarding = false;
@@ -93,6 +95,8 @@
   [[nodiscard]] std::chrono::duration<double> load_staleness() const;
   /// `gateway::placement_hints::expected_arrivals` for the request's pool.
   [[nodiscard]] double expected_arrivals(steady_time now) const;
+  /// Chooses an endpoint among those whose versions the request may be sent to.
+  [[nodiscard]] gateway::placement_choice choose(steady_time now);
   [[nodiscard]] bool open_call(const gateway::placement& chosen, steady_time now);
   /// Records the result of the latest attempt.
   void end_attempt(std::string_view result);
@@ -134,6 +138,7 @@
   std::optional<gateway::admission> admitted;
   gateway::attempt_history history;
   gateway::placement_hints hints;
+  gateway::version_choice version_choice = gateway::version_choice::settled;
   /// The attempts so far, in order.
   std::vector<attempt_record> attempts;
   call_state call;
--- a/Source/Traffic/gateway_settings.cxx
+++ b/Source/Traffic/gateway_settings.cxx
@@ -12,6 +12,7 @@
 constexpr integer_range milliseconds_range{1, 3'600'000};
 constexpr integer_range seconds_range{1, 3'600};
 constexpr real_range share_range{0.0, 100.0};
+constexpr real_range exposure_range{0.0, 1.0};
 constexpr real_range allowance_range{0.0, 1e9};
 constexpr real_range multiple_range{1.0, 1'000.0};
 
@@ -48,6 +49,8 @@
   reader.read("resend_share", settings.resend_share, share_range);
   reader.read("resend_allowance", settings.resend_allowance, allowance_range);
   reader.read("resend_window_s", settings.resend_window, seconds_range);
+  reader.read("exposure_share", settings.exposure_share, exposure_range);
+  reader.read("exposure_allowance", settings.exposure_allowance, allowance_range);
   reader.read("load_multiple", settings.load_multiple, multiple_range);
   reader.report_unknown_keys();
   if (!faults.empty()) {
@@ -72,6 +75,8 @@
   object.set("resend_share", settings.resend_share);
   object.set("resend_allowance", settings.resend_allowance);
   object.set("resend_window_s", settings.resend_window.count());
+  object.set("exposure_share", settings.exposure_share);
+  object.set("exposure_allowance", settings.exposure_allowance);
   object.set("load_multiple", settings.load_multiple);
   return format_json(object);
 }
--- a/Source/Traffic/gateway_settings.h
+++ b/Source/Traffic/gateway_settings.h
@@ -33,6 +33,11 @@
   /// Number of resends allowed beyond that share, summed over all gateways.
   double resend_allowance = 10.0;
   std::chrono::seconds resend_window{10};
+  /// Share of a pool's requests that a new version may get before it has proved good, summed
+  /// over all gateways.
+  double exposure_share = 0.1;
+  /// Number of these requests allowed beyond that share, summed over all gateways.
+  double exposure_allowance = 50.0;
   /// Highest load of one endpoint, as a multiple of its pool's mean load.
   double load_multiple = 2.0;
 };
--- a/Source/Traffic/peer_channel.cxx
+++ b/Source/Traffic/peer_channel.cxx
@@ -10,6 +10,7 @@
 
 #include "Gateway/peer_message.h"
 #include "Gateway/readiness.h"
+#include "Gateway/rollout_decision.h"
 #include "Traffic/message_mac.h"
 #include "Traffic/peer_codec.h"
 #include "Traffic/tcp_link.h"
@@ -78,6 +79,7 @@
   const gateway::gateway_state& state = this->context.state;
   gateway::peer_message message = own_peer_message(state.endpoints, now);
   message.crashes = recent_crashes(state.suspects, now);
+  message.rollouts = rollout_reports(state.rollouts);
   message.current = is_current(state, now);
   message.configuration = state.services == nullptr ? 0 : state.services->version;
   return message;
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -4,13 +4,14 @@
 #include <vector>
 
 #include "Net/msgpack_fields.h"
+#include "Traffic/rollout_codec.h"
 
 namespace chestnuthead::traffic {
 
 namespace {
 
 /// To be increased when the fields change; gateways ignore messages of another version.
-constexpr std::uint32_t message_version = 6;
+constexpr std::uint32_t message_version = 7;
 /// Most elements of one list.
 constexpr std::size_t list_limit = 4'096;
 
@@ -35,7 +36,7 @@
 
 void write_table(field_writer& out, const gateway::table_update& update) {
   constexpr std::size_t fields = 7;
-  constexpr std::size_t row_fields = 3;
+  constexpr std::size_t row_fields = 4;
   out.array(fields);
   out.put(update.table);
   out.put(update.version);
@@ -47,6 +48,7 @@
     out.put(row.key);
     out.put_bytes(row.value);
     out.put(row.removed);
+    out.put(row.version);
   }
   out.put(update.era);
 }
@@ -66,6 +68,7 @@
     list.get(row.key);
     list.get_bytes(row.value);
     list.get(row.removed);
+    list.get(row.version);
   }
   in.get(update.era);
   return update;
@@ -74,7 +77,7 @@
 }  // namespace
 
 std::string encode_peer_message(const gateway::peer_message& message) {
-  constexpr std::size_t fields = 14;
+  constexpr std::size_t fields = 15;
   field_writer out;
   out.array(fields);
   out.put(message_version);
@@ -101,6 +104,7 @@
   for (const gateway::table_update& update : message.tables) {
     write_table(out, update);
   }
+  write_rollouts(out, message.rollouts);
   return out.text();
 }
 
@@ -141,6 +145,7 @@
     for (field_reader list(tables); !list.at_end();) {
       message.tables.push_back(read_table(list.object()));
     }
+    message.rollouts = read_rollouts(in.object());
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/Source/Traffic/settings_watch.cxx
+++ b/Source/Traffic/settings_watch.cxx
@@ -28,6 +28,9 @@
   add_if(running.resend_share != read.resend_share, "resend_share", change.reloadable);
   add_if(running.resend_allowance != read.resend_allowance, "resend_allowance", change.reloadable);
   add_if(running.resend_window != read.resend_window, "resend_window_s", change.reloadable);
+  add_if(running.exposure_share != read.exposure_share, "exposure_share", change.reloadable);
+  add_if(running.exposure_allowance != read.exposure_allowance, "exposure_allowance",
+         change.reloadable);
   add_if(running.load_multiple != read.load_multiple, "load_multiple", change.reloadable);
   add_if(running.node != read.node, "node", change.after_restart);
   add_if(running.failure_domain != read.failure_domain, "failure_domain", change.after_restart);
@@ -47,6 +50,8 @@
   running.resend_share = read.resend_share;
   running.resend_allowance = read.resend_allowance;
   running.resend_window = read.resend_window;
+  running.exposure_share = read.exposure_share;
+  running.exposure_allowance = read.exposure_allowance;
   running.load_multiple = read.load_multiple;
 }
 
--- a/Tests/Traffic/gateway_settings_test.cxx
+++ b/Tests/Traffic/gateway_settings_test.cxx
@@ -72,6 +72,8 @@
                                  0.5,
                                  1.0,
                                  std::chrono::seconds{1},
+                                 0.7,
+                                 3.0,
                                  9.0};
     const settings_change change = compare_settings(first, other);
     const auto keys = parse_json_object(format_settings(other))->getNames();
