--- a/Source/Gateway/operator_orders.cxx
+++ b/Source/Gateway/operator_orders.cxx
@@ -53,7 +53,8 @@
   }
 }
 
-void apply_rollouts(gateway_state& state, const store_orders& change, orders_effect& effect) {
+void apply_rollouts(gateway_state& state, const store_orders& change, orders_effect& effect,
+                    steady_time now) {
   // The orders were not among those read before. At the first read it is not known when they
   // were given; the stored record tells.
   const steady_time read_after =
@@ -61,7 +62,7 @@
   std::set<pool_id> ordered;
   for (const rollout_order& order : change.rollouts) {
     ordered.insert(order.pool);
-    if (apply_rollout_order(state.rollouts, order, read_after)) {
+    if (apply_rollout_order(state.rollouts, order, read_after, now)) {
       effect.rollouts.push_back(order);
     }
   }
@@ -90,7 +91,7 @@
     apply_configuration(state, std::move(*change.configuration), effect);
   }
   apply_domains(state, change, effect, now);
-  apply_rollouts(state, change, effect);
+  apply_rollouts(state, change, effect, now);
   state.orders_as_of = std::max(state.orders_as_of, change.as_of);
   accept_versions(state.rollouts, state.orders_as_of);
   if (is_settled(state.eras, change.as_of) && has_newest_configuration(state, now)) {
--- a/Source/Gateway/rollout.cxx
+++ b/Source/Gateway/rollout.cxx
@@ -19,6 +19,7 @@
   row.bad_because.clear();
   row.sends = 0;
   row.sends_to_new = 0;
+  row.recent_sends = 0.0;
   row.routes.clear();
   row.evidence.clear();
   row.peers.clear();
@@ -60,7 +61,8 @@
   return same_content && (one.id.row_version == other.id.row_version || one.id.era != other.id.era);
 }
 
-bool apply_rollout_order(rollout_table& table, const rollout_order& order, steady_time read_after) {
+bool apply_rollout_order(rollout_table& table, const rollout_order& order, steady_time read_after,
+                         steady_time now) {
   rollout& row = table.rows[order.pool];
   if (row.order && is_same_order(*row.order, order)) {
     row.order->id = order.id;
@@ -68,6 +70,7 @@
   }
   row.order = order;
   row.ordered_after = read_after;
+  row.known_since = now;
   reset_progress(row);
   return true;
 }
@@ -80,8 +83,10 @@
 }
 
 bool apply_rollout_record(rollout_table& table, const pool_id& pool, const rollout_record& record,
-                          std::uint64_t row_version, std::optional<steady_time> begun_at) {
+                          std::uint64_t row_version, std::optional<steady_time> begun_at,
+                          steady_time now) {
   rollout& row = table.rows[pool];
+  row.record_read_at = now;
   row.record_version = row_version;
   const bool same = row.record && row.record->order == record.order && row.record->to == record.to;
   const bool phase_lost = same && row.record->phase != rollout_phase::in_progress &&
--- a/Source/Gateway/rollout.h
+++ b/Source/Gateway/rollout.h
@@ -79,8 +79,12 @@
   bool record_unconfirmed = false;
   /// Lower bound of the time of the operator's write, by this gateway's clock.
   steady_time ordered_after{};
+  /// When this gateway first knew of the order.
+  steady_time known_since{};
   /// The record's start, by this gateway's clock.
   std::optional<steady_time> record_begun_at;
+  /// When the record was read.
+  steady_time record_read_at{};
   /// The new version was found bad, by this gateway or by a peer: it gets no more requests.
   bool found_bad = false;
   /// Why, for the record and the log.
@@ -89,6 +93,9 @@
   /// and those of them that went to the new version.
   std::uint64_t sends = 0;
   std::uint64_t sends_to_new = 0;
+  /// The same as `sends`, but with exponential decay since `recent_sends_at`.
+  double recent_sends = 0.0;
+  steady_time recent_sends_at{};
   /// By hash of the route's name.
   std::map<std::uint64_t, route_share> routes;
   /// Results at this gateway.
@@ -133,6 +140,8 @@
 struct rollout_report {
   rollout_order order;
   bool found_bad = false;
+  /// Why, if the version was found bad.
+  std::string reason;
   evidence_counts evidence;
 };
 
@@ -141,7 +150,8 @@
 
 /// Applies an order. `read_after` is a time by this gateway's clock before which the order
 /// was not written. Returns true if the order is new to this gateway.
-bool apply_rollout_order(rollout_table& table, const rollout_order& order, steady_time read_after);
+bool apply_rollout_order(rollout_table& table, const rollout_order& order, steady_time read_after,
+                         steady_time now);
 
 /// Applies the removal of an order by the operator.
 void remove_rollout_order(rollout_table& table, const pool_id& pool);
@@ -149,7 +159,8 @@
 /// Applies the stored record of a pool. `begun_at` is the record's time by this gateway's
 /// clock, if it can be converted. Returns true if the phase or the order has changed.
 bool apply_rollout_record(rollout_table& table, const pool_id& pool, const rollout_record& record,
-                          std::uint64_t row_version, std::optional<steady_time> begun_at);
+                          std::uint64_t row_version, std::optional<steady_time> begun_at,
+                          steady_time now);
 
 /// Marks all records as possibly lost by the store.
 void begin_rollout_era(rollout_table& table);
--- a/Source/Gateway/rollout_decision.cxx
+++ b/Source/Gateway/rollout_decision.cxx
@@ -14,9 +14,11 @@
 using std::chrono::milliseconds;
 
 /// Delay between the turns of two gateways, and the turn from which they come more closely.
-constexpr milliseconds turn_delay{60};
+constexpr milliseconds turn_delay{40};
 constexpr milliseconds late_turn_delay{5};
 constexpr std::uint32_t late_turn = 8;
+/// Additional delay of gateways that have missed much of the evidence.
+constexpr milliseconds latecomer_delay{200};
 /// Delay before a step is tried again.
 constexpr milliseconds retry_delay{250};
 /// The recent results, which are tested besides all results, cover between one and two
@@ -154,7 +156,9 @@
 std::optional<rollout_record> wanted_record(const gateway_state& state, const rollout& row,
                                             const rollout_moment& moment) {
   if (!row.order) {
-    const bool withdrawn = row.record && row.record->phase == rollout_phase::in_progress;
+    // The record may be read before the order that it belongs to.
+    const bool withdrawn = row.record && row.record->phase == rollout_phase::in_progress &&
+                           state.orders_as_of > row.record_read_at;
     if (!withdrawn) {
       return std::nullopt;
     }
@@ -181,10 +185,18 @@
                          : last_record(state, row, rollout_phase::rolled_back, std::move(against));
 }
 
-milliseconds delay_of_turn(const gateway_state& state, const pool_id& pool, steady_time now) {
+/// True if the gateway has missed much of the evidence, for example because it was restarted.
+bool is_latecomer(const rollout& row) {
+  constexpr int missed_part = 4;
+  return row.order && row.known_since > begun_at(row) + row.order->duration / missed_part;
+}
+
+milliseconds delay_of_turn(const gateway_state& state, const pool_id& pool, const rollout& row,
+                           steady_time now) {
   const std::uint32_t turn = rank_among_peers(state.peers, state.self, hash_text(pool.value), now);
-  return turn_delay * std::min(turn, late_turn) +
-         late_turn_delay * (turn - std::min(turn, late_turn));
+  const milliseconds delay =
+      turn_delay * std::min(turn, late_turn) + late_turn_delay * (turn - std::min(turn, late_turn));
+  return is_latecomer(row) && !row.found_bad ? delay + latecomer_delay : delay;
 }
 
 }  // namespace
@@ -230,7 +242,7 @@
     if (!row.wanted_since) {
       row.wanted_since = moment.now;
     }
-    const milliseconds turn = delay_of_turn(state, pool, moment.now);
+    const milliseconds turn = delay_of_turn(state, pool, row, moment.now);
     if (moment.now < *row.wanted_since + turn || moment.now < row.next_write_at) {
       continue;
     }
@@ -245,7 +257,7 @@
   std::vector<rollout_report> reports;
   for (const auto& [pool, row] : table.rows) {
     if (is_in_progress(row)) {
-      reports.push_back({*row.order, row.found_bad, row.evidence});
+      reports.push_back({*row.order, row.found_bad, row.bad_because, row.evidence});
     }
   }
   return reports;
@@ -270,7 +282,7 @@
     return false;
   }
   row.found_bad = true;
-  row.bad_because = "another gateway has found the version bad";
+  row.bad_because = report.reason;
   return true;
 }
 
--- a/Source/Gateway/rollout_evidence.cxx
+++ b/Source/Gateway/rollout_evidence.cxx
@@ -7,18 +7,22 @@
 
 namespace {
 
-/// Upper bound of the first bucket.
-constexpr double first_bucket_ms = 0.008;
+constexpr double buckets_per_doubling = 2.0;
+/// Upper bound of the first bucket, for a thousandth of the work of a short request.
+constexpr double first_bucket_ms = 0.002;
 /// Prompt tokens whose reading takes about as long as the rest of a short request.
 constexpr double tokens_of_fixed_work = 1'000.0;
 /// Upper bound of the first bucket of paces.
-constexpr double first_pace_bucket_ms = 1.0;
+constexpr double first_pace_bucket_ms = 0.5;
 
 /// Failures beyond the old version's share that are not held against the new one.
 constexpr double failure_tolerance = 0.02;
-/// A new version may be slower than the old one by this factor.
-constexpr double time_tolerance = 1.3;
-/// Share of the old version's times above the bound that separates fast and slow ones.
+/// A new version may be slower than the old one by this number of buckets, a factor of 1.4.
+constexpr std::size_t tolerated_buckets = 1;
+/// Share of slow answers beyond that which is not held against the new version: its endpoints
+/// begin with empty caches, so requests wait for the reading of more prompts.
+constexpr double slow_tolerance = 0.05;
+/// Share of the old version's times that count as slow.
 constexpr double slow_share = 0.2;
 /// Old results needed before the new ones are compared with them.
 constexpr std::uint64_t min_old_results = 10;
@@ -29,7 +33,8 @@
   if (!(value > first_bound)) {
     return 0;
   }
-  const auto bucket = static_cast<std::size_t>(std::ceil(std::log2(value / first_bound)));
+  const auto bucket =
+      static_cast<std::size_t>(std::ceil(buckets_per_doubling * std::log2(value / first_bound)));
   return std::min(bucket, time_buckets - 1);
 }
 
@@ -79,20 +84,19 @@
   return log_ratio(sum, one.null_rate);
 }
 
-/// The evidence of all endpoints, limited to that without the strongest one plus
-/// `evidence_of_one_endpoint`. With a single endpoint nothing distinguishes its own fault from
-/// its version's.
+/// The evidence of all endpoints, limited to that of the weaker half plus
+/// `evidence_of_some_endpoints`. With a single endpoint nothing distinguishes its own fault
+/// from its version's.
 double supported_evidence(const experiment& one) {
-  double least = evidence_of(one);
-  if (one.endpoints.size() < 2) {
-    return least;
-  }
-  for (std::size_t left_out = 0; left_out < one.endpoints.size(); ++left_out) {
-    experiment rest = one;
-    rest.endpoints.erase(rest.endpoints.begin() + static_cast<std::ptrdiff_t>(left_out));
-    least = std::min(least, evidence_of(rest) + evidence_of_one_endpoint);
-  }
-  return least;
+  experiment weaker = one;
+  std::sort(weaker.endpoints.begin(), weaker.endpoints.end(),
+            [&one](const tally& first, const tally& second) {
+              return log_ratio(first, one.null_rate) < log_ratio(second, one.null_rate);
+            });
+  weaker.endpoints.resize((one.endpoints.size() + 1) / 2);
+  const double all = evidence_of(one);
+  return one.endpoints.size() < 2 ? all
+                                  : std::min(all, evidence_of(weaker) + evidence_of_some_endpoints);
 }
 
 /// All results of one route.
@@ -142,23 +146,21 @@
   return {shares_above(times)[bound] * total_of(times), total_of(times)};
 }
 
-/// Compares times at the bound that about `slow_share` of the old version's exceed. The null
-/// hypothesis is that the new version's times are at most `time_tolerance` times as long.
+/// Compares times at the bound that at most `slow_share` of the old version's exceed with those
+/// of the new version at a bound that is higher by `tolerated_buckets`.
 experiment time_experiment(const route_results& route, time_histogram evidence_row::*times) {
   const std::array<double, time_buckets> shares = shares_above(route.old_version.*times);
   std::size_t bound = 0;
-  while (bound + 1 < time_buckets && shares[bound] > slow_share) {
+  while (bound + 1 + tolerated_buckets < time_buckets && shares[bound] > slow_share) {
     ++bound;
   }
   experiment one;
   one.old_version = slow_of(route.old_version.*times, bound);
   for (const evidence_row& endpoint : route.endpoints) {
-    one.endpoints.push_back(slow_of(endpoint.*times, bound));
+    one.endpoints.push_back(slow_of(endpoint.*times, bound + tolerated_buckets));
   }
-  const double slower = bound == 0 ? 1.0 : shares[bound - 1];
-  const double tolerated = shares[bound] + std::log2(time_tolerance) * (slower - shares[bound]);
   const double added = 2.0 / (one.old_version.trials + 4.0);
-  one.null_rate = std::clamp(tolerated + added, 0.02, 0.98);
+  one.null_rate = std::min(shares[bound] + slow_tolerance + added, 0.98);
   return one;
 }
 
--- a/Source/Gateway/rollout_evidence.h
+++ b/Source/Gateway/rollout_evidence.h
@@ -12,8 +12,8 @@
 /// beside those to the old ones at the same time, and sequential tests of their difference.
 namespace chestnuthead::gateway {
 
-/// Buckets of a histogram of times; each is twice as wide as the one before it.
-inline constexpr std::size_t time_buckets = 12;
+/// Buckets of a histogram of times, two for each doubling.
+inline constexpr std::size_t time_buckets = 24;
 using time_histogram = std::array<std::uint32_t, time_buckets>;
 
 /// What results are counted by.
@@ -96,9 +96,9 @@
 /// number of times: the probability that a likelihood ratio ever exceeds x under the null
 /// hypothesis is at most 1/x (Ville's inequality; Robbins 1970 on mixture tests).
 inline constexpr double evidence_to_reject = 9.2;
-/// Most that one endpoint may add to the evidence of the others, so that one faulty endpoint
-/// does not stand for its version.
-inline constexpr double evidence_of_one_endpoint = 6.2;
+/// Most that the half of the endpoints with the strongest evidence may add to that of the
+/// others, so that a few faulty endpoints do not stand for their version.
+inline constexpr double evidence_of_some_endpoints = 6.2;
 /// Evidence with which a version is not completed, although it is not rejected earlier.
 inline constexpr double evidence_to_doubt = 4.6;
 
--- a/Source/Gateway/rollout_schedule.cxx
+++ b/Source/Gateway/rollout_schedule.cxx
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
+#include "Base/exponential_decay.h"
 #include "Base/hashing.h"
 #include "Gateway/endpoint_health.h"
 
@@ -15,12 +17,12 @@
 
 /// Parts of the allowed share and of the allowance that are used. Gateways that restart begin
 /// to count anew, and their number is known with a delay.
-constexpr double used_share = 0.9;
+constexpr double used_share = 0.92;
 constexpr double used_allowance = 0.5;
 /// Part of the exposure that the trial may use; the rest is for the shift.
 constexpr double trial_part = 0.6;
-/// Fewest new endpoints of a trial: one alone can't be told from its version.
-constexpr std::size_t min_trial_endpoints = 2;
+/// Fewest new endpoints of a trial: the faults of a few must be told from their version's.
+constexpr std::size_t min_trial_endpoints = 4;
 /// Time between the pulses of a trial whose endpoints would get too few requests otherwise.
 constexpr milliseconds pulse_period{2'000};
 /// Bounds of the factor by which a route's part of the trial differs from its part of the
@@ -33,12 +35,15 @@
 constexpr double once_only_latest = 0.4;
 /// Answers of other requests after which these join the trial.
 constexpr std::uint64_t answers_before_once_only = 20;
+/// How much earlier the order's start may be assumed than it was.
+constexpr milliseconds order_time_error{250};
+/// Half-life of `rollout::recent_sends`.
+constexpr seconds_real recent_sends_half_life{1.0};
 /// Shortest time over which the rate of requests is measured.
 constexpr seconds_real min_rate_time{0.5};
 
-bool is_new_and_usable(const endpoint& row, const std::string& version, steady_time now) {
-  return row.listing.version == version && row.listed && !row.misplaced && !is_ejected(row, now) &&
-         !row.listing.leaving;
+bool is_usable(const endpoint& row, steady_time now) {
+  return !row.misplaced && !is_ejected(row, now) && !row.listing.leaving;
 }
 
 std::uint64_t key_of_order(const rollout_order& order) {
@@ -49,22 +54,31 @@
 struct forecast {
   /// Requests of this gateway per second.
   double rate = 0.0;
+  /// Requests from the outcome to the deadline, all of which go to the new version.
+  double reserve = 0.0;
   /// Share of the requests until the deadline that the trial may use.
   double trial_share = 0.0;
 };
 
+/// Requests per second over the last few seconds.
+double recent_rate(const rollout& row, steady_time now) {
+  const double mean_time = recent_sends_half_life.count() / std::numbers::ln2;
+  return decayed(row.recent_sends, row.recent_sends_at, recent_sends_half_life, now) / mean_time;
+}
+
 forecast forecast_of(const rollout& row, const rollout_terms& terms, std::uint32_t gateways,
                      steady_time now) {
   const seconds_real elapsed = std::max<seconds_real>(now - begun_at(row), min_rate_time);
   const seconds_real duration = row.order->duration;
   forecast seen;
-  seen.rate = static_cast<double>(row.sends) / elapsed.count();
-  const double expected = std::max(seen.rate * duration.count(), 1.0);
+  const double mean_rate = static_cast<double>(row.sends) / elapsed.count();
+  seen.rate = std::max(mean_rate, recent_rate(row, now));
+  const double expected = std::max(mean_rate * duration.count(), 1.0);
   const double allowed = used_share * terms.exposure_share * expected +
                          used_allowance * terms.exposure_allowance / gateways;
-  // After the outcome all requests go to the new version until the deadline.
-  const double reserve = seen.rate * seconds_real(outcome_lead).count();
-  seen.trial_share = std::max(0.0, trial_part * (allowed - reserve)) / expected;
+  seen.reserve = (1.0 - terms.exposure_share) * seen.rate *
+                 seconds_real(outcome_lead + order_time_error).count();
+  seen.trial_share = std::max(0.0, trial_part * (allowed - seen.reserve)) / expected;
   return seen;
 }
 
@@ -101,19 +115,28 @@
   return part < duty;
 }
 
+/// A number in [0, 1): the same for all requests with a prefix, random without one.
+double draw_unit(const rollout& row, std::uint64_t prefix, random_source& random) {
+  constexpr double two_to_minus_64 = 0x1.0p-64;
+  if (prefix == 0) {
+    return next_unit(random);
+  }
+  return static_cast<double>(rendezvous_weight(prefix, key_of_order(*row.order))) * two_to_minus_64;
+}
+
 /// Decides whether a request is part of the trial. `parity` is the share of requests with which
 /// the trial's endpoints carry as much load as an old endpoint.
-bool draw_trial(const rollout& row, double share, double parity, random_source& random,
-                steady_time now) {
+bool is_in_trial(const rollout& row, double share, double parity, double unit, steady_time now) {
   if (share >= parity) {
-    return next_unit(random) < share;
+    return unit < share;
   }
-  return is_in_pulse(row, share / parity, now) && next_unit(random) < parity;
+  return is_in_pulse(row, share / parity, now) && unit < parity;
 }
 
 /// True if the request belongs to the shift: the route's turn has come, and the exposure lasts
 /// for the requests until the outcome.
-bool is_shifted(const rollout& row, const route& route, double left, double rate, steady_time now) {
+bool is_shifted(const rollout& row, const route& route, double left, const forecast& seen,
+                steady_time now) {
   const seconds_real time_left = deadline_of(row) - outcome_lead - now;
   if (time_left > seconds_real(shift_lead(route))) {
     return false;
@@ -123,13 +146,38 @@
   if (place != row.routes.end() && row.sends > 0) {
     part = static_cast<double>(place->second.requests) / static_cast<double>(row.sends);
   }
-  return left >= rate * part * std::max(time_left.count(), 0.0);
+  return left >= seen.reserve + seen.rate * part * std::max(time_left.count(), 0.0);
+}
+
+/// Listed endpoints of both versions.
+struct version_counts {
+  double old_endpoints = 0.0;
+  std::size_t new_endpoints = 0;
+  /// A new endpoint is known to work.
+  bool has_usable = false;
+};
+
+version_counts count_versions(const rollout& row, const std::vector<endpoint*>& endpoints,
+                              steady_time now) {
+  version_counts counts;
+  for (const endpoint* one : endpoints) {
+    if (!one->listed) {
+      continue;
+    }
+    if (one->listing.version != row.order->to) {
+      counts.old_endpoints += 1.0;
+      continue;
+    }
+    ++counts.new_endpoints;
+    counts.has_usable = counts.has_usable || is_usable(*one, now);
+  }
+  return counts;
 }
 
-double count_old(const std::vector<endpoint*>& endpoints, const version_scope& scope) {
-  return static_cast<double>(std::count_if(
-      endpoints.begin(), endpoints.end(),
-      [&scope](const endpoint* row) { return row->listed && in_scope(*row, scope); }));
+/// Number of new endpoints that the trial uses.
+std::size_t trial_size(const version_counts& counts, double trial_share) {
+  const auto wanted = static_cast<std::size_t>(std::lround(trial_share * counts.old_endpoints));
+  return std::min(counts.new_endpoints, std::max(wanted, min_trial_endpoints));
 }
 
 }  // namespace
@@ -153,22 +201,19 @@
 }
 
 std::vector<std::uint64_t> trial_endpoints(const rollout& row,
-                                           const std::vector<endpoint*>& endpoints, double share) {
+                                           const std::vector<endpoint*>& endpoints,
+                                           std::size_t count) {
   std::vector<std::uint64_t> hashes;
-  double old_endpoints = 0.0;
   for (const endpoint* one : endpoints) {
     if (one->listed && one->listing.version == row.order->to) {
       hashes.push_back(one->hash);
-    } else if (one->listed) {
-      old_endpoints += 1.0;
     }
   }
   const std::uint64_t key = key_of_order(*row.order);
   std::sort(hashes.begin(), hashes.end(), [key](std::uint64_t one, std::uint64_t other) {
     return rendezvous_weight(key, one) > rendezvous_weight(key, other);
   });
-  const auto wanted = static_cast<std::size_t>(std::lround(share * old_endpoints));
-  hashes.resize(std::min(hashes.size(), std::max(wanted, min_trial_endpoints)));
+  hashes.resize(std::min(hashes.size(), count));
   return hashes;
 }
 
@@ -183,11 +228,10 @@
   return route.executions == execution_limit::idempotent ? idempotent_call : once_only_call;
 }
 
-chosen_scope choose_scope(const rollout_table& table, const std::vector<endpoint*>& endpoints,
-                          const pool& pool, const route& route, const rollout_terms& terms,
-                          std::uint32_t gateways, random_source& random, steady_time now) {
-  chosen_scope chosen{settled_scope(table, pool.name), version_choice::settled};
-  const auto place = table.rows.find(pool.name);
+chosen_scope choose_scope(const rollout_table& table, const scope_request& request,
+                          const rollout_terms& terms, random_source& random, steady_time now) {
+  chosen_scope chosen{settled_scope(table, request.target.name), version_choice::settled};
+  const auto place = table.rows.find(request.target.name);
   if (place == table.rows.end()) {
     return chosen;
   }
@@ -195,30 +239,29 @@
   if (!is_in_progress(row) || row.found_bad || !table.records_known || now >= deadline_of(row)) {
     return chosen;
   }
-  const double left = exposure_left(row, terms, gateways);
-  const bool has_new = std::any_of(endpoints.begin(), endpoints.end(), [&](const endpoint* one) {
-    return is_new_and_usable(*one, row.order->to, now);
-  });
-  if (left < 1.0 || !has_new) {
+  const double left = exposure_left(row, terms, request.gateways);
+  const version_counts counts = count_versions(row, request.endpoints, now);
+  if (left < 1.0 || !counts.has_usable) {
     return chosen;
   }
-  const forecast seen = forecast_of(row, terms, std::max(gateways, 1U), now);
-  if (is_shifted(row, route, left, seen.rate, now)) {
+  const forecast seen = forecast_of(row, terms, std::max(request.gateways, 1U), now);
+  const route& route = request.taken_route;
+  if (is_shifted(row, route, left, seen, now)) {
     return {new_version_scope(*row.order), version_choice::shift};
   }
-  const double old_endpoints = std::max(count_old(endpoints, chosen.scope), 1.0);
-  version_scope trial = new_version_scope(*row.order);
-  trial.only = trial_endpoints(row, endpoints, seen.trial_share);
-  const double parity = static_cast<double>(trial.only.size()) / old_endpoints;
+  const std::size_t size = trial_size(counts, seen.trial_share);
+  const double parity = static_cast<double>(size) / std::max(counts.old_endpoints, 1.0);
   const double share = seen.trial_share * route_weight(row, hash_text(route.name));
-  if (may_be_tried(row, route, now) && draw_trial(row, share, parity, random, now)) {
-    chosen.scope = std::move(trial);
+  const double unit = draw_unit(row, request.prefix, random);
+  if (may_be_tried(row, route, now) && is_in_trial(row, share, parity, unit, now)) {
+    chosen.scope = new_version_scope(*row.order);
+    chosen.scope.only = trial_endpoints(row, request.endpoints, size);
     chosen.choice = version_choice::trial;
   }
   return chosen;
 }
 
-void count_send(rollout_table& table, const endpoint& row, const route& route) {
+void count_send(rollout_table& table, const endpoint& row, const route& route, steady_time now) {
   const auto place = table.rows.find(row.listing.pool);
   if (place == table.rows.end() || !is_in_progress(place->second)) {
     return;
@@ -227,6 +270,9 @@
   const bool is_new = row.listing.version == found.order->to;
   route_share& share = found.routes[hash_text(route.name)];
   ++found.sends;
+  found.recent_sends =
+      decayed(found.recent_sends, found.recent_sends_at, recent_sends_half_life, now) + 1.0;
+  found.recent_sends_at = now;
   ++share.requests;
   if (is_new) {
     ++found.sends_to_new;
--- a/Source/Gateway/rollout_schedule.h
+++ b/Source/Gateway/rollout_schedule.h
@@ -31,7 +31,7 @@
 
 /// The outcome is written this long before the deadline: enough for a slow call to the store
 /// and a second try by another gateway.
-inline constexpr std::chrono::milliseconds outcome_lead{600};
+inline constexpr std::chrono::milliseconds outcome_lead{400};
 
 /// Why a request may be sent to certain versions.
 enum class version_choice : std::uint8_t {
@@ -53,19 +53,31 @@
 /// Requests that this gateway may still send to the new version.
 double exposure_left(const rollout& row, const rollout_terms& terms, std::uint32_t gateways);
 
-/// New endpoints on which the version is tried: the same ones for all gateways.
+/// The first new endpoints in the order's rendezvous order, on which the version is tried: the
+/// same ones for all gateways.
 std::vector<std::uint64_t> trial_endpoints(const rollout& row,
-                                           const std::vector<endpoint*>& endpoints, double share);
+                                           const std::vector<endpoint*>& endpoints,
+                                           std::size_t count);
 
 /// How long before the outcome the route's requests move to the new version.
 std::chrono::milliseconds shift_lead(const route& route);
 
+/// What a choice of versions depends on besides the roll-out.
+struct scope_request {
+  const std::vector<endpoint*>& endpoints;
+  const pool& target;
+  const route& taken_route;
+  /// `affinity_of` the request. A trial takes all requests with certain prefixes, so that the
+  /// caches of its endpoints serve them as well as those of the old ones do.
+  std::uint64_t prefix = 0;
+  std::uint32_t gateways = 1;
+};
+
 /// Chooses the versions for one send of a request. Does not count it.
-chosen_scope choose_scope(const rollout_table& table, const std::vector<endpoint*>& endpoints,
-                          const pool& pool, const route& route, const rollout_terms& terms,
-                          std::uint32_t gateways, random_source& random, steady_time now);
+chosen_scope choose_scope(const rollout_table& table, const scope_request& request,
+                          const rollout_terms& terms, random_source& random, steady_time now);
 
 /// Counts a request that was sent to an endpoint of the pool.
-void count_send(rollout_table& table, const endpoint& row, const route& route);
+void count_send(rollout_table& table, const endpoint& row, const route& route, steady_time now);
 
 }  // namespace chestnuthead::gateway
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -129,7 +129,7 @@
   this->call.progress_at = now;
   this->call.events_before = this->events.events;
   begin_request(row, pool, this->context.state.fleet, now);
-  count_send(this->context.state.rollouts, row, *this->admitted->taken_route);
+  count_send(this->context.state.rollouts, row, *this->admitted->taken_route, now);
   if (this->history.sends > 0) {
     this->context.metrics.count("chestnuthead_resends_total", this->pool_label());
     count_resend(this->context.state.resend_budgets[pool.name], this->context.state.resends, now);
@@ -177,9 +177,10 @@
   const gateway::gateway_state& state = this->context.state;
   const gateway::pool& pool = *this->admitted->taken_pool;
   const std::vector<gateway::endpoint*>& endpoints = endpoints_of(state.endpoints, pool.name);
-  gateway::chosen_scope versions =
-      choose_scope(state.rollouts, endpoints, pool, *this->admitted->taken_route,
-                   state.rollout_limits, state.fleet.gateways, this->context.random, now);
+  gateway::chosen_scope versions = choose_scope(
+      state.rollouts,
+      {endpoints, pool, *this->admitted->taken_route, this->prefix, state.fleet.gateways},
+      state.rollout_limits, this->context.random, now);
   this->version_choice = versions.choice;
   this->hints.scope = std::move(versions.scope);
   gateway::placement_choice choice = choose_endpoint(endpoints, pool, this->request, this->hints,
--- a/Source/Traffic/rollout_codec.cxx
+++ b/Source/Traffic/rollout_codec.cxx
@@ -9,7 +9,7 @@
 /// Most reports in a message.
 constexpr std::size_t reports_limit = 64;
 /// Fields of a report, and of a row of its evidence besides the non-zero buckets of times.
-constexpr std::size_t report_fields = 7;
+constexpr std::size_t report_fields = 8;
 constexpr std::size_t row_fields = 6;
 
 /// Writes the non-zero buckets as pairs of index and count: most rows have few.
@@ -85,6 +85,7 @@
     out.put(report.order.id.row_version);
     out.put(report.order.id.era);
     out.put(report.found_bad);
+    out.put(report.reason);
     write_evidence(out, report.evidence);
   }
 }
@@ -99,6 +100,7 @@
     in.get(report.order.id.row_version);
     in.get(report.order.id.era);
     in.get(report.found_bad);
+    in.get(report.reason);
     report.evidence = read_evidence(in.object());
     if (reports.size() > reports_limit) {
       throw msgpack::type_error();
--- a/Tests/Gateway/rollout_fixture.h
+++ b/Tests/Gateway/rollout_fixture.h
@@ -43,7 +43,7 @@
     list_version(state, "old-" + std::to_string(place), "v1", test_start - std::chrono::minutes{1});
   }
   accept_versions(state.rollouts, test_start - std::chrono::seconds{1});
-  apply_rollout_order(state.rollouts, test_order(), test_start);
+  apply_rollout_order(state.rollouts, test_order(), test_start, test_start);
   for (int place = 0; place < old_endpoints; ++place) {
     list_version(state, "new-" + std::to_string(place), "v2", test_start);
   }
