Compare times of versions by likelihood ratios of whole distributions

Cause: the test of one bound used little of what the times tell; 2 times slower answers on a pool of four were found late. Change: the new version's histogram is compared with the old one's, shifted; the null hypothesis of prompts includes waits behind the reading of others.

--- a/Source/Gateway/rollout_evidence.cxx
+++ b/Source/Gateway/rollout_evidence.cxx
@@ -17,17 +17,33 @@
 
 /// Failures beyond the old version's share that are not held against the new one.
 constexpr double failure_tolerance = 0.02;
+/// Highest share of failures of the null hypothesis.
+constexpr double max_null_rate = 0.98;
 /// A new version may be slower than the old one by this number of buckets, a factor of 1.4.
-constexpr std::size_t tolerated_buckets = 1;
-/// Share of slow answers beyond that which is not held against the new version: its endpoints
-/// begin with empty caches, so requests wait for the reading of more prompts.
-constexpr double slow_tolerance = 0.05;
-/// Share of the old version's times that count as slow.
-constexpr double slow_share = 0.2;
+constexpr int tolerated_buckets = 1;
+/// Share of times that are explained by no hypothesis, such as waits behind long prompts.
+constexpr double unexplained_share = 0.07;
+/// Share of requests with prompts that may wait for the reading of others': the caches of new
+/// endpoints are empty. Their times are longer by 2 to `longest_wait` buckets.
+constexpr double waiting_share = 0.25;
+constexpr int longest_wait = 7;
+/// Part of a bucket's times that may belong to either neighbour.
+constexpr double blurred_share = 0.1;
 /// Old results needed before the new ones are compared with them.
-constexpr std::uint64_t min_old_results = 10;
-/// Distances from the null hypothesis to 1 of the alternatives of a mixture test.
-constexpr std::array<double, 6> alternatives{0.05, 0.1, 0.2, 0.4, 0.8, 0.98};
+constexpr double min_old_results = 10.0;
+
+/// Distances of the alternatives' shares of failures from the null hypothesis to 1.
+constexpr std::array<double, 6> failing_more{0.05, 0.1, 0.2, 0.4, 0.8, 0.98};
+/// An alternative of the times: this share of the answers is slower by so many buckets.
+struct slower_answers {
+  int buckets;
+  double share;
+};
+constexpr std::array<slower_answers, 6> slower{
+    {{2, 1.0}, {3, 1.0}, {4, 1.0}, {2, 0.5}, {4, 0.5}, {6, 0.25}}};
+
+/// Logarithms of the likelihood ratios of each alternative against the null hypothesis.
+using log_ratios = std::array<double, 6>;
 
 std::size_t bucket_of(double value, double first_bound) {
   if (!(value > first_bound)) {
@@ -42,61 +58,47 @@
   return std::chrono::duration<double, std::milli>(time).count();
 }
 
-/// Events and trials of a Bernoulli experiment.
-struct tally {
-  double events = 0.0;
-  double trials = 0.0;
+/// A comparison of both versions by one kind of result.
+struct experiment {
+  /// Of the results of each new endpoint.
+  std::vector<log_ratios> endpoints;
+  double old_results = 0.0;
+  /// Shares of bad results, for the report.
+  double old_rate = 0.0;
+  double new_rate = 0.0;
 };
 
-/// Logarithm of the likelihood ratio of a mixture of alternatives above `null_rate` against
-/// `null_rate`.
-double log_ratio(const tally& seen, double null_rate) {
-  if (seen.trials <= 0.0) {
-    return 0.0;
-  }
-  std::array<double, alternatives.size()> terms{};
-  for (std::size_t place = 0; place < alternatives.size(); ++place) {
-    const double rate = null_rate + (1.0 - null_rate) * alternatives[place];
-    terms[place] = seen.events * std::log(rate / null_rate) +
-                   (seen.trials - seen.events) * std::log((1.0 - rate) / (1.0 - null_rate));
-  }
-  const double largest = *std::max_element(terms.begin(), terms.end());
+/// Logarithm of the likelihood ratio of the mixture of all alternatives.
+double mixture_of(const log_ratios& ratios) {
+  const double largest = *std::max_element(ratios.begin(), ratios.end());
   double sum = 0.0;
-  for (const double term : terms) {
-    sum += std::exp(term - largest);
+  for (const double ratio : ratios) {
+    sum += std::exp(ratio - largest);
   }
-  return largest + std::log(sum / static_cast<double>(alternatives.size()));
+  return largest + std::log(sum / static_cast<double>(ratios.size()));
 }
 
-/// One Bernoulli experiment on a route: the old version's, and that of each new endpoint.
-struct experiment {
-  tally old_version;
-  std::vector<tally> endpoints;
-  double null_rate = 0.0;
-};
-
-double evidence_of(const experiment& one) {
-  tally sum;
-  for (const tally& endpoint : one.endpoints) {
-    sum.events += endpoint.events;
-    sum.trials += endpoint.trials;
+/// Evidence of the first endpoints together.
+double evidence_of(const std::vector<log_ratios>& endpoints, std::size_t count) {
+  log_ratios sum{};
+  for (std::size_t number = 0; number < count; ++number) {
+    for (std::size_t place = 0; place < sum.size(); ++place) {
+      sum[place] += endpoints[number][place];
+    }
   }
-  return log_ratio(sum, one.null_rate);
+  return count == 0 ? 0.0 : mixture_of(sum);
 }
 
 /// The evidence of all endpoints, limited to that of the weaker half plus
 /// `evidence_of_some_endpoints`. With a single endpoint nothing distinguishes its own fault
 /// from its version's.
-double supported_evidence(const experiment& one) {
-  experiment weaker = one;
-  std::sort(weaker.endpoints.begin(), weaker.endpoints.end(),
-            [&one](const tally& first, const tally& second) {
-              return log_ratio(first, one.null_rate) < log_ratio(second, one.null_rate);
-            });
-  weaker.endpoints.resize((one.endpoints.size() + 1) / 2);
-  const double all = evidence_of(one);
-  return one.endpoints.size() < 2 ? all
-                                  : std::min(all, evidence_of(weaker) + evidence_of_some_endpoints);
+double supported_evidence(std::vector<log_ratios> endpoints) {
+  std::sort(endpoints.begin(), endpoints.end(), [](const log_ratios& one, const log_ratios& other) {
+    return mixture_of(one) < mixture_of(other);
+  });
+  const double all = evidence_of(endpoints, endpoints.size());
+  const double weaker = evidence_of(endpoints, (endpoints.size() + 1) / 2);
+  return endpoints.size() < 2 ? all : std::min(all, weaker + evidence_of_some_endpoints);
 }
 
 /// All results of one route.
@@ -105,20 +107,35 @@
   std::vector<evidence_row> endpoints;
 };
 
-tally failures_of(const evidence_row& row) {
-  return {static_cast<double>(row.failures), static_cast<double>(row.answers)};
+/// Log-likelihood ratios of alternatives with more failures.
+log_ratios failure_ratios(const evidence_row& row, double null_rate) {
+  log_ratios ratios{};
+  const double successes = row.answers - row.failures;
+  for (std::size_t place = 0; place < ratios.size(); ++place) {
+    const double rate = null_rate + (1.0 - null_rate) * failing_more[place];
+    ratios[place] = row.failures * std::log(rate / null_rate) +
+                    successes * std::log((1.0 - rate) / (1.0 - null_rate));
+  }
+  return ratios;
 }
 
 experiment failure_experiment(const route_results& route) {
+  const evidence_row& old_version = route.old_version;
+  // Adding two failures and two successes keeps the estimate away from zero if there are few
+  // results.
+  const double estimate = (old_version.failures + 2.0) / (old_version.answers + 4.0);
+  const double null_rate = std::min(estimate + failure_tolerance, max_null_rate);
   experiment one;
-  one.old_version = failures_of(route.old_version);
+  double answers = 0.0;
+  double failures = 0.0;
   for (const evidence_row& endpoint : route.endpoints) {
-    one.endpoints.push_back(failures_of(endpoint));
+    one.endpoints.push_back(failure_ratios(endpoint, null_rate));
+    answers += endpoint.answers;
+    failures += endpoint.failures;
   }
-  // Adding two failures and two successes keeps the estimate away from zero if there are few
-  // results.
-  const double rate = (one.old_version.events + 2.0) / (one.old_version.trials + 4.0);
-  one.null_rate = std::min(rate + failure_tolerance, 0.98);
+  one.old_results = old_version.answers;
+  one.old_rate = old_version.failures / std::max(1.0, one.old_results);
+  one.new_rate = failures / std::max(1.0, answers);
   return one;
 }
 
@@ -130,37 +147,106 @@
   return total;
 }
 
-/// Share of times above each bucket.
-std::array<double, time_buckets> shares_above(const time_histogram& times) {
-  std::array<double, time_buckets> shares{};
+void add_times(time_histogram& sum, const time_histogram& times) {
+  for (std::size_t place = 0; place < time_buckets; ++place) {
+    sum[place] += times[place];
+  }
+}
+
+/// Probabilities of the buckets.
+using distribution = std::array<double, time_buckets>;
+
+/// The old version's distribution, with blurred bounds between the buckets.
+distribution distribution_of(const time_histogram& times) {
+  distribution shares{};
   const double total = std::max(total_of(times), 1.0);
-  double above = 0.0;
-  for (std::size_t place = time_buckets; place-- > 0;) {
-    shares[place] = above / total;
-    above += times[place];
+  for (std::size_t place = 0; place < time_buckets; ++place) {
+    const double share = times[place] / total;
+    shares[place] += share * (1.0 - 2.0 * blurred_share);
+    shares[place == 0 ? place : place - 1] += share * blurred_share;
+    shares[std::min(place + 1, time_buckets - 1)] += share * blurred_share;
   }
   return shares;
 }
 
-tally slow_of(const time_histogram& times, std::size_t bound) {
-  return {shares_above(times)[bound] * total_of(times), total_of(times)};
+/// The distribution if all times are longer by this number of buckets.
+distribution shifted(const distribution& shares, int buckets) {
+  distribution moved{};
+  for (std::size_t place = 0; place < time_buckets; ++place) {
+    moved[std::min(place + static_cast<std::size_t>(buckets), time_buckets - 1)] += shares[place];
+  }
+  return moved;
+}
+
+/// The distribution of a version that is not worse than the old one.
+distribution null_distribution(const distribution& old_version, bool has_prompts) {
+  distribution null = shifted(old_version, tolerated_buckets);
+  if (!has_prompts) {
+    return null;
+  }
+  constexpr int shortest_wait = tolerated_buckets + 1;
+  constexpr double part = waiting_share / (longest_wait - shortest_wait + 1);
+  for (double& share : null) {
+    share *= 1.0 - waiting_share;
+  }
+  for (int wait = shortest_wait; wait <= longest_wait; ++wait) {
+    const distribution waiting = shifted(old_version, wait);
+    for (std::size_t place = 0; place < time_buckets; ++place) {
+      null[place] += part * waiting[place];
+    }
+  }
+  return null;
 }
 
-/// Compares times at the bound that at most `slow_share` of the old version's exceed with those
-/// of the new version at a bound that is higher by `tolerated_buckets`.
-experiment time_experiment(const route_results& route, time_histogram evidence_row::*times) {
-  const std::array<double, time_buckets> shares = shares_above(route.old_version.*times);
-  std::size_t bound = 0;
-  while (bound + 1 + tolerated_buckets < time_buckets && shares[bound] > slow_share) {
-    ++bound;
+/// Log-likelihood ratios of alternatives with longer times.
+log_ratios time_ratios(const time_histogram& times, const distribution& old_version,
+                       const distribution& null) {
+  constexpr double unexplained = unexplained_share / time_buckets;
+  log_ratios ratios{};
+  for (std::size_t number = 0; number < ratios.size(); ++number) {
+    const distribution slow = shifted(old_version, slower[number].buckets);
+    const double share = slower[number].share;
+    for (std::size_t place = 0; place < time_buckets; ++place) {
+      const double mixed = share * slow[place] + (1.0 - share) * null[place];
+      ratios[number] +=
+          times[place] * std::log((unexplained + (1.0 - unexplained_share) * mixed) /
+                                  (unexplained + (1.0 - unexplained_share) * null[place]));
+    }
+  }
+  return ratios;
+}
+
+/// Share of the times above the bucket that contains the old version's median.
+double share_above(const time_histogram& times, std::size_t bucket) {
+  double above = 0.0;
+  for (std::size_t place = bucket + 1; place < time_buckets; ++place) {
+    above += times[place];
   }
+  return above / std::max(total_of(times), 1.0);
+}
+
+std::size_t median_bucket(const time_histogram& times) {
+  std::size_t bucket = 0;
+  while (bucket + 1 < time_buckets && share_above(times, bucket) > 0.5) {
+    ++bucket;
+  }
+  return bucket;
+}
+
+experiment time_experiment(const route_results& route, time_histogram evidence_row::*times,
+                           bool may_wait) {
+  const distribution old_version = distribution_of(route.old_version.*times);
+  const distribution null = null_distribution(old_version, may_wait);
+  time_histogram all{};
   experiment one;
-  one.old_version = slow_of(route.old_version.*times, bound);
   for (const evidence_row& endpoint : route.endpoints) {
-    one.endpoints.push_back(slow_of(endpoint.*times, bound + tolerated_buckets));
+    one.endpoints.push_back(time_ratios(endpoint.*times, old_version, null));
+    add_times(all, endpoint.*times);
   }
-  const double added = 2.0 / (one.old_version.trials + 4.0);
-  one.null_rate = std::min(shares[bound] + slow_tolerance + added, 0.98);
+  const std::size_t bucket = median_bucket(route.old_version.*times);
+  one.old_results = total_of(route.old_version.*times);
+  one.old_rate = share_above(route.old_version.*times, bucket);
+  one.new_rate = share_above(all, bucket);
   return one;
 }
 
@@ -178,29 +264,18 @@
 
 void consider(evidence_summary& summary, const experiment& one, std::uint64_t route,
               const char* kind) {
-  if (one.old_version.trials < static_cast<double>(min_old_results)) {
+  if (one.old_results < min_old_results) {
     return;
   }
-  const double evidence = supported_evidence(one);
+  const double evidence = supported_evidence(one.endpoints);
   if (evidence <= summary.against) {
     return;
   }
-  tally sum;
-  for (const tally& endpoint : one.endpoints) {
-    sum.events += endpoint.events;
-    sum.trials += endpoint.trials;
-  }
   summary.against = evidence;
   summary.route = route;
   summary.kind = kind;
-  summary.old_rate = one.old_version.events / one.old_version.trials;
-  summary.new_rate = sum.events / std::max(sum.trials, 1.0);
-}
-
-void add_times(time_histogram& sum, const time_histogram& times) {
-  for (std::size_t place = 0; place < time_buckets; ++place) {
-    sum[place] += times[place];
-  }
+  summary.old_rate = one.old_rate;
+  summary.new_rate = one.new_rate;
 }
 
 std::uint32_t difference(std::uint32_t after, std::uint32_t before) {
@@ -231,6 +306,7 @@
   }
   evidence_row& row = counts[key];
   ++row.answers;
+  row.prompts += result.has_prompt ? 1 : 0;
   if (result.failed) {
     ++row.failures;
     return;
@@ -246,6 +322,7 @@
     evidence_row& total = sum[key];
     total.answers += row.answers;
     total.failures += row.failures;
+    total.prompts += row.prompts;
     add_times(total.first, row.first);
     add_times(total.pace, row.pace);
   }
@@ -261,7 +338,8 @@
     }
     const evidence_row& earlier = place->second;
     since[key] = {difference(row.answers, earlier.answers),
-                  difference(row.failures, earlier.failures), difference(row.first, earlier.first),
+                  difference(row.failures, earlier.failures),
+                  difference(row.prompts, earlier.prompts), difference(row.first, earlier.first),
                   difference(row.pace, earlier.pace)};
   }
   return since;
@@ -299,8 +377,11 @@
     summary.least_on_route = is_first ? answers : std::min(summary.least_on_route, answers);
     is_first = false;
     consider(summary, failure_experiment(results), route, "failures");
-    consider(summary, time_experiment(results, &evidence_row::first), route, "time_to_answer");
-    consider(summary, time_experiment(results, &evidence_row::pace), route, "time_between_events");
+    const bool has_prompts = results.old_version.prompts > 0;
+    consider(summary, time_experiment(results, &evidence_row::first, has_prompts), route,
+             "time_to_answer");
+    consider(summary, time_experiment(results, &evidence_row::pace, false), route,
+             "time_between_events");
   }
   return summary;
 }
--- a/Source/Gateway/rollout_evidence.h
+++ b/Source/Gateway/rollout_evidence.h
@@ -31,6 +31,8 @@
   std::uint32_t answers = 0;
   /// Answers that were errors of the endpoint.
   std::uint32_t failures = 0;
+  /// Answers to requests with a prompt.
+  std::uint32_t prompts = 0;
   /// Time to the answer or to the first event, by the work of reading the prompt.
   time_histogram first{};
   /// Mean time between two events of a stream.
@@ -52,6 +54,7 @@
 /// One answered request.
 struct evidence_result {
   bool failed = false;
+  bool has_prompt = false;
   std::chrono::nanoseconds first{0};
   std::uint32_t tokens_to_read = 0;
   /// Events and the time from the first to the last one; unused below `min_paced_events`.
@@ -95,11 +98,11 @@
 /// Evidence needed to reject a version while it is tried. The tests may be repeated any
 /// number of times: the probability that a likelihood ratio ever exceeds x under the null
 /// hypothesis is at most 1/x (Ville's inequality; Robbins 1970 on mixture tests).
-inline constexpr double evidence_to_reject = 9.2;
+inline constexpr double evidence_to_reject = 7.6;
 /// Most that the half of the endpoints with the strongest evidence may add to that of the
 /// others, so that a few faulty endpoints do not stand for their version.
-inline constexpr double evidence_of_some_endpoints = 6.2;
+inline constexpr double evidence_of_some_endpoints = 5.0;
 /// Evidence with which a version is not completed, although it is not rejected earlier.
-inline constexpr double evidence_to_doubt = 4.6;
+inline constexpr double evidence_to_doubt = 3.5;
 
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/rollout_schedule.cxx
+++ b/Source/Gateway/rollout_schedule.cxx
@@ -20,7 +20,7 @@
 constexpr double used_share = 0.92;
 constexpr double used_allowance = 0.5;
 /// Part of the exposure that the trial may use; the rest is for the shift.
-constexpr double trial_part = 0.6;
+constexpr double trial_part = 0.75;
 /// Fewest new endpoints of a trial: the faults of a few must be told from their version's.
 constexpr std::size_t min_trial_endpoints = 4;
 /// Time between the pulses of a trial whose endpoints would get too few requests otherwise.
--- a/Source/Measure/rollout_fleet.cxx
+++ b/Source/Measure/rollout_fleet.cxx
@@ -540,6 +540,7 @@
   }
   gateway::evidence_result counted;
   counted.failed = answer.failed;
+  counted.has_prompt = asked.streams;
   counted.first = answer.first;
   counted.tokens_to_read = asked.own_tokens + (by_prefix ? 0 : asked.shared_tokens);
   counted.events = answer.events;
--- a/Source/Traffic/rollout_codec.cxx
+++ b/Source/Traffic/rollout_codec.cxx
@@ -10,7 +10,7 @@
 constexpr std::size_t reports_limit = 64;
 /// Fields of a report, and of a row of its evidence besides the non-zero buckets of times.
 constexpr std::size_t report_fields = 8;
-constexpr std::size_t row_fields = 6;
+constexpr std::size_t row_fields = 7;
 
 /// Writes the non-zero buckets as pairs of index and count: most rows have few.
 void write_times(field_writer& out, const gateway::time_histogram& times) {
@@ -49,6 +49,7 @@
     out.put(key.endpoint);
     out.put(row.answers);
     out.put(row.failures);
+    out.put(row.prompts);
     write_times(out, row.first);
     write_times(out, row.pace);
   }
@@ -63,6 +64,7 @@
     gateway::evidence_row& row = counts[key];
     in.get(row.answers);
     in.get(row.failures);
+    in.get(row.prompts);
     row.first = read_times(in.object());
     row.pace = read_times(in.object());
     if (counts.size() > gateway::evidence_rows_limit) {
--- a/Source/Traffic/rollout_results.cxx
+++ b/Source/Traffic/rollout_results.cxx
@@ -21,6 +21,7 @@
   const steady_time first_at = attempt.first_bytes_at.value_or(now);
   gateway::evidence_result counted;
   counted.failed = result == attempt_result::error_answer;
+  counted.has_prompt = route.has_prompt;
   counted.first = first_at - attempt.began_at;
   counted.tokens_to_read = attempt.tokens_to_read;
   counted.events = static_cast<std::uint32_t>(attempt.events);
--- a/Tests/Traffic/peer_codec_test.cxx
+++ b/Tests/Traffic/peer_codec_test.cxx
@@ -53,6 +53,7 @@
     const gateway::evidence_row& received = report.evidence.at({7, 9});
     CPPUNIT_ASSERT_EQUAL(sent.answers, received.answers);
     CPPUNIT_ASSERT_EQUAL(sent.failures, received.failures);
+    CPPUNIT_ASSERT_EQUAL(sent.prompts, received.prompts);
     CPPUNIT_ASSERT(sent.first == received.first);
     CPPUNIT_ASSERT(sent.pace == received.pace);
   }
@@ -104,6 +105,7 @@
     gateway::evidence_row& row = report.evidence[{7, 9}];
     row.answers = 300;
     row.failures = 4;
+    row.prompts = 299;
     row.first = {0, 5, 0, 290, 1};
     row.pace[11] = 70'000;
     message.rollouts = {report};
