--- a/Source/Gateway/rollout_decision.cxx
+++ b/Source/Gateway/rollout_decision.cxx
@@ -1,6 +1,7 @@
 #include "Gateway/rollout_decision.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -48,7 +49,7 @@
 
 std::string describe(const evidence_summary& found) {
   const auto percent = [](double share) {
-    return std::to_string(static_cast<int>(share * 100.0 + 0.5)) + "%";
+    return std::to_string(std::lround(share * 100.0)) + "%";
   };
   return found.kind + " on route " + std::to_string(found.route) + ": " + percent(found.new_rate) +
          " against " + percent(found.old_rate) + " of the old version";
--- a/Source/Gateway/rollout_evidence.cxx
+++ b/Source/Gateway/rollout_evidence.cxx
@@ -7,30 +7,35 @@
 
 namespace {
 
-constexpr double buckets_per_doubling = 2.0;
+constexpr double buckets_per_doubling = 3.0;
 /// Upper bound of the first bucket, for a thousandth of the work of a short request.
-constexpr double first_bucket_ms = 0.002;
+constexpr double first_bucket_ms = 0.004;
 /// Prompt tokens whose reading takes about as long as the rest of a short request.
 constexpr double tokens_of_fixed_work = 1'000.0;
 /// Upper bound of the first bucket of paces.
-constexpr double first_pace_bucket_ms = 0.5;
+constexpr double first_pace_bucket_ms = 0.8;
 
 /// Failures beyond the old version's share that are not held against the new one.
 constexpr double failure_tolerance = 0.02;
 /// Highest share of failures of the null hypothesis.
 constexpr double max_null_rate = 0.98;
-/// A new version may be slower than the old one by this number of buckets, a factor of 1.4.
+/// A new version may be slower than the old one by this number of buckets, a factor of 1.26.
 constexpr int tolerated_buckets = 1;
+/// The same for the time to the first event of a stream with a prompt, which depends on what
+/// the endpoint has cached.
+constexpr int tolerated_prompt_buckets = 2;
 /// Share of times that are explained by no hypothesis, such as waits behind long prompts.
 constexpr double unexplained_share = 0.07;
 /// Share of requests with prompts that may wait for the reading of others': the caches of new
-/// endpoints are empty. Their times are longer by 2 to `longest_wait` buckets.
+/// endpoints are empty. Their times are longer by up to `longest_wait` buckets.
 constexpr double waiting_share = 0.25;
-constexpr int longest_wait = 7;
+constexpr int longest_wait = 10;
 /// Part of a bucket's times that may belong to either neighbour.
 constexpr double blurred_share = 0.1;
-/// Old results needed before the new ones are compared with them.
-constexpr double min_old_results = 10.0;
+/// Old results needed before the new ones are compared with them, and for each new result. With
+/// fewer the evidence counts less, as the old version's distribution is an estimate.
+constexpr double min_old_results = 20.0;
+constexpr double old_results_for_each = 3.0;
 
 /// Distances of the alternatives' shares of failures from the null hypothesis to 1.
 constexpr std::array<double, 6> failing_more{0.05, 0.1, 0.2, 0.4, 0.8, 0.98};
@@ -40,7 +45,7 @@
   double share;
 };
 constexpr std::array<slower_answers, 6> slower{
-    {{2, 1.0}, {3, 1.0}, {4, 1.0}, {2, 0.5}, {4, 0.5}, {6, 0.25}}};
+    {{2, 1.0}, {3, 1.0}, {6, 1.0}, {3, 0.5}, {6, 0.5}, {8, 0.25}}};
 
 /// Logarithms of the likelihood ratios of each alternative against the null hypothesis.
 using log_ratios = std::array<double, 6>;
@@ -180,11 +185,11 @@
 
 /// The distribution of a version that is not worse than the old one.
 distribution null_distribution(const distribution& old_version, bool has_prompts) {
-  distribution null = shifted(old_version, tolerated_buckets);
   if (!has_prompts) {
-    return null;
+    return shifted(old_version, tolerated_buckets);
   }
-  constexpr int shortest_wait = tolerated_buckets + 1;
+  distribution null = shifted(old_version, tolerated_prompt_buckets);
+  constexpr int shortest_wait = tolerated_prompt_buckets + 1;
   constexpr double part = waiting_share / (longest_wait - shortest_wait + 1);
   for (double& share : null) {
     share *= 1.0 - waiting_share;
@@ -200,11 +205,13 @@
 
 /// Log-likelihood ratios of alternatives with longer times.
 log_ratios time_ratios(const time_histogram& times, const distribution& old_version,
-                       const distribution& null) {
+                       const distribution& null, bool has_prompts) {
+  // The alternatives are slower than anything that the null hypothesis tolerates.
+  const int more = has_prompts ? tolerated_prompt_buckets - tolerated_buckets : 0;
   constexpr double unexplained = unexplained_share / time_buckets;
   log_ratios ratios{};
   for (std::size_t number = 0; number < ratios.size(); ++number) {
-    const distribution slow = shifted(old_version, slower[number].buckets);
+    const distribution slow = shifted(old_version, slower[number].buckets + more);
     const double share = slower[number].share;
     for (std::size_t place = 0; place < time_buckets; ++place) {
       const double mixed = share * slow[place] + (1.0 - share) * null[place];
@@ -240,9 +247,16 @@
   time_histogram all{};
   experiment one;
   for (const evidence_row& endpoint : route.endpoints) {
-    one.endpoints.push_back(time_ratios(endpoint.*times, old_version, null));
+    one.endpoints.push_back(time_ratios(endpoint.*times, old_version, null, may_wait));
     add_times(all, endpoint.*times);
   }
+  const double needed = old_results_for_each * std::max(total_of(all), 1.0);
+  const double weight = std::min(1.0, total_of(route.old_version.*times) / needed);
+  for (log_ratios& ratios : one.endpoints) {
+    for (double& ratio : ratios) {
+      ratio *= weight;
+    }
+  }
   const std::size_t bucket = median_bucket(route.old_version.*times);
   one.old_results = total_of(route.old_version.*times);
   one.old_rate = share_above(route.old_version.*times, bucket);
--- a/Source/Gateway/rollout_evidence.h
+++ b/Source/Gateway/rollout_evidence.h
@@ -12,7 +12,7 @@
 /// beside those to the old ones at the same time, and sequential tests of their difference.
 namespace chestnuthead::gateway {
 
-/// Buckets of a histogram of times, two for each doubling.
+/// Buckets of a histogram of times, three for each doubling.
 inline constexpr std::size_t time_buckets = 24;
 using time_histogram = std::array<std::uint32_t, time_buckets>;
 
--- a/Source/Measure/rollout_experiment.cxx
+++ b/Source/Measure/rollout_experiment.cxx
@@ -80,6 +80,7 @@
 void add_median(Poco::JSON::Object& figures, const std::string& name,
                 const std::vector<const rollout_result*>& results, Value value) {
   std::vector<double> values;
+  values.reserve(results.size());
   for (const rollout_result* result : results) {
     values.push_back(value(*result));
   }
