--- a/Source/Measure/rollout_fleet.cxx
+++ b/Source/Measure/rollout_fleet.cxx
@@ -697,7 +697,9 @@
     state.fleet.gateways = this->result.gateways;
     state.fleet.load_multiple = 2.0;
     record_era(state.eras, this->era, this->queue.now() - std::chrono::minutes{1});
-    for (std::size_t other = 0; other < this->gateways.size(); ++other) {
+    // A gateway that knows no peers takes the first turn.
+    const bool takes_turns = this->setup.writer == writer_kind::turns;
+    for (std::size_t other = 0; takes_turns && other < this->gateways.size(); ++other) {
       gateway::peer& row = state.peers.rows[node_id{"gateway-" + std::to_string(other)}];
       row.received_at = this->queue.now() + std::chrono::hours{1};
     }
