--- a/Source/Gateway/rollout_evidence.cxx
+++ b/Source/Gateway/rollout_evidence.cxx
@@ -382,14 +382,7 @@
   summary.endpoints =
       static_cast<std::size_t>(std::count_if(answers_by_endpoint.begin(), answers_by_endpoint.end(),
                                              [](const auto& entry) { return entry.second > 0; }));
-  bool is_first = true;
   for (const auto& [route, results] : results_by_route(counts)) {
-    std::uint64_t answers = 0;
-    for (const evidence_row& endpoint : results.endpoints) {
-      answers += endpoint.answers;
-    }
-    summary.least_on_route = is_first ? answers : std::min(summary.least_on_route, answers);
-    is_first = false;
     consider(summary, failure_experiment(results), route, "failures");
     const bool has_prompts = results.old_version.prompts > 0;
     consider(summary, time_experiment(results, &evidence_row::first, has_prompts), route,
--- a/Source/Gateway/rollout_evidence.h
+++ b/Source/Gateway/rollout_evidence.h
@@ -84,8 +84,6 @@
   /// New endpoints that have answered requests.
   std::size_t endpoints = 0;
   std::uint64_t answers = 0;
-  /// Fewest answers of the new version on a route that has been requested.
-  std::uint64_t least_on_route = 0;
   /// The route and the kind of fault with the strongest evidence.
   std::uint64_t route = 0;
   std::string kind;
