Remove what roll-outs counted for nobody, and list reloadable settings once

Cause: read again as a newcomer would. Two suites registered on the same line number, so lint could not join the platform's tests.

--- a/Source/Gateway/rollout.cxx
+++ b/Source/Gateway/rollout.cxx
@@ -1,17 +1,16 @@
 #include "Gateway/rollout.h"
 
 #include <algorithm>
+#include <set>
 
 namespace chestnuthead::gateway {
 
 namespace {
 
-/// True if the stored record belongs to the order: the same row, or its repetition in the
-/// store's newer era.
-bool is_same_order(const rollout_record& record, const rollout_order& order) {
-  const bool same_content = record.to == order.to && record.duration == order.duration;
-  return same_content &&
-         (record.order.row_version == order.id.row_version || record.order.era != order.id.era);
+/// True if both rows are one, or the store's repetition of it in another era; their contents
+/// must be equal.
+bool is_same_row(const rollout_order_id& one, const rollout_order_id& other) {
+  return one.row_version == other.row_version || one.era != other.era;
 }
 
 void reset_progress(rollout& row) {
@@ -20,7 +19,7 @@
   row.sends = 0;
   row.sends_to_new = 0;
   row.recent_sends = 0.0;
-  row.routes.clear();
+  row.sends_by_route.clear();
   row.evidence.clear();
   row.peers.clear();
   row.peers_total.clear();
@@ -56,9 +55,8 @@
 }
 
 bool is_same_order(const rollout_order& one, const rollout_order& other) {
-  const bool same_content =
-      one.pool == other.pool && one.to == other.to && one.duration == other.duration;
-  return same_content && (one.id.row_version == other.id.row_version || one.id.era != other.id.era);
+  return one.pool == other.pool && one.to == other.to && one.duration == other.duration &&
+         is_same_row(one.id, other.id);
 }
 
 bool apply_rollout_order(rollout_table& table, const rollout_order& order, steady_time read_after,
@@ -133,7 +131,9 @@
 }
 
 bool is_record_of_order(const rollout& row) {
-  return row.record && row.order && is_same_order(*row.record, *row.order);
+  return row.record && row.order && row.record->to == row.order->to &&
+         row.record->duration == row.order->duration &&
+         is_same_row(row.record->order, row.order->id);
 }
 
 bool is_in_progress(const rollout& row) {
@@ -185,6 +185,10 @@
 
 void forget_versions(rollout_table& table, const endpoint_table& endpoints) {
   for (auto& [pool, versions] : table.versions) {
+    if (versions.size() < 2) {
+      // All listed endpoints have this version.
+      continue;
+    }
     std::set<std::string> listed;
     for (const endpoint* row : endpoints_of(endpoints, pool)) {
       listed.insert(row->listing.version);
--- a/Source/Gateway/rollout.h
+++ b/Source/Gateway/rollout.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,12 +62,6 @@
   std::vector<std::string> excluded;
 };
 
-/// Requests of one kind since the order, at this gateway.
-struct route_share {
-  std::uint64_t requests = 0;
-  std::uint64_t to_new = 0;
-};
-
 /// One pool's roll-out as seen by this gateway.
 struct rollout {
   std::optional<rollout_order> order;
@@ -96,8 +89,8 @@
   /// The same as `sends`, but with exponential decay since `recent_sends_at`.
   double recent_sends = 0.0;
   steady_time recent_sends_at{};
-  /// By hash of the route's name.
-  std::map<std::uint64_t, route_share> routes;
+  /// `sends` by hash of the route's name.
+  std::map<std::uint64_t, std::uint64_t> sends_by_route;
   /// Results at this gateway.
   evidence_counts evidence;
   /// The latest results of each peer, and the sum of all that peers have reported.
--- a/Source/Gateway/rollout_decision.cxx
+++ b/Source/Gateway/rollout_decision.cxx
@@ -160,14 +160,9 @@
     // The record may be read before the order that it belongs to.
     const bool withdrawn = row.record && row.record->phase == rollout_phase::in_progress &&
                            state.orders_as_of > row.record_read_at;
-    if (!withdrawn) {
-      return std::nullopt;
-    }
-    rollout_record record = *row.record;
-    record.phase = rollout_phase::rolled_back;
-    record.reason = "the order was withdrawn";
-    exclude(record.excluded, record.to);
-    return record;
+    return withdrawn ? std::optional(last_record(state, row, rollout_phase::rolled_back,
+                                                 "the order was withdrawn"))
+                     : std::nullopt;
   }
   if (!is_record_of_order(row)) {
     return first_record(state, row, moment);
--- a/Source/Gateway/rollout_evidence.cxx
+++ b/Source/Gateway/rollout_evidence.cxx
@@ -372,16 +372,9 @@
 
 evidence_summary summarize(const evidence_counts& counts) {
   evidence_summary summary;
-  std::map<std::uint64_t, std::uint64_t> answers_by_endpoint;
   for (const auto& [key, row] : counts) {
-    if (key.endpoint != 0) {
-      answers_by_endpoint[key.endpoint] += row.answers;
-      summary.answers += row.answers;
-    }
+    summary.answers += key.endpoint == 0 ? 0 : row.answers;
   }
-  summary.endpoints =
-      static_cast<std::size_t>(std::count_if(answers_by_endpoint.begin(), answers_by_endpoint.end(),
-                                             [](const auto& entry) { return entry.second > 0; }));
   for (const auto& [route, results] : results_by_route(counts)) {
     consider(summary, failure_experiment(results), route, "failures");
     const bool has_prompts = results.old_version.prompts > 0;
--- a/Source/Gateway/rollout_evidence.h
+++ b/Source/Gateway/rollout_evidence.h
@@ -81,8 +81,7 @@
   /// Logarithm of the likelihood ratio of "worse than the old version" against "not worse",
   /// as far as more than one endpoint supports it.
   double against = 0.0;
-  /// New endpoints that have answered requests.
-  std::size_t endpoints = 0;
+  /// Answers of the new version.
   std::uint64_t answers = 0;
   /// The route and the kind of fault with the strongest evidence.
   std::uint64_t route = 0;
--- a/Source/Gateway/rollout_schedule.cxx
+++ b/Source/Gateway/rollout_schedule.cxx
@@ -84,12 +84,13 @@
 
 /// Factor that evens out the routes' parts of the trial.
 double route_weight(const rollout& row, std::uint64_t route) {
-  const auto place = row.routes.find(route);
-  if (place == row.routes.end() || row.sends == 0) {
+  const auto place = row.sends_by_route.find(route);
+  if (place == row.sends_by_route.end()) {
     return 1.0;
   }
-  const double mean = static_cast<double>(row.sends) / static_cast<double>(row.routes.size());
-  const double own = static_cast<double>(std::max<std::uint64_t>(place->second.requests, 1));
+  const double mean =
+      static_cast<double>(row.sends) / static_cast<double>(row.sends_by_route.size());
+  const auto own = static_cast<double>(place->second);
   return std::clamp(mean / own, min_route_weight, max_route_weight);
 }
 
@@ -142,9 +143,9 @@
     return false;
   }
   double part = 1.0;
-  const auto place = row.routes.find(hash_text(route.name));
-  if (place != row.routes.end() && row.sends > 0) {
-    part = static_cast<double>(place->second.requests) / static_cast<double>(row.sends);
+  const auto place = row.sends_by_route.find(hash_text(route.name));
+  if (place != row.sends_by_route.end()) {
+    part = static_cast<double>(place->second) / static_cast<double>(row.sends);
   }
   return left >= seen.reserve + seen.rate * part * std::max(time_left.count(), 0.0);
 }
@@ -267,17 +268,12 @@
     return;
   }
   rollout& found = place->second;
-  const bool is_new = row.listing.version == found.order->to;
-  route_share& share = found.routes[hash_text(route.name)];
   ++found.sends;
+  ++found.sends_by_route[hash_text(route.name)];
   found.recent_sends =
       decayed(found.recent_sends, found.recent_sends_at, recent_sends_half_life, now) + 1.0;
   found.recent_sends_at = now;
-  ++share.requests;
-  if (is_new) {
-    ++found.sends_to_new;
-    ++share.to_new;
-  }
+  found.sends_to_new += row.listing.version == found.order->to ? 1 : 0;
 }
 
 }  // namespace chestnuthead::gateway
--- a/Source/Measure/rollout_fleet.cxx
+++ b/Source/Measure/rollout_fleet.cxx
@@ -293,7 +293,6 @@
 
 void rollout_fleet::write(std::size_t number, const gateway::rollout_step& step) {
   const steady_time now = this->queue.now();
-  ++this->result.store_writes;
   this->gateways[number].write_pending = true;
   const milliseconds delay =
       now < this->store_slow_until ? this->draw(slow_store_call) : this->draw(store_call);
@@ -532,10 +531,8 @@
     answer.first = milliseconds{5};
   } else {
     this->count_arrival(row);
-    const std::size_t cached = row.cache.size();
     answer = answer_request(row, this->service, asked, prefix, this->fault_at(place, kind),
                             this->random, now);
-    this->result.prefixes_read += row.is_new && row.cache.size() > cached ? 1 : 0;
     ++row.running;
   }
   gateway::evidence_result counted;
--- a/Source/Measure/rollout_fleet.h
+++ b/Source/Measure/rollout_fleet.h
@@ -45,9 +45,6 @@
   /// that can't be resumed.
   std::uint64_t broken_off = 0;
   std::uint64_t not_resumable = 0;
-  /// Prefixes that new endpoints had to read.
-  std::uint64_t prefixes_read = 0;
-  std::uint64_t store_writes = 0;
   std::uint64_t refused_writes = 0;
 };
 
--- a/Source/Traffic/attempt_log.h
+++ b/Source/Traffic/attempt_log.h
@@ -33,8 +33,10 @@
   std::string_view result;
   /// HTTP status of the endpoint's answer; 0 if none was received.
   int status = 0;
-  /// Events of the endpoint's stream.
+  /// Stream events forwarded to the caller, those of earlier attempts included.
   std::uint64_t events = 0;
+  /// Those of earlier attempts.
+  std::uint64_t events_before = 0;
   /// When the first and the latest bytes of the answer were forwarded.
   std::optional<steady_time> first_bytes_at;
   std::optional<steady_time> last_bytes_at;
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -115,6 +115,7 @@
   record.load = load_of(row);
   record.load_bound = chosen.load_bound;
   record.holders = this->hints.holders.size();
+  record.events_before = this->events.events;
   record.version_choice = this->version_choice;
   record.tokens_to_read =
       tokens_to_read(this->request, chosen.reason == gateway::choice_reason::holds_prefix);
@@ -127,7 +128,6 @@
   this->call.link = link;
   this->call.endpoint = row.listing.name;
   this->call.progress_at = now;
-  this->call.events_before = this->events.events;
   begin_request(row, pool, this->context.state.fleet, now);
   count_send(this->context.state.rollouts, row, *this->admitted->taken_route, now);
   if (this->history.sends > 0) {
@@ -248,12 +248,10 @@
     return;
   }
   end_request(*row);
-  attempt_record attempt = this->attempts.back();
-  attempt.events = this->events.events - this->call.events_before;
   const bool executed = !this->call.answer.not_executed && !this->call.answer.wrong_endpoint;
   if (executed) {
-    count_rollout_result(this->context.state.rollouts, *row, *this->admitted->taken_route, attempt,
-                         result, this->context.time.now());
+    count_rollout_result(this->context.state.rollouts, *row, *this->admitted->taken_route,
+                         this->attempts.back(), result);
   }
   const double peers =
       failing_share(endpoints_of(this->context.state.endpoints, this->admitted->taken_pool->name));
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -76,8 +76,6 @@
     bool answered = false;
     /// The call has waited so long that this was counted against its endpoint.
     bool long_wait_reported = false;
-    /// Events of the request's earlier attempts.
-    std::uint64_t events_before = 0;
     gateway::endpoint_answer answer;
     /// The answer is forwarded to the caller while it is received.
     bool forwarding = false;
--- a/Source/Traffic/rollout_results.h
+++ b/Source/Traffic/rollout_results.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "chestnuthead/clock.h"
-
 #include "Gateway/endpoint_health.h"
 #include "Gateway/request.h"
 #include "Gateway/rollout.h"
@@ -10,11 +8,11 @@
 /// Counts the results of requests as evidence on the versions of a roll-out.
 namespace chestnuthead::traffic {
 
-/// Counts one attempt at an endpoint, which ended at `now`. Only answers count: a connection
+/// Counts one attempt at an endpoint, which has ended. Only answers count: a connection
 /// that can't be opened or breaks speaks of the endpoint or the network, not of its software.
 /// Answers of cold endpoints don't count, as they are slow under any version.
 void count_rollout_result(gateway::rollout_table& rollouts, const gateway::endpoint& row,
                           const gateway::route& route, const attempt_record& attempt,
-                          gateway::attempt_result result, steady_time now);
+                          gateway::attempt_result result);
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/settings_watch.cxx
+++ b/Source/Traffic/settings_watch.cxx
@@ -18,20 +18,27 @@
   }
 }
 
+/// Calls `visit` with the key and both values of each setting that needs no restart.
+template <class Running, class Visit>
+void visit_reloadable(Running& running, const gateway_settings& read, Visit visit) {
+  visit("stop_grace_ms", running.stop_grace, read.stop_grace);
+  visit("key_lag_ms", running.key_lag, read.key_lag);
+  visit("leaving_lag_ms", running.leaving_lag, read.leaving_lag);
+  visit("resend_share", running.resend_share, read.resend_share);
+  visit("resend_allowance", running.resend_allowance, read.resend_allowance);
+  visit("resend_window_s", running.resend_window, read.resend_window);
+  visit("exposure_share", running.exposure_share, read.exposure_share);
+  visit("exposure_allowance", running.exposure_allowance, read.exposure_allowance);
+  visit("load_multiple", running.load_multiple, read.load_multiple);
+}
+
 }  // namespace
 
 settings_change compare_settings(const gateway_settings& running, const gateway_settings& read) {
   settings_change change;
-  add_if(running.stop_grace != read.stop_grace, "stop_grace_ms", change.reloadable);
-  add_if(running.key_lag != read.key_lag, "key_lag_ms", change.reloadable);
-  add_if(running.leaving_lag != read.leaving_lag, "leaving_lag_ms", change.reloadable);
-  add_if(running.resend_share != read.resend_share, "resend_share", change.reloadable);
-  add_if(running.resend_allowance != read.resend_allowance, "resend_allowance", change.reloadable);
-  add_if(running.resend_window != read.resend_window, "resend_window_s", change.reloadable);
-  add_if(running.exposure_share != read.exposure_share, "exposure_share", change.reloadable);
-  add_if(running.exposure_allowance != read.exposure_allowance, "exposure_allowance",
-         change.reloadable);
-  add_if(running.load_multiple != read.load_multiple, "load_multiple", change.reloadable);
+  visit_reloadable(running, read, [&change](const char* key, const auto& old, const auto& now) {
+    add_if(old != now, key, change.reloadable);
+  });
   add_if(running.node != read.node, "node", change.after_restart);
   add_if(running.failure_domain != read.failure_domain, "failure_domain", change.after_restart);
   add_if(running.region != read.region, "region", change.after_restart);
@@ -44,15 +51,7 @@
 }
 
 void apply_reloadable(gateway_settings& running, const gateway_settings& read) {
-  running.stop_grace = read.stop_grace;
-  running.key_lag = read.key_lag;
-  running.leaving_lag = read.leaving_lag;
-  running.resend_share = read.resend_share;
-  running.resend_allowance = read.resend_allowance;
-  running.resend_window = read.resend_window;
-  running.exposure_share = read.exposure_share;
-  running.exposure_allowance = read.exposure_allowance;
-  running.load_multiple = read.load_multiple;
+  visit_reloadable(running, read, [](const char*, auto& old, const auto& now) { old = now; });
 }
 
 settings_watch::settings_watch(std::string file, std::string text)
--- a/Tests/Platform/rollout_writer_test.cxx
+++ b/Tests/Platform/rollout_writer_test.cxx
@@ -26,6 +26,7 @@
 
 }  // namespace
 
+/// The rows of roll-outs, and the calls that the writer makes.
 class rollout_writer_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(rollout_writer_test);
   CPPUNIT_TEST(order_is_decoded);
--- a/Tests/Traffic/rollout_results_test.cxx
+++ b/Tests/Traffic/rollout_results_test.cxx
@@ -55,7 +55,8 @@
   }
 
   void events_are_timed() {
-    this->attempt.events = 11;
+    this->attempt.events_before = 4;
+    this->attempt.events = 15;
     this->attempt.first_bytes_at = this->attempt.began_at + milliseconds{20};
     this->attempt.last_bytes_at = this->attempt.began_at + milliseconds{320};
     this->count("old-0", attempt_result::answered);
@@ -67,9 +68,9 @@
 
  private:
   void count(const std::string& endpoint, attempt_result result) {
-    count_rollout_result(
-        this->state.rollouts, *find_endpoint(this->state.endpoints, endpoint_id{endpoint}),
-        gateway::chat_route(), this->attempt, result, this->attempt.began_at + milliseconds{400});
+    count_rollout_result(this->state.rollouts,
+                         *find_endpoint(this->state.endpoints, endpoint_id{endpoint}),
+                         gateway::chat_route(), this->attempt, result);
   }
 
   gateway::evidence_counts& counts() {
@@ -79,6 +80,7 @@
   static attempt_record begun_attempt() {
     attempt_record begun;
     begun.began_at = gateway::test_start + std::chrono::seconds{1};
+    begun.ended_at = begun.began_at + milliseconds{400};
     return begun;
   }
 
