Log and count what kept a request from another endpoint

Cause: request_ended said how the last attempt ended, but not whether executions, sends, the retry budget or endpoints were missing, so the hypotheses on lost answers couldn't be told apart. Change: obstacle_to_resend names the first obstacle; after_attempt decides by it as before. request_ended carries not_resent, and chestnuthead_requests_not_resent_total counts it. Before: the test of the log line fails.

--- a/Source/Gateway/attempt_rules.cxx
+++ b/Source/Gateway/attempt_rules.cxx
@@ -52,16 +52,6 @@
   return sum;
 }
 
-bool may_execute_again(const route& route, const attempt_history& history) {
-  if (history.executions == 0) {
-    return true;
-  }
-  if (history.executions >= route.max_attempts) {
-    return false;
-  }
-  return route.executions == execution_limit::idempotent;
-}
-
 next_step give_up(const attempt_history& history, attempt_end end) {
   if (history.answer_begun) {
     return next_step::cut;
@@ -74,14 +64,45 @@
 
 }  // namespace
 
-next_step after_attempt(const route& route, const attempt_history& history, attempt_end end,
-                        bool budget_left) {
-  const bool sends_left = history.sends < route.max_attempts + sends_for_rejections;
-  const bool may_continue = !history.answer_begun || route.resumable;
-  if (sends_left && may_continue && budget_left && may_execute_again(route, history)) {
-    return next_step::try_another;
+std::string_view name_of(resend_obstacle obstacle) {
+  switch (obstacle) {
+    case resend_obstacle::none:
+      return "none";
+    case resend_obstacle::sends_used:
+      return "sends_used";
+    case resend_obstacle::executions_used:
+      return "executions_used";
+    case resend_obstacle::not_repeatable:
+      return "not_repeatable";
+    case resend_obstacle::not_resumable:
+      return "not_resumable";
+    case resend_obstacle::no_budget:
+      return "no_budget";
+    case resend_obstacle::no_endpoint:
+      return "no_endpoint";
+  }
+  return "unknown";
+}
+
+resend_obstacle obstacle_to_resend(const route& route, const attempt_history& history,
+                                   bool budget_left) {
+  if (history.executions > 0 && route.executions != execution_limit::idempotent) {
+    return resend_obstacle::not_repeatable;
+  }
+  if (history.answer_begun && !route.resumable) {
+    return resend_obstacle::not_resumable;
+  }
+  if (history.executions > 0 && history.executions >= route.max_attempts) {
+    return resend_obstacle::executions_used;
   }
-  return give_up(history, end);
+  if (history.sends >= route.max_attempts + sends_for_rejections) {
+    return resend_obstacle::sends_used;
+  }
+  return budget_left ? resend_obstacle::none : resend_obstacle::no_budget;
+}
+
+next_step after_attempt(resend_obstacle obstacle, const attempt_history& history, attempt_end end) {
+  return obstacle == resend_obstacle::none ? next_step::try_another : give_up(history, end);
 }
 
 std::chrono::milliseconds silence_limit(const route& route, bool has_prompt, bool answer_begun) {
--- a/Source/Gateway/attempt_rules.h
+++ b/Source/Gateway/attempt_rules.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <string_view>
 
 #include "chestnuthead/clock.h"
 #include "chestnuthead/error_kind.h"
@@ -51,10 +52,32 @@
 /// Sends allowed beyond `max_attempts` after rejections by endpoints.
 inline constexpr std::uint32_t sends_for_rejections = 2;
 
-/// Decides the next step. `budget_left` is true if the pool's retry budget allows one
-/// more send.
-next_step after_attempt(const route& route, const attempt_history& history, attempt_end end,
-                        bool budget_left);
+/// Why a request can't be sent to another endpoint.
+enum class resend_obstacle : std::uint8_t {
+  none,
+  /// It was sent as often as its route allows.
+  sends_used,
+  /// As many endpoints may have executed it as its route allows.
+  executions_used,
+  /// It may run at most once, and may have run.
+  not_repeatable,
+  /// Part of the answer was forwarded, and the route's answers can't be resumed.
+  not_resumable,
+  /// The pool's retry budget is used up.
+  no_budget,
+  /// No other endpoint can take it.
+  no_endpoint,
+};
+
+std::string_view name_of(resend_obstacle obstacle);
+
+/// The first obstacle to sending the request to another endpoint, apart from whether there is
+/// one. `budget_left` is true if the pool's retry budget allows one more send.
+resend_obstacle obstacle_to_resend(const route& route, const attempt_history& history,
+                                   bool budget_left);
+
+/// Decides the next step.
+next_step after_attempt(resend_obstacle obstacle, const attempt_history& history, attempt_end end);
 
 /// How long an idempotent request may receive no bytes from its endpoint before it is
 /// sent to another one. The limit is longer with a prompt: engines may be busy with long
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -209,6 +209,7 @@
     const gateway::placement_choice choice = this->choose(now);
     if (const auto* none = std::get_if<gateway::no_choice>(&choice)) {
       this->last_no_choice = *none;
+      this->not_resent = gateway::resend_obstacle::no_endpoint;
       break;
     }
     const auto& chosen = std::get<gateway::placement>(choice);
@@ -266,16 +267,21 @@
   }
 }
 
+gateway::resend_obstacle exchange::find_obstacle(steady_time now) const {
+  const gateway::gateway_state& state = this->context.state;
+  const auto budget = state.resend_budgets.find(this->admitted->taken_pool->name);
+  const bool budget_left = budget != state.resend_budgets.end() &&
+                           resend_allowed(budget->second, state.resends, state.fleet.gateways, now);
+  return obstacle_to_resend(*this->admitted->taken_route, this->history, budget_left);
+}
+
 void exchange::continue_after(attempt_end end) {
   if (end == attempt_end::not_executed) {
     --this->history.executions;
   }
-  const gateway::pool& pool = *this->admitted->taken_pool;
   const steady_time now = this->context.time.now();
-  const bool budget =
-      resend_allowed(this->context.state.resend_budgets[pool.name], this->context.state.resends,
-                     this->context.state.fleet.gateways, now);
-  switch (after_attempt(*this->admitted->taken_route, this->history, end, budget)) {
+  this->not_resent = this->find_obstacle(now);
+  switch (after_attempt(this->not_resent, this->history, end)) {
     case next_step::try_another:
       this->send_to_endpoint();
       return;
@@ -634,6 +640,7 @@
     fields.push_back({"reason", std::string(last.result)});
     fields.push_back({"endpoint_status", std::int64_t{last.status}});
     fields.push_back({"events", static_cast<std::int64_t>(last.events)});
+    fields.push_back({"not_resent", std::string(name_of(this->not_resent))});
   }
   if (this->first_bytes_at) {
     fields.push_back(
@@ -652,6 +659,11 @@
   const steady_time now = this->context.time.now();
   this->context.metrics.count("chestnuthead_requests_total",
                               this->pool_label() + ",outcome=\"" + std::string(outcome) + "\"");
+  if (outcome != "answered" && this->not_resent != gateway::resend_obstacle::none) {
+    this->context.metrics.count(
+        "chestnuthead_requests_not_resent_total",
+        this->pool_label() + ",obstacle=\"" + std::string(name_of(this->not_resent)) + "\"");
+  }
   this->context.metrics.observe("chestnuthead_request_seconds", this->pool_label(),
                                 now - this->arrived_at);
   if (this->is_logged(outcome, now)) {
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -105,6 +105,8 @@
   void suspect_crash();
   /// Counts a long wait against the endpoint, at most once for each call.
   void report_long_wait(steady_time now);
+  /// `gateway::obstacle_to_resend` now.
+  [[nodiscard]] gateway::resend_obstacle find_obstacle(steady_time now) const;
   /// Takes the next step after an attempt: a retry, or an answer to the caller.
   void continue_after(gateway::attempt_end end);
   void start_forwarding();
@@ -142,6 +144,8 @@
   call_state call;
   gateway::event_splitter events;
   gateway::no_choice last_no_choice = gateway::no_choice::none_in_service;
+  /// Why the request was not sent to another endpoint after its latest attempt.
+  gateway::resend_obstacle not_resent = gateway::resend_obstacle::none;
   /// Headers and status of the answer that is being forwarded.
   std::string stream_headers;
   int stream_status = 0;
--- a/Tests/Gateway/attempt_rules_test.cxx
+++ b/Tests/Gateway/attempt_rules_test.cxx
@@ -24,14 +24,14 @@
   void at_most_once_requests_that_may_have_run_are_not_resent() {
     for_all([](const route& way, const attempt_history& history, attempt_end end, bool budget) {
       if (way.executions == execution_limit::at_most_once && history.executions > 0) {
-        CPPUNIT_ASSERT(after_attempt(way, history, end, budget) != next_step::try_another);
+        CPPUNIT_ASSERT(step_after(way, history, end, budget) != next_step::try_another);
       }
     });
   }
 
   void only_requests_that_have_not_run_are_refused() {
     for_all([](const route& way, const attempt_history& history, attempt_end end, bool budget) {
-      if (after_attempt(way, history, end, budget) == next_step::refuse) {
+      if (step_after(way, history, end, budget) == next_step::refuse) {
         CPPUNIT_ASSERT_EQUAL(0U, history.executions);
         CPPUNIT_ASSERT(!history.answer_begun);
       }
@@ -41,7 +41,7 @@
   void a_partial_answer_is_cut_or_continued() {
     for_all([](const route& way, const attempt_history& history, attempt_end end, bool budget) {
       if (history.answer_begun) {
-        const next_step step = after_attempt(way, history, end, budget);
+        const next_step step = step_after(way, history, end, budget);
         CPPUNIT_ASSERT(step == next_step::cut || (step == next_step::try_another && way.resumable));
       }
     });
@@ -49,7 +49,7 @@
 
   void no_request_runs_more_often_than_its_route_allows() {
     for_all([](const route& way, const attempt_history& history, attempt_end end, bool budget) {
-      if (after_attempt(way, history, end, budget) == next_step::try_another) {
+      if (step_after(way, history, end, budget) == next_step::try_another) {
         CPPUNIT_ASSERT(history.executions < way.max_attempts);
       }
     });
@@ -61,7 +61,7 @@
     do {
       ++history.sends;
       ++sends;
-    } while (after_attempt(payment_route(), history, attempt_end::not_executed, true) ==
+    } while (step_after(payment_route(), history, attempt_end::not_executed, true) ==
              next_step::try_another);
     CPPUNIT_ASSERT_EQUAL(1 + static_cast<int>(sends_for_rejections), sends);
   }
@@ -113,6 +113,11 @@
   }
 
  private:
+  static next_step step_after(const route& way, const attempt_history& history, attempt_end end,
+                              bool budget) {
+    return after_attempt(obstacle_to_resend(way, history, budget), history, end);
+  }
+
   /// Calls `check` for every combination of inputs that the rules distinguish.
   template <class Check>
   static void for_all(Check check) {
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(graceful_shutdown_finishes_requests_in_progress);
   CPPUNIT_TEST(callers_during_graceful_shutdown_get_an_answer);
   CPPUNIT_TEST(pending_request_is_read_before_the_idle_timeout);
+  CPPUNIT_TEST(log_names_the_obstacle_to_a_resend);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -571,14 +572,16 @@
     CPPUNIT_ASSERT(caller->has_answers(2) || contains(caller->bytes, " 504 "));
   }
 
- private:
-  /// Adds a second endpoint to the plain pool.
-  static scripted_endpoint& add_plain_endpoint(traffic_harness& harness) {
-    harness.endpoints.push_back(std::make_unique<scripted_endpoint>(harness.loop));
-    gateway::endpoint_listing listing = gateway::listing_of("plain-2", gateway::plain_pool);
-    listing.address = harness.endpoints.back()->address;
-    list_endpoint(harness.state.endpoints, listing, harness.time.now());
-    return *harness.endpoints.back();
+  void log_names_the_obstacle_to_a_resend() {
+    traffic_harness harness(1);
+    harness.endpoints[0]->scripts = {[](connection& caller) { caller.reset(); }};
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::chat_bytes("c1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1); }));
+    CPPUNIT_ASSERT(contains(harness.take_log(), "\"not_resent\":\"no_endpoint\""));
+    CPPUNIT_ASSERT(contains(harness.metrics.format(),
+                            "chestnuthead_requests_not_resent_total{pool=\"engines\","
+                            "obstacle=\"no_endpoint\"} 1"));
   }
 };
 
