--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -54,6 +54,9 @@
   CPPUNIT_TEST(graceful_shutdown_finishes_requests_in_progress);
   CPPUNIT_TEST(callers_during_graceful_shutdown_get_an_answer);
   CPPUNIT_TEST(pending_request_is_read_before_the_idle_timeout);
+  CPPUNIT_TEST(silent_stream_is_not_cut_if_no_other_endpoint_can_resume_it);
+  CPPUNIT_TEST(silent_stream_is_not_cut_if_the_retry_budget_is_used_up);
+  CPPUNIT_TEST(silent_call_is_not_failed_if_no_other_endpoint_can_take_it);
   CPPUNIT_TEST(log_names_the_obstacle_to_a_resend);
   CPPUNIT_TEST_SUITE_END();
 
@@ -572,6 +575,31 @@
     CPPUNIT_ASSERT(caller->has_answers(2) || contains(caller->bytes, " 504 "));
   }
 
+  void silent_stream_is_not_cut_if_no_other_endpoint_can_resume_it() {
+    traffic_harness harness(1);
+    check_silent_stream(harness);
+  }
+
+  void silent_stream_is_not_cut_if_the_retry_budget_is_used_up() {
+    traffic_harness harness(2);
+    use_up_resends(harness, gateway::engine_pool);
+    check_silent_stream(harness);
+  }
+
+  void silent_call_is_not_failed_if_no_other_endpoint_can_take_it() {
+    traffic_harness harness(1);
+    connection* open = nullptr;
+    harness.endpoints[0]->scripts = {[&open](connection& caller) { open = &caller; }};
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::chat_bytes("c1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return open != nullptr; }));
+    harness.run_for(sound_silence);
+    open->send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(1, 2) +
+               last_chunk);
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1) || caller->ended; }));
+    CPPUNIT_ASSERT_EQUAL(traffic_harness::events(1, 2), traffic_harness::unchunked(caller->bytes));
+  }
+
   void log_names_the_obstacle_to_a_resend() {
     traffic_harness harness(1);
     harness.endpoints[0]->scripts = {[](connection& caller) { caller.reset(); }};
@@ -583,6 +611,48 @@
                             "chestnuthead_requests_not_resent_total{pool=\"engines\","
                             "obstacle=\"no_endpoint\"} 1"));
   }
+
+ private:
+  /// Longer than the time after which a request is sent to another endpoint.
+  static constexpr milliseconds sound_silence{1'500};
+
+  static void use_up_resends(traffic_harness& harness, const pool_id& pool) {
+    gateway::resend_budget& budget = harness.state.resend_budgets[pool];
+    const steady_time now = harness.time.now();
+    while (resend_allowed(budget, harness.state.resends, harness.state.fleet.gateways, now)) {
+      count_resend(budget, harness.state.resends, now);
+    }
+  }
+
+  /// An endpoint falls silent between two events and goes on; the caller receives all events.
+  static void check_silent_stream(traffic_harness& harness) {
+    connection* open = nullptr;
+    for (const auto& endpoint : harness.endpoints) {
+      endpoint->scripts = {[&open](connection& caller) {
+        open = &caller;
+        caller.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(1, 2));
+      }};
+    }
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::chat_bytes("c1"));
+    const auto passed = [&] { return traffic_harness::unchunked(caller->bytes); };
+    CPPUNIT_ASSERT(harness.run_until([&] { return passed() == traffic_harness::events(1, 2); }));
+    harness.run_for(sound_silence);
+    CPPUNIT_ASSERT(!caller->ended);
+    open->send(traffic_harness::event_chunk(3, 4) + last_chunk);
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1) || caller->ended; }));
+    CPPUNIT_ASSERT_EQUAL(traffic_harness::events(1, 4), passed());
+  }
+
+ private:
+  /// Adds a second endpoint to the plain pool.
+  static scripted_endpoint& add_plain_endpoint(traffic_harness& harness) {
+    harness.endpoints.push_back(std::make_unique<scripted_endpoint>(harness.loop));
+    gateway::endpoint_listing listing = gateway::listing_of("plain-2", gateway::plain_pool);
+    listing.address = harness.endpoints.back()->address;
+    list_endpoint(harness.state.endpoints, listing, harness.time.now());
+    return *harness.endpoints.back();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(exchange_test);
