Keep a silent endpoint's call until another endpoint can take the request

What callers saw: a stream was closed in its midst, or a request was answered 502, because its endpoint had sent nothing for 1.0 to 1.2 s. The endpoint was sound and went on soon after. Cause: exchange::tick cancelled the call first and looked for a replacement afterwards. Where the retry budget was used up, no endpoint had room or the next one could not be reached, what was cancelled could not be taken back. Change: a connection to the other endpoint is opened first (standby_link) and the request moves only if nothing hinders the resend at that moment, the connection is open and the endpoint still has room. Until then the call goes on, and what its endpoint sends is forwarded.

--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -37,11 +37,15 @@
   return pool.cold_rate > 0.0 && is_cold(row, now) && now < row.next_cold_request;
 }
 
+bool is_open(const endpoint& row, const pool& pool, steady_time now) {
+  return load_of(row) < full_load(row) && !cold_rate_spent(row, pool, now);
+}
+
 std::vector<endpoint*> endpoints_with_room(const std::vector<endpoint*>& endpoints,
                                            const pool& pool, steady_time now) {
   std::vector<endpoint*> open;
   for (endpoint* row : endpoints) {
-    if (load_of(*row) < full_load(*row) && !cold_rate_spent(*row, pool, now)) {
+    if (is_open(*row, pool, now)) {
       open.push_back(row);
     }
   }
@@ -282,6 +286,11 @@
   return is_usable(row, fleet, now) && !is_paused(row, now);
 }
 
+bool has_room(const endpoint& row, const pool& pool, const version_scope& scope,
+              const fleet_view& fleet, steady_time now) {
+  return in_service(row, fleet, now) && in_scope(row, scope) && is_open(row, pool, now);
+}
+
 std::chrono::milliseconds shortest_pause(const std::vector<endpoint*>& endpoints,
                                          const fleet_view& fleet, steady_time now) {
   std::chrono::milliseconds shortest{0};
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -76,6 +76,11 @@
 /// True if new requests may be sent to the endpoint.
 bool in_service(const endpoint& row, const fleet_view& fleet, steady_time now);
 
+/// True if the endpoint can take one more request of its pool: it is in service, of a version
+/// that the request may be sent to, not full, and its cold rate is not used up.
+bool has_room(const endpoint& row, const pool& pool, const version_scope& scope,
+              const fleet_view& fleet, steady_time now);
+
 /// Time until the first pause of an endpoint that is otherwise in service ends; zero if none
 /// is paused.
 std::chrono::milliseconds shortest_pause(const std::vector<endpoint*>& endpoints,
--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -30,12 +30,29 @@
   this->listener = &receiver;
   this->request_id = call.request_id;
   this->answer_started = false;
+  this->held = false;
   this->skipping = false;
   this->call_began_at = this->owner.time.now();
   this->reader.expect_no_body(call.bodiless_answer);
   this->link.send(call.bytes);
 }
 
+void endpoint_link::hold(call_listener& receiver) {
+  this->listener = &receiver;
+  this->answer_started = false;
+  this->held = true;
+}
+
+void endpoint_link::give_back() {
+  this->listener = nullptr;
+  this->held = false;
+  if (this->link.is_open()) {
+    this->owner.release(*this);
+  } else {
+    this->owner.remove(*this);
+  }
+}
+
 void endpoint_link::abandon() {
   this->listener = nullptr;
   // A reset discards the unsent bytes: a cancelled request must not reach the endpoint after a
@@ -46,12 +63,13 @@
 
 void endpoint_link::on_open() {
   std::erase(this->owner.opening, this);
+  this->idle_until = this->owner.time.now() + default_idle - idle_margin;
 }
 
 void endpoint_link::on_bytes(std::string_view bytes) {
-  if (this->listener == nullptr) {
+  if (this->listener == nullptr || this->held) {
     // Bytes without a request: the message framing on this connection can't be relied on.
-    this->owner.remove(*this);
+    this->fail(call_failure::not_sent);
     return;
   }
   std::string_view rest = bytes;
@@ -129,7 +147,8 @@
     return;
   }
   if (!this->gone) {
-    this->fail(end == link_end::not_opened ? call_failure::not_sent : call_failure::broken);
+    const bool unsent = end == link_end::not_opened || this->held;
+    this->fail(unsent ? call_failure::not_sent : call_failure::broken);
   }
 }
 
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -74,6 +74,10 @@
 
   /// Starts a call on an idle link, or on one that is still connecting.
   void start(const endpoint_call& call, call_listener& listener);
+  /// Keeps the link for a later `start` by the same listener, which learns of its end.
+  void hold(call_listener& listener);
+  /// Returns a held link to the pool, or closes it if it is not open.
+  void give_back();
   /// Cancels the call and resets the connection, so that the endpoint stops processing it. The
   /// link must not be used afterwards, and its listener receives no further event.
   void abandon();
@@ -110,6 +114,8 @@
   call_listener* listener = nullptr;
   std::string request_id;
   bool answer_started = false;
+  /// Reserved by `hold`, without a call.
+  bool held = false;
   bool reusable = true;
   /// The message being read is an interim answer or belongs to another request, and is
   /// dropped.
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -20,6 +20,8 @@
 constexpr std::size_t buffered_answer_limit = 262'144;
 /// Unsent bytes for a slow caller from which on reading from the endpoint pauses.
 constexpr std::size_t unsent_limit = 262'144;
+/// Time between two searches for an endpoint that can replace a silent one.
+constexpr milliseconds standby_retry_interval{100};
 /// Share of an endpoint's connection limit that all gateways together use.
 constexpr double connections_used = 0.9;
 
@@ -101,13 +103,16 @@
   return bytes;
 }
 
-bool exchange::open_call(const gateway::placement& chosen, steady_time now) {
-  gateway::endpoint& row = *chosen.row;
+endpoint_link* exchange::connect_to(const gateway::endpoint& row) {
   const gateway::pool& pool = *this->admitted->taken_pool;
   const double share = connections_used * pool.max_connections /
                        std::max<std::uint32_t>(this->context.state.fleet.gateways, 1);
-  endpoint_link* link = this->context.links.acquire(row.listing.name, row.listing.address,
-                                                    static_cast<std::size_t>(std::max(share, 1.0)));
+  return this->context.links.acquire(row.listing.name, row.listing.address,
+                                     static_cast<std::size_t>(std::max(share, 1.0)));
+}
+
+void exchange::begin_attempt(const gateway::placement& chosen, steady_time now) {
+  const gateway::endpoint& row = *chosen.row;
   this->call = call_state{};
   attempt_record record;
   record.endpoint = row.listing.name;
@@ -121,11 +126,23 @@
       tokens_to_read(this->request, chosen.reason == gateway::choice_reason::holds_prefix);
   record.began_at = now;
   this->attempts.push_back(std::move(record));
+}
+
+bool exchange::open_call(const gateway::placement& chosen, steady_time now) {
+  endpoint_link* link = this->connect_to(*chosen.row);
+  this->begin_attempt(chosen, now);
   if (link == nullptr) {
     this->end_attempt("no_connection");
     return false;
   }
-  this->call.link = link;
+  this->start_call(chosen, *link, now);
+  return true;
+}
+
+void exchange::start_call(const gateway::placement& chosen, endpoint_link& link, steady_time now) {
+  gateway::endpoint& row = *chosen.row;
+  const gateway::pool& pool = *this->admitted->taken_pool;
+  this->call.link = &link;
   this->call.endpoint = row.listing.name;
   this->call.progress_at = now;
   begin_request(row, pool, this->context.state.fleet, now);
@@ -145,9 +162,8 @@
       record_own_shorter_prefix(this->context.state.holders, {shorter, row.hash}, now);
     }
   }
-  link->start({this->encode_call(row, now), this->request.id, this->request.method == "HEAD"},
-              *this);
-  return true;
+  link.start({this->encode_call(row, now), this->request.id, this->request.method == "HEAD"},
+             *this);
 }
 
 void exchange::find_shorter_holders(steady_time now) {
@@ -195,9 +211,7 @@
   return choice;
 }
 
-void exchange::send_to_endpoint() {
-  const steady_time now = this->context.time.now();
-  const gateway::pool& pool = *this->admitted->taken_pool;
+void exchange::update_hints(steady_time now) {
   this->hints.expected_arrivals = this->expected_arrivals(now);
   if (!this->request.prompt.empty()) {
     const gateway::prefix_holders& holders = this->context.state.holders;
@@ -205,6 +219,15 @@
     this->hints.expected_with_prefix =
         use_rate(holders, this->prefix, now) * this->load_staleness().count();
   }
+}
+
+void exchange::send_to_endpoint() {
+  const steady_time now = this->context.time.now();
+  const gateway::pool& pool = *this->admitted->taken_pool;
+  this->update_hints(now);
+  if (this->use_standby(now)) {
+    return;
+  }
   while (true) {
     const gateway::placement_choice choice = this->choose(now);
     if (const auto* none = std::get_if<gateway::no_choice>(&choice)) {
@@ -254,14 +277,18 @@
     count_rollout_result(this->context.state.rollouts, *row, *this->admitted->taken_route,
                          this->attempts.back(), result);
   }
-  const double peers =
-      failing_share(endpoints_of(this->context.state.endpoints, this->admitted->taken_pool->name));
-  const bool was_set_aside = is_ejected(*row, this->context.time.now());
-  note_result(*row, result, peers, this->context.time.now());
-  if (!was_set_aside && is_ejected(*row, this->context.time.now())) {
-    this->context.links.drop_idle(row->listing.name);
+  this->note_health(*row, result);
+}
+
+void exchange::note_health(gateway::endpoint& row, attempt_result result) {
+  const steady_time now = this->context.time.now();
+  const double peers = failing_share(endpoints_of(this->context.state.endpoints, row.listing.pool));
+  const bool was_set_aside = is_ejected(row, now);
+  note_result(row, result, peers, now);
+  if (!was_set_aside && is_ejected(row, now)) {
+    this->context.links.drop_idle(row.listing.name);
     this->context.log.write(log_level::warning, "endpoint_set_aside",
-                            {{"endpoint", row->listing.name.value},
+                            {{"endpoint", row.listing.name.value},
                              {"request", this->request.id},
                              {"reason", std::string(name_of(result))}});
   }
@@ -500,11 +527,63 @@
   this->continue_after(sent ? attempt_end::unknown : attempt_end::not_executed);
 }
 
-bool exchange::may_retry_elsewhere() const {
-  const gateway::route& route = *this->admitted->taken_route;
-  return route.executions == gateway::execution_limit::idempotent &&
-         this->history.executions < route.max_attempts &&
-         (!this->history.answer_begun || route.resumable);
+void exchange::prepare_standby(steady_time now) {
+  this->next_standby_at = now + standby_retry_interval;
+  this->update_hints(now);
+  const gateway::placement_choice choice = this->choose(now);
+  const auto* chosen = std::get_if<gateway::placement>(&choice);
+  if (chosen == nullptr) {
+    return;
+  }
+  this->hints.tried.push_back(chosen->row->listing.name);
+  endpoint_link* link = this->connect_to(*chosen->row);
+  if (link != nullptr) {
+    this->standby = std::make_unique<standby_link>(*chosen, *link);
+  }
+}
+
+bool exchange::use_standby(steady_time now) {
+  const std::unique_ptr<standby_link> used = std::move(this->standby);
+  if (used == nullptr || used->has_failed()) {
+    return false;
+  }
+  gateway::endpoint* row = find_endpoint(this->context.state.endpoints, used->endpoint);
+  if (row == nullptr || !has_room(*row, *this->admitted->taken_pool, this->hints.scope,
+                                  this->context.state.fleet, now)) {
+    return false;
+  }
+  const gateway::placement chosen{row, used->reason, used->load_bound};
+  this->begin_attempt(chosen, now);
+  this->start_call(chosen, *used->take(), now);
+  return true;
+}
+
+bool exchange::move_to_another(attempt_result result, steady_time now) {
+  if (this->find_obstacle(now) != gateway::resend_obstacle::none) {
+    return false;
+  }
+  if (this->standby != nullptr && this->standby->has_failed()) {
+    if (gateway::endpoint* row =
+            find_endpoint(this->context.state.endpoints, this->standby->endpoint)) {
+      this->note_health(*row, attempt_result::unreachable);
+    }
+    this->standby.reset();
+  }
+  if (this->standby == nullptr && now >= this->next_standby_at) {
+    this->prepare_standby(now);
+  }
+  if (this->standby == nullptr || !this->standby->is_open()) {
+    return false;
+  }
+  const gateway::endpoint* row =
+      find_endpoint(this->context.state.endpoints, this->standby->endpoint);
+  if (row == nullptr || !has_room(*row, *this->admitted->taken_pool, this->hints.scope,
+                                  this->context.state.fleet, now)) {
+    this->standby.reset();
+    return false;
+  }
+  this->abandon_call(result, attempt_end::unknown);
+  return true;
 }
 
 void exchange::tick(steady_time now) {
@@ -522,17 +601,14 @@
       *this->admitted->taken_route, !this->request.prompt.empty(), this->history.answer_begun);
   const steady_time silent_since = this->call.progress_at;
   if (now - silent_since <= limit) {
+    this->standby.reset();
     return;
   }
   const bool is_silent = now - silent_since >= gateway::min_silence;
-  if (!this->may_retry_elsewhere()) {
-    if (is_silent) {
-      this->report_long_wait(now);
-    }
-    return;
+  const attempt_result result = is_silent ? attempt_result::silent : attempt_result::slow;
+  if (!this->move_to_another(result, now) && is_silent) {
+    this->report_long_wait(now);
   }
-  this->abandon_call(is_silent ? attempt_result::silent : attempt_result::slow,
-                     attempt_end::unknown);
 }
 
 void exchange::report_long_wait(steady_time now) {
@@ -656,6 +732,7 @@
 
 void exchange::conclude(std::string_view outcome, int status) {
   this->over = true;
+  this->standby.reset();
   const steady_time now = this->context.time.now();
   this->context.metrics.count("chestnuthead_requests_total",
                               this->pool_label() + ",outcome=\"" + std::string(outcome) + "\"");
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,6 +20,7 @@
 #include "Traffic/attempt_log.h"
 #include "Traffic/endpoint_link.h"
 #include "Traffic/event_loop.h"
+#include "Traffic/standby_link.h"
 #include "Traffic/traffic_context.h"
 
 namespace chestnuthead::traffic {
@@ -95,12 +97,28 @@
   [[nodiscard]] double expected_arrivals(steady_time now) const;
   /// Chooses an endpoint among those whose versions the request may be sent to.
   [[nodiscard]] gateway::placement_choice choose(steady_time now);
+  /// Updates the placement inputs that change with time.
+  void update_hints(steady_time now);
+  /// A connection to the endpoint within this gateway's share of its connections, or nullptr.
+  [[nodiscard]] endpoint_link* connect_to(const gateway::endpoint& row);
+  /// Adds an attempt at the endpoint, which becomes the present one.
+  void begin_attempt(const gateway::placement& chosen, steady_time now);
   [[nodiscard]] bool open_call(const gateway::placement& chosen, steady_time now);
+  void start_call(const gateway::placement& chosen, endpoint_link& link, steady_time now);
+  /// Sends the request on the standby connection; false if there is none that can be used.
+  [[nodiscard]] bool use_standby(steady_time now);
+  /// Moves the request to another endpoint if one can take it now. The present call goes on
+  /// until then: its endpoint may only be silent.
+  [[nodiscard]] bool move_to_another(gateway::attempt_result result, steady_time now);
+  /// Opens a connection to an endpoint that could take the request.
+  void prepare_standby(steady_time now);
   /// Records the result of the latest attempt.
   void end_attempt(std::string_view result);
   [[nodiscard]] std::string encode_call(const gateway::endpoint& row, steady_time now) const;
   /// Ends the latest attempt and applies its result to the health of its endpoint.
   void close_call(gateway::attempt_result result);
+  /// Applies the result to the endpoint's health, and logs an ejection.
+  void note_health(gateway::endpoint& row, gateway::attempt_result result);
   /// Records that the request may have crashed the endpoint.
   void suspect_crash();
   /// Counts a long wait against the endpoint, at most once for each call.
@@ -128,8 +146,6 @@
                                                       steady_time now) const;
   /// The pool as a metric label.
   [[nodiscard]] std::string pool_label() const;
-  /// True if a call that makes no progress may be replaced by one to another endpoint.
-  [[nodiscard]] bool may_retry_elsewhere() const;
 
   traffic_context& context;
   answer_sink& sink;
@@ -142,6 +158,9 @@
   /// The attempts so far, in order.
   std::vector<attempt_record> attempts;
   call_state call;
+  std::unique_ptr<standby_link> standby;
+  /// When to look for an endpoint for `standby` again.
+  steady_time next_standby_at{};
   gateway::event_splitter events;
   gateway::no_choice last_no_choice = gateway::no_choice::none_in_service;
   /// Why the request was not sent to another endpoint after its latest attempt.
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -57,6 +57,8 @@
   CPPUNIT_TEST(silent_stream_is_not_cut_if_no_other_endpoint_can_resume_it);
   CPPUNIT_TEST(silent_stream_is_not_cut_if_the_retry_budget_is_used_up);
   CPPUNIT_TEST(silent_call_is_not_failed_if_no_other_endpoint_can_take_it);
+  CPPUNIT_TEST(silent_stream_is_not_cut_if_the_other_endpoint_refuses_connections);
+  CPPUNIT_TEST(silent_stream_is_resumed_at_another_endpoint);
   CPPUNIT_TEST(log_names_the_obstacle_to_a_resend);
   CPPUNIT_TEST_SUITE_END();
 
@@ -589,7 +591,9 @@
   void silent_call_is_not_failed_if_no_other_endpoint_can_take_it() {
     traffic_harness harness(1);
     connection* open = nullptr;
-    harness.endpoints[0]->scripts = {[&open](connection& caller) { open = &caller; }};
+    // The second script is for health checks.
+    harness.endpoints[0]->scripts = {[&open](connection& caller) { open = &caller; },
+                                     [](connection& /*caller*/) {}};
     const auto caller = harness.connect();
     caller->send(traffic_harness::chat_bytes("c1"));
     CPPUNIT_ASSERT(harness.run_until([&] { return open != nullptr; }));
@@ -600,6 +604,38 @@
     CPPUNIT_ASSERT_EQUAL(traffic_harness::events(1, 2), traffic_harness::unchunked(caller->bytes));
   }
 
+  void silent_stream_is_not_cut_if_the_other_endpoint_refuses_connections() {
+    traffic_harness harness(2);
+    check_silent_stream(harness, [&harness](const connection& open) {
+      for (std::size_t engine = 0; engine < 2; ++engine) {
+        auto& endpoint = harness.endpoints[engine];
+        if (endpoint->connections.empty() || endpoint->connections.front().get() != &open) {
+          endpoint.reset();
+        }
+      }
+    });
+    CPPUNIT_ASSERT(contains(harness.take_log(), "\"reason\":\"unreachable\""));
+  }
+
+  void silent_stream_is_resumed_at_another_endpoint() {
+    traffic_harness harness(2);
+    int calls = 0;
+    for (std::size_t engine = 0; engine < 2; ++engine) {
+      harness.endpoints[engine]->scripts = {
+          [&calls](connection& caller) {
+            const int first = 1 + 2 * calls++;
+            caller.send(traffic_harness::stream_head("c1") +
+                        traffic_harness::event_chunk(first, first + 1) +
+                        (calls == 2 ? last_chunk : std::string()));
+          },
+          [](connection& /*caller*/) {}};
+    }
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::chat_bytes("c1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1) || caller->ended; }));
+    CPPUNIT_ASSERT_EQUAL(traffic_harness::events(1, 4), traffic_harness::unchunked(caller->bytes));
+  }
+
   void log_names_the_obstacle_to_a_resend() {
     traffic_harness harness(1);
     harness.endpoints[0]->scripts = {[](connection& caller) { caller.reset(); }};
@@ -625,18 +661,25 @@
   }
 
   /// An endpoint falls silent between two events and goes on; the caller receives all events.
-  static void check_silent_stream(traffic_harness& harness) {
+  /// `during` is called with its connection while it is silent.
+  static void check_silent_stream(
+      traffic_harness& harness,
+      const std::function<void(const connection&)>& during = [](auto&) {}) {
     connection* open = nullptr;
     for (const auto& endpoint : harness.endpoints) {
-      endpoint->scripts = {[&open](connection& caller) {
-        open = &caller;
-        caller.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(1, 2));
-      }};
+      // The second script is for health checks.
+      endpoint->scripts = {
+          [&open](connection& caller) {
+            open = &caller;
+            caller.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(1, 2));
+          },
+          [](connection& /*caller*/) {}};
     }
     const auto caller = harness.connect();
     caller->send(traffic_harness::chat_bytes("c1"));
     const auto passed = [&] { return traffic_harness::unchunked(caller->bytes); };
     CPPUNIT_ASSERT(harness.run_until([&] { return passed() == traffic_harness::events(1, 2); }));
+    during(*open);
     harness.run_for(sound_silence);
     CPPUNIT_ASSERT(!caller->ended);
     open->send(traffic_harness::event_chunk(3, 4) + last_chunk);
