Show that idle connections are closed on requests that lie in their sockets; listed

Each test fails on the present code:

request_in_the_socket_is_answered_before_the_idle_timeout_closes_its_connection request_in_the_socket_is_answered_before_a_stop_closes_its_connection request_on_a_new_connection_is_answered_before_a_stop_closes_it - Expression: caller->has_answers(...), the connection was closed

--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -54,6 +54,9 @@
   CPPUNIT_TEST(graceful_shutdown_finishes_requests_in_progress);
   CPPUNIT_TEST(callers_during_graceful_shutdown_get_an_answer);
   CPPUNIT_TEST(pending_request_is_read_before_the_idle_timeout);
+  CPPUNIT_TEST(request_in_the_socket_is_answered_before_the_idle_timeout_closes_its_connection);
+  CPPUNIT_TEST(request_in_the_socket_is_answered_before_a_stop_closes_its_connection);
+  CPPUNIT_TEST(request_on_a_new_connection_is_answered_before_a_stop_closes_it);
   CPPUNIT_TEST(silent_stream_is_not_cut_if_no_other_endpoint_can_resume_it);
   CPPUNIT_TEST(silent_stream_is_not_cut_if_the_retry_budget_is_used_up);
   CPPUNIT_TEST(silent_call_is_not_failed_if_no_other_endpoint_can_take_it);
@@ -577,6 +580,37 @@
     CPPUNIT_ASSERT(caller->has_answers(2) || contains(caller->bytes, " 504 "));
   }
 
+  void request_in_the_socket_is_answered_before_the_idle_timeout_closes_its_connection() {
+    traffic_harness harness;
+    const auto caller = connect_idle(harness);
+    caller->send(traffic_harness::payment_bytes("p2"));
+    harness.server->tick(harness.time.now() + std::chrono::seconds{16});
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(2) || caller->ended; }));
+    CPPUNIT_ASSERT(caller->has_answers(2));
+  }
+
+  void request_in_the_socket_is_answered_before_a_stop_closes_its_connection() {
+    traffic_harness harness;
+    const auto caller = connect_idle(harness);
+    begin_closing_idle(harness, *caller);
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(2) || caller->ended; }));
+    CPPUNIT_ASSERT(caller->has_answers(2));
+    CPPUNIT_ASSERT(contains(caller->bytes, "HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->ended; }));
+  }
+
+  void request_on_a_new_connection_is_answered_before_a_stop_closes_it() {
+    traffic_harness harness;
+    const auto caller = harness.connect();
+    // The connection is accepted; nothing was read from it yet.
+    harness.loop.run_once(milliseconds{100});
+    harness.loop.run_once(milliseconds{100});
+    begin_closing_idle(harness, *caller);
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1) || caller->ended; }));
+    CPPUNIT_ASSERT(caller->has_answers(1));
+    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 503 "));
+  }
+
   void silent_stream_is_not_cut_if_no_other_endpoint_can_resume_it() {
     traffic_harness harness(1);
     check_silent_stream(harness);
@@ -652,6 +686,27 @@
   /// Longer than the time after which a request is sent to another endpoint.
   static constexpr milliseconds sound_silence{1'500};
 
+  /// A caller whose first request was answered.
+  static std::unique_ptr<test_caller> connect_idle(traffic_harness& harness) {
+    harness.plain->scripts = {
+        [](connection& caller) { caller.send(traffic_harness::answer_bytes("p1", "one")); },
+        [](connection& caller) { caller.send(traffic_harness::answer_bytes("p2", "two")); }};
+    auto caller = harness.connect();
+    caller->send(traffic_harness::payment_bytes("p1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1); }));
+    return caller;
+  }
+
+  /// A stop has come to the point at which idle connections are closed, while a request of the
+  /// caller lies in the socket.
+  static void begin_closing_idle(traffic_harness& harness, test_caller& caller) {
+    constexpr std::chrono::seconds grace{8};
+    const steady_time stopped_at = harness.time.now() - grace / 2;
+    harness.server->begin_stop(grace, stopped_at);
+    caller.send(traffic_harness::payment_bytes("p2"));
+    harness.server->tick(harness.time.now());
+  }
+
   static void use_up_resends(traffic_harness& harness, const pool_id& pool) {
     gateway::resend_budget& budget = harness.state.resend_budgets[pool];
     const steady_time now = harness.time.now();
