Check again what a held connection leads to before a request moves to it

Cause: the connection held for a silent endpoint's request outlived what it was chosen by. Change: an endpoint counts as tried once it is sent to or can't be reached; pool, address and versions are compared at the moment of use; nothing is held while a resend is not allowed.

--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -47,7 +47,9 @@
   this->listener = nullptr;
   this->held = false;
   if (this->link.is_open()) {
-    this->owner.release(*this);
+    // Holding it was no use, so an older connection stays idle since its last call.
+    this->idle_since = std::max(this->idle_since, this->began_at);
+    this->owner.idle[this->name].push_back(this);
   } else {
     this->owner.remove(*this);
   }
@@ -69,7 +71,7 @@
 void endpoint_link::on_bytes(std::string_view bytes) {
   if (this->listener == nullptr || this->held) {
     // Bytes without a request: the message framing on this connection can't be relied on.
-    this->fail(call_failure::not_sent);
+    this->fail(call_failure::not_an_answer);
     return;
   }
   std::string_view rest = bytes;
@@ -147,8 +149,7 @@
     return;
   }
   if (!this->gone) {
-    const bool unsent = end == link_end::not_opened || this->held;
-    this->fail(unsent ? call_failure::not_sent : call_failure::broken);
+    this->fail(end == link_end::not_opened ? call_failure::not_sent : call_failure::broken);
   }
 }
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -189,19 +189,26 @@
          this->load_staleness().count();
 }
 
-gateway::placement_choice exchange::choose(steady_time now) {
+void exchange::update_scope(steady_time now) {
   const gateway::gateway_state& state = this->context.state;
   const gateway::pool& pool = *this->admitted->taken_pool;
-  const std::vector<gateway::endpoint*>& endpoints = endpoints_of(state.endpoints, pool.name);
-  gateway::chosen_scope versions = choose_scope(
-      state.rollouts,
-      {endpoints, pool, *this->admitted->taken_route, this->prefix, state.fleet.gateways},
-      state.rollout_limits, this->context.random, now);
+  gateway::chosen_scope versions =
+      choose_scope(state.rollouts,
+                   {endpoints_of(state.endpoints, pool.name), pool, *this->admitted->taken_route,
+                    this->prefix, state.fleet.gateways},
+                   state.rollout_limits, this->context.random, now);
   this->version_choice = versions.choice;
   this->hints.scope = std::move(versions.scope);
+}
+
+gateway::placement_choice exchange::choose(steady_time now) {
+  const gateway::gateway_state& state = this->context.state;
+  const gateway::pool& pool = *this->admitted->taken_pool;
+  const std::vector<gateway::endpoint*>& endpoints = endpoints_of(state.endpoints, pool.name);
+  this->update_scope(now);
   gateway::placement_choice choice = choose_endpoint(endpoints, pool, this->request, this->hints,
                                                      state.fleet, this->context.random, now);
-  if (versions.choice != gateway::version_choice::settled &&
+  if (this->version_choice != gateway::version_choice::settled &&
       std::holds_alternative<gateway::no_choice>(choice)) {
     this->version_choice = gateway::version_choice::settled;
     this->hints.scope = settled_scope(state.rollouts, pool.name);
@@ -285,8 +292,13 @@
   const double peers = failing_share(endpoints_of(this->context.state.endpoints, row.listing.pool));
   const bool was_set_aside = is_ejected(row, now);
   note_result(row, result, peers, now);
-  if (!was_set_aside && is_ejected(row, now)) {
+  if (!is_ejected(row, now)) {
+    return;
+  }
+  if (!was_set_aside || result == attempt_result::silent || result == attempt_result::unreachable) {
     this->context.links.drop_idle(row.listing.name);
+  }
+  if (!was_set_aside) {
     this->context.log.write(log_level::warning, "endpoint_set_aside",
                             {{"endpoint", row.listing.name.value},
                              {"request", this->request.id},
@@ -535,24 +547,51 @@
   if (chosen == nullptr) {
     return;
   }
-  this->hints.tried.push_back(chosen->row->listing.name);
   endpoint_link* link = this->connect_to(*chosen->row);
-  if (link != nullptr) {
-    this->standby = std::make_unique<standby_link>(*chosen, *link);
+  if (link == nullptr) {
+    this->hints.tried.push_back(chosen->row->listing.name);
+    return;
+  }
+  this->standby = std::make_unique<standby_link>(*chosen, *link);
+}
+
+void exchange::drop_failed_standby() {
+  if (this->standby == nullptr || !this->standby->has_failed()) {
+    return;
+  }
+  if (this->standby->is_unreachable()) {
+    this->hints.tried.push_back(this->standby->endpoint);
+    if (gateway::endpoint* row =
+            find_endpoint(this->context.state.endpoints, this->standby->endpoint)) {
+      this->note_health(*row, attempt_result::unreachable);
+    }
   }
+  this->standby.reset();
+}
+
+gateway::endpoint* exchange::standby_endpoint(steady_time now) {
+  gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->standby->endpoint);
+  if (row == nullptr || !this->standby->leads_to(*row)) {
+    return nullptr;
+  }
+  this->update_scope(now);
+  const bool room = has_room(*row, *this->admitted->taken_pool, this->hints.scope,
+                             this->context.state.fleet, now);
+  return room ? row : nullptr;
 }
 
 bool exchange::use_standby(steady_time now) {
-  const std::unique_ptr<standby_link> used = std::move(this->standby);
-  if (used == nullptr || used->has_failed()) {
+  this->drop_failed_standby();
+  if (this->standby == nullptr) {
     return false;
   }
-  gateway::endpoint* row = find_endpoint(this->context.state.endpoints, used->endpoint);
-  if (row == nullptr || !has_room(*row, *this->admitted->taken_pool, this->hints.scope,
-                                  this->context.state.fleet, now)) {
+  gateway::endpoint* row = this->standby_endpoint(now);
+  const std::unique_ptr<standby_link> used = std::move(this->standby);
+  if (row == nullptr) {
     return false;
   }
   const gateway::placement chosen{row, used->reason, used->load_bound};
+  this->hints.tried.push_back(used->endpoint);
   this->begin_attempt(chosen, now);
   this->start_call(chosen, *used->take(), now);
   return true;
@@ -560,25 +599,17 @@
 
 bool exchange::move_to_another(attempt_result result, steady_time now) {
   if (this->find_obstacle(now) != gateway::resend_obstacle::none) {
-    return false;
-  }
-  if (this->standby != nullptr && this->standby->has_failed()) {
-    if (gateway::endpoint* row =
-            find_endpoint(this->context.state.endpoints, this->standby->endpoint)) {
-      this->note_health(*row, attempt_result::unreachable);
-    }
     this->standby.reset();
+    return false;
   }
+  this->drop_failed_standby();
   if (this->standby == nullptr && now >= this->next_standby_at) {
     this->prepare_standby(now);
   }
   if (this->standby == nullptr || !this->standby->is_open()) {
     return false;
   }
-  const gateway::endpoint* row =
-      find_endpoint(this->context.state.endpoints, this->standby->endpoint);
-  if (row == nullptr || !has_room(*row, *this->admitted->taken_pool, this->hints.scope,
-                                  this->context.state.fleet, now)) {
+  if (this->standby_endpoint(now) == nullptr) {
     this->standby.reset();
     return false;
   }
@@ -606,7 +637,9 @@
   }
   const bool is_silent = now - silent_since >= gateway::min_silence;
   const attempt_result result = is_silent ? attempt_result::silent : attempt_result::slow;
-  if (!this->move_to_another(result, now) && is_silent) {
+  // While a connection to another endpoint is being opened, the present one is not reported: its
+  // result follows as soon as the request moves.
+  if (!this->move_to_another(result, now) && is_silent && this->standby == nullptr) {
     this->report_long_wait(now);
   }
 }
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -95,6 +95,8 @@
   [[nodiscard]] std::chrono::duration<double> load_staleness() const;
   /// `gateway::placement_hints::expected_arrivals` for the request's pool.
   [[nodiscard]] double expected_arrivals(steady_time now) const;
+  /// Chooses the versions that the request may be sent to.
+  void update_scope(steady_time now);
   /// Chooses an endpoint among those whose versions the request may be sent to.
   [[nodiscard]] gateway::placement_choice choose(steady_time now);
   /// Updates the placement inputs that change with time.
@@ -105,6 +107,8 @@
   void begin_attempt(const gateway::placement& chosen, steady_time now);
   [[nodiscard]] bool open_call(const gateway::placement& chosen, steady_time now);
   void start_call(const gateway::placement& chosen, endpoint_link& link, steady_time now);
+  /// The endpoint to which the standby connection leads, if it can take the request now.
+  [[nodiscard]] gateway::endpoint* standby_endpoint(steady_time now);
   /// Sends the request on the standby connection; false if there is none that can be used.
   [[nodiscard]] bool use_standby(steady_time now);
   /// Moves the request to another endpoint if one can take it now. The present call goes on
@@ -112,6 +116,7 @@
   [[nodiscard]] bool move_to_another(gateway::attempt_result result, steady_time now);
   /// Opens a connection to an endpoint that could take the request.
   void prepare_standby(steady_time now);
+  void drop_failed_standby();
   /// Records the result of the latest attempt.
   void end_attempt(std::string_view result);
   [[nodiscard]] std::string encode_call(const gateway::endpoint& row, steady_time now) const;
--- a/Source/Traffic/standby_link.cxx
+++ b/Source/Traffic/standby_link.cxx
@@ -8,6 +8,8 @@
     : endpoint(placement.row->listing.name),
       reason(placement.reason),
       load_bound(placement.load_bound),
+      pool(placement.row->listing.pool),
+      address(placement.row->listing.address),
       link(&connection) {
   this->link->hold(*this);
 }
@@ -22,6 +24,10 @@
   return this->link != nullptr && this->link->is_open();
 }
 
+bool standby_link::leads_to(const gateway::endpoint& row) const {
+  return row.listing.pool == this->pool && row.listing.address == this->address;
+}
+
 endpoint_link* standby_link::take() {
   return std::exchange(this->link, nullptr);
 }
@@ -31,7 +37,8 @@
 void standby_link::on_answer_body(std::string_view /*bytes*/) {}
 void standby_link::on_answer_end() {}
 
-void standby_link::on_call_failed(call_failure /*failure*/) {
+void standby_link::on_call_failed(call_failure failure) {
+  this->unreachable = failure == call_failure::not_sent;
   this->link = nullptr;
 }
 
--- a/Source/Traffic/standby_link.h
+++ b/Source/Traffic/standby_link.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <chrono>
+#include <string>
 
 #include "chestnuthead/clock.h"
 #include "chestnuthead/ids.h"
@@ -25,6 +25,12 @@
   [[nodiscard]] bool has_failed() const {
     return this->link == nullptr;
   }
+  /// The connection could not be opened.
+  [[nodiscard]] bool is_unreachable() const {
+    return this->unreachable;
+  }
+  /// True if `row` is still the endpoint to which the connection leads.
+  [[nodiscard]] bool leads_to(const gateway::endpoint& row) const;
   /// Hands the connection over to the caller of this function.
   [[nodiscard]] endpoint_link* take();
 
@@ -39,7 +45,10 @@
   double load_bound;
 
  private:
+  pool_id pool;
+  std::string address;
   endpoint_link* link;
+  bool unreachable = false;
 };
 
 }  // namespace chestnuthead::traffic
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -63,6 +63,9 @@
   CPPUNIT_TEST(silent_call_is_not_failed_if_no_other_endpoint_can_take_it);
   CPPUNIT_TEST(silent_stream_is_not_cut_if_the_other_endpoint_refuses_connections);
   CPPUNIT_TEST(silent_stream_is_resumed_at_another_endpoint);
+  CPPUNIT_TEST(endpoint_that_was_only_held_ready_can_take_the_request_later);
+  CPPUNIT_TEST(held_connection_that_its_endpoint_closes_is_no_fault);
+  CPPUNIT_TEST(held_connection_is_not_used_after_its_address_has_changed);
   CPPUNIT_TEST(log_names_the_obstacle_to_a_resend);
   CPPUNIT_TEST_SUITE_END();
 
@@ -683,6 +686,60 @@
     CPPUNIT_ASSERT_EQUAL(traffic_harness::events(1, 4), traffic_harness::unchunked(caller->bytes));
   }
 
+  void endpoint_that_was_only_held_ready_can_take_the_request_later() {
+    traffic_harness harness(2);
+    silent_pair pair(harness, [](connection& second) {
+      second.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(5, 6) +
+                  last_chunk);
+    });
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::chat_bytes("c1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return harness.links.opened() == 2; }));
+    pair.first->send(traffic_harness::event_chunk(3, 4));
+    harness.run_for(milliseconds{100});
+    pair.first->reset();
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1) || caller->ended; }));
+    CPPUNIT_ASSERT_EQUAL(traffic_harness::events(1, 6), traffic_harness::unchunked(caller->bytes));
+  }
+
+  void held_connection_that_its_endpoint_closes_is_no_fault() {
+    traffic_harness harness(2);
+    silent_pair pair(harness, [](connection& /*second*/) {});
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::chat_bytes("c1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return harness.links.opened() == 2; }));
+    use_up_resends(harness, gateway::engine_pool);
+    harness.run_for(milliseconds{50});
+    for (std::size_t engine = 0; engine < 2; ++engine) {
+      for (const auto& link : harness.endpoints[engine]->connections) {
+        if (link.get() != pair.first && !link->closed) {
+          link->finish();
+        }
+      }
+    }
+    harness.run_for(milliseconds{50});
+    harness.state.resends.allowance += 10'000;
+    harness.run_for(milliseconds{50});
+    CPPUNIT_ASSERT(!contains(harness.take_log(), "\"reason\":\"unreachable\""));
+  }
+
+  void held_connection_is_not_used_after_its_address_has_changed() {
+    traffic_harness harness(2);
+    int second_calls = 0;
+    silent_pair pair(harness, [&second_calls](connection& /*second*/) { ++second_calls; });
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::chat_bytes("c1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return harness.links.opened() == 2; }));
+    for (const char* name : {"engine-0", "engine-1"}) {
+      gateway::endpoint_listing moved =
+          find_endpoint(harness.state.endpoints, endpoint_id{name})->listing;
+      moved.pool = gateway::plain_pool;
+      list_endpoint(harness.state.endpoints, moved, harness.time.now());
+    }
+    harness.run_for(milliseconds{300});
+    CPPUNIT_ASSERT_EQUAL(0, second_calls);
+  }
+
   void log_names_the_obstacle_to_a_resend() {
     traffic_harness harness(1);
     harness.endpoints[0]->scripts = {[](connection& caller) { caller.reset(); }};
@@ -696,6 +753,26 @@
   }
 
  private:
+  /// Two engines: the one that gets the first request sends events 1 and 2 and falls silent, the
+  /// other one runs a script. Both ignore health checks.
+  struct silent_pair {
+    silent_pair(traffic_harness& harness, scripted_endpoint::script second) {
+      for (std::size_t engine = 0; engine < 2; ++engine) {
+        harness.endpoints[engine]->scripts = {
+            [this, second](connection& caller) {
+              if (this->first != nullptr) {
+                second(caller);
+                return;
+              }
+              this->first = &caller;
+              caller.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(1, 2));
+            },
+            [](connection& /*caller*/) {}};
+      }
+    }
+    connection* first = nullptr;
+  };
+
   /// Longer than the time after which a request is sent to another endpoint.
   static constexpr milliseconds sound_silence{1'500};
 
