Wait for an endpoint before cutting a stream that can be resumed

What callers saw: a stream was closed although an endpoint could have gone on with it a moment later: the one to which it had moved rejected it as full, or none had room just then. Cause: the lack of an endpoint or of retry budget at one moment was taken as final. Change: such a stream stays open without a call for up to 1 s, and an endpoint is searched for every 100 ms; endpoints that rejected it or were silent may be asked again. Budget, executions and sends limit it as before. After: both new tests pass; without any endpoint the stream is cut within 2 s.

--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -20,8 +20,11 @@
 constexpr std::size_t buffered_answer_limit = 262'144;
 /// Unsent bytes for a slow caller from which on reading from the endpoint pauses.
 constexpr std::size_t unsent_limit = 262'144;
-/// Time between two searches for an endpoint that can replace a silent one.
-constexpr milliseconds standby_retry_interval{100};
+/// Time between two searches for an endpoint that can take a request under way.
+constexpr milliseconds search_interval{100};
+/// How long a stream that has begun waits for an endpoint that can resume it. Callers tolerate
+/// pauses of two seconds.
+constexpr milliseconds longest_wait_for_endpoint{1'000};
 /// Share of an endpoint's connection limit that all gateways together use.
 constexpr double connections_used = 0.9;
 
@@ -250,8 +253,10 @@
   }
   const auto left = std::chrono::duration_cast<milliseconds>(this->admitted->deadline - now);
   if (this->history.answer_begun) {
-    this->sink.abort_answer();
-    this->conclude("cut", 0);
+    if (!this->wait_for_endpoint(now)) {
+      this->sink.abort_answer();
+      this->conclude("cut", 0);
+    }
   } else if (this->history.executions > 0) {
     this->answer_error(error_kind::retries_exhausted, {});
   } else if (this->last_no_choice == gateway::no_choice::all_paused) {
@@ -314,6 +319,34 @@
   return obstacle_to_resend(*this->admitted->taken_route, this->history, budget_left);
 }
 
+bool exchange::wait_for_endpoint(steady_time now) {
+  const bool may_change = this->not_resent == gateway::resend_obstacle::no_endpoint ||
+                          this->not_resent == gateway::resend_obstacle::no_budget;
+  if (!may_change || !this->admitted->taken_route->resumable) {
+    return false;
+  }
+  if (!this->wait_until) {
+    this->wait_until = std::min(now + longest_wait_for_endpoint, this->admitted->answer_by);
+    // Endpoints that rejected the request or were silent may be able to take it again.
+    this->hints.tried.clear();
+  }
+  this->next_search_at = now + search_interval;
+  return now < *this->wait_until;
+}
+
+void exchange::end_wait(steady_time now) {
+  if (now < this->next_search_at) {
+    return;
+  }
+  this->not_resent = this->find_obstacle(now);
+  if (this->not_resent == gateway::resend_obstacle::none) {
+    this->send_to_endpoint();
+  } else if (!this->wait_for_endpoint(now)) {
+    this->sink.abort_answer();
+    this->conclude("cut", 0);
+  }
+}
+
 void exchange::continue_after(attempt_end end) {
   if (end == attempt_end::not_executed) {
     --this->history.executions;
@@ -339,8 +372,10 @@
       this->answer_error(error_kind::endpoint_failed, {});
       return;
     case next_step::cut:
-      this->sink.abort_answer();
-      this->conclude("cut", 0);
+      if (!this->wait_for_endpoint(now)) {
+        this->sink.abort_answer();
+        this->conclude("cut", 0);
+      }
       return;
   }
 }
@@ -540,7 +575,7 @@
 }
 
 void exchange::prepare_standby(steady_time now) {
-  this->next_standby_at = now + standby_retry_interval;
+  this->next_search_at = now + search_interval;
   this->update_hints(now);
   const gateway::placement_choice choice = this->choose(now);
   const auto* chosen = std::get_if<gateway::placement>(&choice);
@@ -603,7 +638,7 @@
     return false;
   }
   this->drop_failed_standby();
-  if (this->standby == nullptr && now >= this->next_standby_at) {
+  if (this->standby == nullptr && now >= this->next_search_at) {
     this->prepare_standby(now);
   }
   if (this->standby == nullptr || !this->standby->is_open()) {
@@ -618,7 +653,13 @@
 }
 
 void exchange::tick(steady_time now) {
-  if (this->over || this->call.link == nullptr) {
+  if (this->over) {
+    return;
+  }
+  if (this->call.link == nullptr) {
+    if (this->wait_until) {
+      this->end_wait(now);
+    }
     return;
   }
   if (now >= this->admitted->answer_by) {
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -130,6 +130,11 @@
   void report_long_wait(steady_time now);
   /// `gateway::obstacle_to_resend` now.
   [[nodiscard]] gateway::resend_obstacle find_obstacle(steady_time now) const;
+  /// Keeps a stream that has begun open without a call if an endpoint may be able to resume it
+  /// soon; false if there is no such hope.
+  [[nodiscard]] bool wait_for_endpoint(steady_time now);
+  /// Searches for an endpoint again while the request waits for one.
+  void end_wait(steady_time now);
   /// Takes the next step after an attempt: a retry, or an answer to the caller.
   void continue_after(gateway::attempt_end end);
   void start_forwarding();
@@ -164,8 +169,10 @@
   std::vector<attempt_record> attempts;
   call_state call;
   std::unique_ptr<standby_link> standby;
-  /// When to look for an endpoint for `standby` again.
-  steady_time next_standby_at{};
+  /// When to search for another endpoint again.
+  steady_time next_search_at{};
+  /// Until when a stream that has begun waits for an endpoint to resume it.
+  std::optional<steady_time> wait_until;
   gateway::event_splitter events;
   gateway::no_choice last_no_choice = gateway::no_choice::none_in_service;
   /// Why the request was not sent to another endpoint after its latest attempt.
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -20,6 +20,12 @@
          "\r\nNot-Executed: 1\r\nRetry-After: 6\r\nContent-Length: 0\r\n\r\n";
 }
 
+/// A rejection by an endpoint whose queue is full.
+std::string full_answer(const std::string& id) {
+  return "HTTP/1.1 503 Busy\r\nAttempt-Id: " + id +
+         "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
 }  // namespace
 
 /// Tests requests end to end: what a caller and an endpoint receive over loopback sockets.
@@ -63,6 +69,8 @@
   CPPUNIT_TEST(silent_call_is_not_failed_if_no_other_endpoint_can_take_it);
   CPPUNIT_TEST(silent_stream_is_not_cut_if_the_other_endpoint_refuses_connections);
   CPPUNIT_TEST(silent_stream_is_resumed_at_another_endpoint);
+  CPPUNIT_TEST(stream_is_not_cut_at_once_if_its_new_endpoint_rejects_it);
+  CPPUNIT_TEST(stream_without_any_endpoint_is_cut_after_a_bounded_wait);
   CPPUNIT_TEST(endpoint_that_was_only_held_ready_can_take_the_request_later);
   CPPUNIT_TEST(held_connection_that_its_endpoint_closes_is_no_fault);
   CPPUNIT_TEST(held_connection_is_not_used_after_its_address_has_changed);
@@ -686,6 +694,40 @@
     CPPUNIT_ASSERT_EQUAL(traffic_harness::events(1, 4), traffic_harness::unchunked(caller->bytes));
   }
 
+  void stream_is_not_cut_at_once_if_its_new_endpoint_rejects_it() {
+    traffic_harness harness(2);
+    int rejections = 0;
+    silent_pair pair(harness, [&rejections](connection& second) {
+      if (rejections++ == 0) {
+        second.send(full_answer("c1"));
+      } else {
+        second.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(3, 4) +
+                    last_chunk);
+      }
+    });
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::chat_bytes("c1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1) || caller->ended; }));
+    CPPUNIT_ASSERT_EQUAL(1, std::min(rejections, 1));
+    CPPUNIT_ASSERT_EQUAL(traffic_harness::events(1, 4), traffic_harness::unchunked(caller->bytes));
+  }
+
+  void stream_without_any_endpoint_is_cut_after_a_bounded_wait() {
+    traffic_harness harness(1);
+    harness.endpoints[0]->scripts = {
+        [](connection& caller) {
+          caller.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(1, 2));
+          caller.reset();
+        },
+        [](connection& caller) { caller.reset(); }};
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::chat_bytes("c1"));
+    const steady_time began = harness.time.now();
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->ended; }));
+    CPPUNIT_ASSERT(!caller->has_answers(1));
+    CPPUNIT_ASSERT(harness.time.now() - began < milliseconds{2'000});
+  }
+
   void endpoint_that_was_only_held_ready_can_take_the_request_later() {
     traffic_harness harness(2);
     silent_pair pair(harness, [](connection& second) {
@@ -758,16 +800,18 @@
   struct silent_pair {
     silent_pair(traffic_harness& harness, scripted_endpoint::script second) {
       for (std::size_t engine = 0; engine < 2; ++engine) {
-        harness.endpoints[engine]->scripts = {
-            [this, second](connection& caller) {
-              if (this->first != nullptr) {
-                second(caller);
-                return;
-              }
-              this->first = &caller;
-              caller.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(1, 2));
-            },
-            [](connection& /*caller*/) {}};
+        harness.endpoints[engine]->scripts = {[this, &harness, engine, second](connection& caller) {
+          const auto& requests = harness.endpoints[engine]->requests;
+          if (requests.back().head.target.starts_with("/healthz")) {
+            return;
+          }
+          if (this->first != nullptr) {
+            second(caller);
+            return;
+          }
+          this->first = &caller;
+          caller.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(1, 2));
+        }};
       }
     }
     connection* first = nullptr;
