Count requests that fail together as one fault of their endpoint

What callers saw: after a second of silence of a whole pool, requests were refused for seconds though its endpoints were sound again. Cause: each request that ended as silent doubled the ejection, so six at once put the endpoint out for 8 s. Change: what fails during an ejection does not extend it; a failed health check after it does.

--- a/Source/Gateway/endpoint_health.cxx
+++ b/Source/Gateway/endpoint_health.cxx
@@ -27,6 +27,12 @@
 }
 
 void eject(endpoint_record& record, bool needs_check, steady_time now) {
+  if (now < record.ejected_until) {
+    // Requests that were sent before the ejection and fail with the same fault add nothing.
+    record.needs_check = record.needs_check || needs_check;
+    record.lost = record.lost || needs_check;
+    return;
+  }
   const std::uint32_t doublings = std::min<std::uint32_t>(record.ejections_in_row, 8);
   const auto length = std::min(max_ejection_time, min_ejection_time * (1U << doublings));
   record.ejected_until = now + length;
--- a/Tests/Gateway/endpoint_health_test.cxx
+++ b/Tests/Gateway/endpoint_health_test.cxx
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(slow_answers_alone_do_not_empty_a_pool);
   CPPUNIT_TEST(one_broken_answer_is_tolerated);
   CPPUNIT_TEST(the_ejection_time_grows_and_resets);
+  CPPUNIT_TEST(requests_that_fail_together_eject_once);
   CPPUNIT_TEST(a_peers_loss_report_requires_a_check);
   CPPUNIT_TEST(a_loss_report_is_ignored_right_after_a_good_answer);
   CPPUNIT_TEST(a_long_wait_requires_a_check);
@@ -95,6 +96,17 @@
     CPPUNIT_ASSERT(before == max_ejection_time);
   }
 
+  void requests_that_fail_together_eject_once() {
+    endpoint row = made();
+    for (int count = 0; count < 6; ++count) {
+      note_result(row, attempt_result::silent, 0.0, test_start + milliseconds{count * 10});
+    }
+    CPPUNIT_ASSERT(check_due(row, test_start + min_ejection_time));
+    note_unhealthy(row, test_start + min_ejection_time);
+    CPPUNIT_ASSERT(!check_due(row, test_start + 2 * min_ejection_time));
+    CPPUNIT_ASSERT(check_due(row, test_start + 3 * min_ejection_time));
+  }
+
   void a_peers_loss_report_requires_a_check() {
     endpoint row = made();
     note_loss_report(row, test_start);
