Do not take a caller's own slowness for an endpoint's silence

What callers saw: a caller that read nothing for two seconds lost its stream. Cause: reading from the endpoint pauses beyond 256 kB unsent, and the pause counted as silence: the sound endpoint was ejected and the request moved. Evidence: stream_for_a_slow_caller_is_not_taken_for_silent fails before (the last chunk never comes). Change: while the caller lags, the call counts as making progress.

--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -666,8 +666,13 @@
     this->time_out();
     return;
   }
+  const bool caller_lags = this->sink.unsent() > unsent_limit;
   if (this->call.link->is_open()) {
-    this->call.link->pause(this->sink.unsent() > unsent_limit);
+    this->call.link->pause(caller_lags);
+  }
+  if (caller_lags) {
+    // Nothing is read from the endpoint until the caller has caught up.
+    this->call.progress_at = now;
   }
   const milliseconds limit = silence_limit(
       *this->admitted->taken_route, !this->request.prompt.empty(), this->history.answer_begun);
--- /dev/null
+++ b/Tests/Traffic/slow_caller_test.cxx
@@ -0,0 +1,74 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Traffic/traffic_harness.h"
+
+namespace chestnuthead {
+
+using std::chrono::milliseconds;
+using connection = scripted_endpoint::connection;
+
+namespace {
+
+const std::string last_chunk = "0\r\n\r\n";
+/// Events whose bytes exceed what the sockets between endpoint and caller can hold.
+constexpr std::size_t event_count = 400;
+constexpr std::size_t event_bytes = 100'000;
+
+std::string large_event_chunk(std::size_t number) {
+  const std::string text =
+      "id: " + std::to_string(number) + "\ndata: " + std::string(event_bytes, 'y') + "\n\n";
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+  return size.data() + text + "\r\n";
+}
+
+}  // namespace
+
+/// Tests callers that do not read for a while.
+class slow_caller_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(slow_caller_test);
+  CPPUNIT_TEST(stream_for_a_slow_caller_is_not_taken_for_silent);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void stream_for_a_slow_caller_is_not_taken_for_silent() {
+    traffic_harness harness(2);
+    play(harness, milliseconds{2'000});
+    const std::string log = harness.take_log();
+    CPPUNIT_ASSERT(log.find("endpoint_doubted") == std::string::npos);
+    CPPUNIT_ASSERT(log.find("silent") == std::string::npos);
+  }
+
+ private:
+  /// Plays a chat whose caller reads nothing for `pause` and then the whole answer.
+  static void play(traffic_harness& harness, milliseconds pause) {
+    int calls = 0;
+    for (const auto& endpoint : harness.endpoints) {
+      endpoint->scripts = {[&calls](connection& caller) {
+        if (calls++ > 0) {
+          return;
+        }
+        caller.send(traffic_harness::stream_head("c1"));
+        for (std::size_t number = 1; number <= event_count; ++number) {
+          caller.send(large_event_chunk(number));
+        }
+        caller.send(last_chunk);
+      }};
+    }
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::chat_bytes("c1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return !caller->bytes.empty(); }));
+    caller->pause(true);
+    harness.run_for(pause);
+    caller->pause(false);
+    CPPUNIT_ASSERT(
+        harness.run_until([&] { return caller->ended || caller->bytes.ends_with(last_chunk); }));
+    CPPUNIT_ASSERT(caller->bytes.ends_with(last_chunk));
+    CPPUNIT_ASSERT(caller->bytes.size() > event_count * event_bytes);
+    CPPUNIT_ASSERT_EQUAL(1, calls);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(slow_caller_test);
+
+}  // namespace chestnuthead
--- a/Tests/Traffic/traffic_harness.h
+++ b/Tests/Traffic/traffic_harness.h
@@ -30,6 +30,10 @@
   void close() {
     this->link.close();
   }
+  /// Stops or resumes reading.
+  void pause(bool paused) {
+    this->link.pause(paused);
+  }
   /// True if exactly `count` complete answers were received.
   [[nodiscard]] bool has_answers(int count) const;
 
