Let callers read nothing for up to 15 s

What callers saw: a caller that read nothing for 3 s got a reset in the midst of its stream. Cause: TCP_USER_TIMEOUT of 3 s, meant for endpoints that are gone, also held for callers; with a closed window the kernel ends the connection although each probe is answered. Evidence: caller_that_reads_nothing_for_seconds_gets_the_whole_stream fails before. Change: accepted connections get 15 s, more than callers wait.

--- a/Source/Traffic/tcp_link.cxx
+++ b/Source/Traffic/tcp_link.cxx
@@ -21,6 +21,9 @@
 /// Time that sent data may stay unacknowledged before the kernel closes the connection
 /// (TCP_USER_TIMEOUT).
 constexpr int unacknowledged_limit_ms = 3'000;
+/// The same for accepted connections. It also ends a connection whose peer reads nothing and
+/// answers each probe, and a caller may do that for as long as it waits for an answer.
+constexpr int accepted_unacknowledged_limit_ms = 15'000;
 /// Idle time before the first TCP keep-alive probe, and the interval between two.
 constexpr int keepalive_interval_s = 1;
 /// Unanswered keep-alive probes after which the kernel closes the connection.
@@ -64,6 +67,7 @@
 tcp_link::tcp_link(event_loop& owner, int socket, link_listener& receiver)
     : loop(owner), listener(receiver), descriptor(socket), open(true) {
   set_link_options(this->descriptor);
+  set_option(this->descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, accepted_unacknowledged_limit_ms);
   this->loop.watch(this->descriptor, *this, this->interest);
 }
 
--- a/Tests/Traffic/slow_caller_test.cxx
+++ b/Tests/Traffic/slow_caller_test.cxx
@@ -28,6 +28,7 @@
 class slow_caller_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(slow_caller_test);
   CPPUNIT_TEST(stream_for_a_slow_caller_is_not_taken_for_silent);
+  CPPUNIT_TEST(caller_that_reads_nothing_for_seconds_gets_the_whole_stream);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -39,6 +40,11 @@
     CPPUNIT_ASSERT(log.find("silent") == std::string::npos);
   }
 
+  void caller_that_reads_nothing_for_seconds_gets_the_whole_stream() {
+    traffic_harness harness(1);
+    play(harness, milliseconds{4'500});
+  }
+
  private:
   /// Plays a chat whose caller reads nothing for `pause` and then the whole answer.
   static void play(traffic_harness& harness, milliseconds pause) {
