Let sound endpoints of the soak fall silent, and check that callers get their answers

The soak knew lost and failed answers, but no endpoint that pauses and goes on. Disturbances now name what they affected, because a request may be lost on a disturbed link without a trace at any endpoint.

--- a/Tests/Soak/soak.cxx
+++ b/Tests/Soak/soak.cxx
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::array<option, 10> long_options{{
+constexpr std::array<option, 11> long_options{{
     {"seed", required_argument, nullptr, 's'},
     {"seeds", required_argument, nullptr, 'n'},
     {"length", required_argument, nullptr, 'l'},
@@ -25,6 +25,7 @@
     {"leave-out", required_argument, nullptr, 'o'},
     {"shrink", no_argument, nullptr, 'r'},
     {"store-copies", required_argument, nullptr, 'e'},
+    {"silences", required_argument, nullptr, 'q'},
     {nullptr, 0, nullptr, 0},
 }};
 
@@ -88,60 +89,76 @@
   return numbers;
 }
 
+struct command_line {
+  soak_options options;
+  int seeds = 1;
+  bool shrink_failures = false;
+};
+
+/// Applies one option. Returns false if it is unknown.
+bool read_option(int code, command_line& line) {
+  soak_options& options = line.options;
+  switch (code) {
+    case 's':
+      options.seed = std::strtoull(optarg, nullptr, 10);
+      return true;
+    case 'n':
+      line.seeds = std::atoi(optarg);
+      return true;
+    case 'l':
+      options.length = std::chrono::seconds{std::atoi(optarg)};
+      return true;
+    case 'g':
+      options.gateway_program = optarg;
+      return true;
+    case 'f':
+      options.folder = optarg;
+      return true;
+    case 'c':
+      options.gateways = std::atoi(optarg);
+      return true;
+    case 'o':
+      options.left_out = read_numbers(optarg);
+      return true;
+    case 'e':
+      options.store_copies = std::atoi(optarg);
+      return true;
+    case 'q':
+      options.silences = std::atoi(optarg);
+      return true;
+    case 'r':
+      line.shrink_failures = true;
+      return true;
+    default:
+      return false;
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
-  chestnuthead::soak::soak_options options;
-  options.gateway_program = "build/bin/chestnut-gateway";
-  options.folder = "/tmp/chestnut-soak";
-  int seeds = 1;
-  bool shrink_failures = false;
-  for (int option_code = getopt_long(argc, argv, "", long_options.data(), nullptr);
-       option_code != -1; option_code = getopt_long(argc, argv, "", long_options.data(), nullptr)) {
-    switch (option_code) {
-      case 's':
-        options.seed = std::strtoull(optarg, nullptr, 10);
-        break;
-      case 'n':
-        seeds = std::atoi(optarg);
-        break;
-      case 'l':
-        options.length = std::chrono::seconds{std::atoi(optarg)};
-        break;
-      case 'g':
-        options.gateway_program = optarg;
-        break;
-      case 'f':
-        options.folder = optarg;
-        break;
-      case 'c':
-        options.gateways = std::atoi(optarg);
-        break;
-      case 'o':
-        options.left_out = read_numbers(optarg);
-        break;
-      case 'e':
-        options.store_copies = std::atoi(optarg);
-        break;
-      case 'r':
-        shrink_failures = true;
-        break;
-      default:
-        std::cerr << "usage: soak [--seed N] [--seeds COUNT] [--length SECONDS] "
-                     "[--gateway PROGRAM] [--gateways COUNT] [--folder FOLDER] "
-                     "[--leave-out NUMBERS] [--shrink] [--store-copies COUNT]\n";
-        return 2;
+  command_line line;
+  line.options.gateway_program = "build/bin/chestnut-gateway";
+  line.options.folder = "/tmp/chestnut-soak";
+  for (int code = getopt_long(argc, argv, "", long_options.data(), nullptr); code != -1;
+       code = getopt_long(argc, argv, "", long_options.data(), nullptr)) {
+    if (!read_option(code, line)) {
+      std::cerr << "usage: soak [--seed N] [--seeds COUNT] [--length SECONDS] "
+                   "[--gateway PROGRAM] [--gateways COUNT] [--folder FOLDER] "
+                   "[--leave-out NUMBERS] [--shrink] [--store-copies COUNT] "
+                   "[--silences COUNT]\n";
+      return 2;
     }
   }
   bool all_passed = true;
-  for (int count = 0; count < seeds; ++count) {
-    const outcome result = run_seed(options);
-    if (!result.passed && shrink_failures) {
-      shrink_schedule(options, result.fault_count);
+  for (int count = 0; count < line.seeds; ++count) {
+    const outcome result = run_seed(line.options);
+    if (!result.passed && line.shrink_failures) {
+      shrink_schedule(line.options, result.fault_count);
     }
     all_passed = result.passed && all_passed;
-    ++options.seed;
+    ++line.options.seed;
   }
   return all_passed ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/Tests/Soak/soak_checks.cxx
+++ b/Tests/Soak/soak_checks.cxx
@@ -13,10 +13,21 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+constexpr int first_server_error = 500;
+
+/// The part of an endpoint's name that all endpoints of its pool share.
+std::string pool_part(const std::string& endpoint) {
+  return endpoint.substr(0, endpoint.find('-'));
+}
+
 bool may_repeat(request_kind kind) {
   return kind == request_kind::chat || kind == request_kind::lookup;
 }
 
+bool is_stream(request_kind kind) {
+  return kind == request_kind::chat || kind == request_kind::guide;
+}
+
 const std::vector<execution>& executions_of(const execution_log& executions,
                                             const std::string& id) {
   static const std::vector<execution> none;
@@ -25,7 +36,7 @@
 }
 
 std::string expected_body(const soak_request& request) {
-  if (request.kind == request_kind::payment || request.kind == request_kind::lookup) {
+  if (!is_stream(request.kind)) {
     return request.id;
   }
   std::string body;
@@ -35,6 +46,41 @@
   return body;
 }
 
+/// The end of the endpoint's silence at this time, or the time itself if there is none.
+steady_time end_of_silence(const soak_history& history, const std::string& endpoint,
+                           steady_time at) {
+  const auto silences = history.silences.find(endpoint);
+  if (silences == history.silences.end()) {
+    return at;
+  }
+  for (const auto& [from, until] : silences->second) {
+    at = from <= at && at < until ? until : at;
+  }
+  return at;
+}
+
+/// Upper bound of the time at which a sound endpoint has answered the request completely.
+steady_time latest_completion(const soak_history& history, const soak_request& request,
+                              const execution& run) {
+  // Longest time that a sound endpoint takes for one event or a whole plain answer.
+  constexpr milliseconds step_time{30};
+  steady_time at = end_of_silence(history, run.endpoint, run.at);
+  const int steps = is_stream(request.kind) ? event_count(request.id) : 1;
+  for (int step = 0; step < steps; ++step) {
+    at = end_of_silence(history, run.endpoint, at + step_time);
+  }
+  return at;
+}
+
+bool fell_silent(const soak_history& history, const std::string& endpoint, steady_time from,
+                 steady_time until) {
+  const auto silences = history.silences.find(endpoint);
+  return silences != history.silences.end() &&
+         std::any_of(silences->second.begin(), silences->second.end(), [&](const auto& silence) {
+           return silence.first < until && silence.second > from;
+         });
+}
+
 /// True if a disturbance of the process overlaps the period, or ended less than `contact_time`
 /// before it.
 bool disturbed(const soak_history& history, const std::string& process, steady_time from,
@@ -57,6 +103,7 @@
       this->check_key(request);
       this->check_planned_stop(request);
       this->check_leaving(request);
+      this->check_silence(request);
     }
     return this->violations;
   }
@@ -151,6 +198,59 @@
     }
   }
 
+  /// True if the request may have been sent to an endpoint without reaching it.
+  bool may_be_lost(const execution& run, steady_time until) {
+    const std::string pool = pool_part(run.endpoint);
+    return std::any_of(this->history.disturbances.begin(), this->history.disturbances.end(),
+                       [&](const disturbance& one) {
+                         return one.part == disturbed_part::endpoint_link &&
+                                pool_part(one.process) == pool && one.from <= until &&
+                                one.until >= run.at;
+                       });
+  }
+
+  bool gateway_disturbed(const soak_request& request) {
+    return std::any_of(this->history.disturbances.begin(), this->history.disturbances.end(),
+                       [&](const disturbance& one) {
+                         return one.part == disturbed_part::gateway_process &&
+                                one.process == request.gateway && one.from < request.ended_at &&
+                                one.until > request.sent_at - contact_time;
+                       });
+  }
+
+  /// A request whose endpoints were at most silent must get its answer if one of them would
+  /// have completed it in time.
+  void check_silence(const soak_request& request) {
+    // Time for the last bytes to reach the caller.
+    constexpr milliseconds margin{300};
+    const bool failed = !request.complete || request.status >= first_server_error;
+    if (!failed || request.ended_at >= request.sent_at + patience ||
+        this->gateway_disturbed(request)) {
+      return;
+    }
+    const auto& runs = executions_of(this->executions, request.id);
+    const execution* silent = nullptr;
+    for (const execution& run : runs) {
+      if (disturbed(this->history, run.endpoint, request.ended_at, request.ended_at) ||
+          this->may_be_lost(run, request.ended_at)) {
+        return;
+      }
+      const bool in_time =
+          latest_completion(this->history, request, run) + margin <= request.sent_at + patience;
+      if (in_time && fell_silent(this->history, run.endpoint, run.at, request.ended_at)) {
+        silent = &run;
+      }
+    }
+    if (silent != nullptr) {
+      const auto waited =
+          std::chrono::duration_cast<milliseconds>(request.ended_at - request.sent_at);
+      this->add_violation(request, "it ended after " + std::to_string(waited.count()) +
+                                       " ms with status " + std::to_string(request.status) +
+                                       " and no complete answer, but " + silent->endpoint +
+                                       " was only silent.");
+    }
+  }
+
   const soak_history& history;
   const execution_log& executions;
   std::vector<std::string> violations;
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "soak_caller.h"
@@ -16,13 +18,29 @@
 inline constexpr std::chrono::milliseconds leaving_lag{2'000};
 /// Time after the end of a disturbance in which its process may still be affected.
 inline constexpr std::chrono::milliseconds contact_time{3'000};
+/// Deadline of every request and time-out of every route, as in the requests and the
+/// configuration.
+inline constexpr std::chrono::milliseconds patience{4'000};
 /// Longest time until service has recovered after the last fault.
 inline constexpr std::chrono::milliseconds recovery_time{12'000};
 
+/// What a fault affected.
+enum class disturbed_part : std::uint8_t {
+  /// The gateway's process.
+  gateway_process,
+  /// The gateway's link to the store.
+  store_link,
+  /// The link to the endpoint, on which requests may be lost before they reach it.
+  endpoint_link,
+  /// The endpoint's answers.
+  endpoint_answers,
+};
+
 /// A period in which a fault affected a process.
 struct disturbance {
   /// Name of the gateway or the endpoint.
   std::string process;
+  disturbed_part part = disturbed_part::gateway_process;
   steady_time from{};
   steady_time until{};
 };
@@ -38,6 +56,8 @@
   std::map<std::string, std::vector<std::pair<steady_time, steady_time>>> departures;
   /// Planned stops of gateways.
   std::vector<disturbance> planned_stops;
+  /// For each endpoint, the periods in which it sent nothing and lost nothing.
+  std::map<std::string, std::vector<std::pair<steady_time, steady_time>>> silences;
 };
 
 /// Returns all violated guarantees, one sentence each.
--- a/Tests/Soak/soak_endpoint.cxx
+++ b/Tests/Soak/soak_endpoint.cxx
@@ -1,5 +1,7 @@
 #include "soak_endpoint.h"
 
+#include <array>
+#include <cstdio>
 #include <utility>
 
 #include "Base/hashing.h"
@@ -46,9 +48,31 @@
   this->server.scripts = {[this](scripted_endpoint::connection& caller) { this->serve(caller); }};
 }
 
+void soak_endpoint::when_not_silent(std::function<void()> task) {
+  const steady_time now = this->time.now();
+  if (now >= this->silent_until) {
+    task();
+    return;
+  }
+  this->tasks.after(std::chrono::ceil<std::chrono::milliseconds>(this->silent_until - now),
+                    [this, task = std::move(task)] { this->when_not_silent(task); });
+}
+
 void soak_endpoint::serve(scripted_endpoint::connection& caller) {
   const traffic::http_head head = this->server.requests.back().head;
   this->server.requests.clear();
+  if (head.target != "/healthz" && header_value(head, "Expect-Instance") == this->name) {
+    this->executions[header_value(head, "Attempt-Id")].push_back(
+        {this->name, header_value(head, "Tenant"), this->time.now()});
+  }
+  this->when_not_silent([this, &caller, head] {
+    if (!caller.closed) {
+      this->answer(caller, head);
+    }
+  });
+}
+
+void soak_endpoint::answer(scripted_endpoint::connection& caller, const traffic::http_head& head) {
   if (head.target == "/healthz") {
     caller.send("HTTP/1.1 200 OK\r\nInstance-Id: " + this->name + "\r\nContent-Length: 0\r\n\r\n");
     return;
@@ -58,7 +82,6 @@
     return;
   }
   const std::string request = header_value(head, "Attempt-Id");
-  this->executions[request].push_back({this->name, header_value(head, "Tenant"), this->time.now()});
   const std::string answer_head = "Attempt-Id: " + request + "\r\nResponse-Signature: s-" +
                                   request + "\r\n" + (this->leaving ? "Server-Leaving: 1\r\n" : "");
   if (next_unit(this->random) < this->error_answer_share) {
@@ -75,11 +98,13 @@
     this->send_events(caller, request, resumed.empty() ? 1 : std::stoi(resumed) + 1);
     return;
   }
-  this->tasks.after(work_time, [&caller, answer_head, request] {
-    if (!caller.closed) {
-      caller.send("HTTP/1.1 200 OK\r\n" + answer_head +
-                  "Content-Length: " + std::to_string(request.size()) + "\r\n\r\n" + request);
-    }
+  this->tasks.after(work_time, [this, &caller, answer_head, request] {
+    this->when_not_silent([&caller, answer_head, request] {
+      if (!caller.closed) {
+        caller.send("HTTP/1.1 200 OK\r\n" + answer_head +
+                    "Content-Length: " + std::to_string(request.size()) + "\r\n\r\n" + request);
+      }
+    });
   });
 }
 
@@ -93,8 +118,10 @@
     return;
   }
   caller.send(chunk(format_event(request, next)));
-  this->tasks.after(
-      event_gap, [this, &caller, request, next] { this->send_events(caller, request, next + 1); });
+  this->tasks.after(event_gap, [this, &caller, request, next] {
+    this->when_not_silent(
+        [this, &caller, request, next] { this->send_events(caller, request, next + 1); });
+  });
 }
 
 }  // namespace chestnuthead::soak
--- a/Tests/Soak/soak_endpoint.h
+++ b/Tests/Soak/soak_endpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -37,6 +38,9 @@
   /// Share of requests, from 0 to 1, that are executed and whose connection is then reset.
   double lost_answer_share = 0.0;
 
+  /// Until this time the endpoint sends nothing, not even answers to health checks.
+  steady_time silent_until{};
+
   /// The endpoint announces in its answers that it is leaving.
   bool leaving = false;
 
@@ -47,6 +51,9 @@
 
  private:
   void serve(scripted_endpoint::connection& caller);
+  void answer(scripted_endpoint::connection& caller, const traffic::http_head& head);
+  /// Runs the task at once, or as soon as the endpoint is no longer silent.
+  void when_not_silent(std::function<void()> task);
   void send_events(scripted_endpoint::connection& caller, const std::string& request, int next);
 
   task_queue& tasks;
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -29,6 +29,8 @@
   int callers = 24;
   /// Number of times that the store is restored from a copy, besides the scheduled faults.
   int store_copies = 0;
+  /// Number of moments at which sound endpoints fall silent, besides the scheduled faults.
+  int silences = 0;
   /// Numbers of the scheduled faults that are skipped.
   std::set<std::size_t> left_out;
 };
@@ -62,11 +64,15 @@
   /// Restores the store from a copy; later operators and endpoints write the lost rows again.
   void restore_store(seeded_random& restore_random);
   void schedule_store_restores();
+  void schedule_silences();
+  /// Makes one, half or all of the endpoints send nothing for a while.
+  void silence_endpoints(seeded_random& silence_random);
   void revoke_key();
   void inject_planned_change();
   void stop_gracefully(soak_gateway& gateway);
   void log_event(const std::string& what);
-  void record_disturbance(const std::string& process, std::chrono::milliseconds length);
+  void record_disturbance(const std::string& process, disturbed_part part,
+                          std::chrono::milliseconds length);
   void restart_ended_gateways();
   void keep_callers_busy();
   void send_next_request(soak_caller& caller);
