Crash the soak's endpoints by a part of the prompt, and check that it is isolated

The soak had no requests that crash what runs them. With `--crashing-part` two to five requests a second share one part in the middle of their prompt and nothing else that sound requests lack; each endpoint that begins to answer one resets its connections and is away for 2 to 4 s. From the fifth crash on gateways must keep the part from endpoints and serve sound requests again.

--- a/Tests/Soak/soak.cxx
+++ b/Tests/Soak/soak.cxx
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::array<option, 11> long_options{{
+constexpr std::array<option, 12> long_options{{
     {"seed", required_argument, nullptr, 's'},
     {"seeds", required_argument, nullptr, 'n'},
     {"length", required_argument, nullptr, 'l'},
@@ -26,6 +26,7 @@
     {"shrink", no_argument, nullptr, 'r'},
     {"store-copies", required_argument, nullptr, 'e'},
     {"silences", required_argument, nullptr, 'q'},
+    {"crashing-part", no_argument, nullptr, 'p'},
     {nullptr, 0, nullptr, 0},
 }};
 
@@ -126,6 +127,9 @@
     case 'q':
       options.silences = std::atoi(optarg);
       return true;
+    case 'p':
+      options.crashing_part = true;
+      return true;
     case 'r':
       line.shrink_failures = true;
       return true;
@@ -147,7 +151,7 @@
       std::cerr << "usage: soak [--seed N] [--seeds COUNT] [--length SECONDS] "
                    "[--gateway PROGRAM] [--gateways COUNT] [--folder FOLDER] "
                    "[--leave-out NUMBERS] [--shrink] [--store-copies COUNT] "
-                   "[--silences COUNT]\n";
+                   "[--silences COUNT] [--crashing-part]\n";
       return 2;
     }
   }
--- a/Tests/Soak/soak_caller.cxx
+++ b/Tests/Soak/soak_caller.cxx
@@ -10,7 +10,10 @@
 std::string format_request(const soak_request& request) {
   const std::string common = "Host: soak.example\r\nAttempt-Id: " + request.id +
                              "\r\nApi-Key: " + request.key + "\r\nDeadline-Ms: 4000\r\n";
-  const std::string prompt = "Token-Usage: 100,20\r\nPrefix-Hash: a:50," + request.id + ":50\r\n";
+  const std::string middle =
+      request.holds_crashing_part ? std::string(crashing_part) + ":50," : std::string();
+  const std::string prompt = std::string("Token-Usage: ") + (middle.empty() ? "100" : "150") +
+                             ",20\r\nPrefix-Hash: a:50," + middle + request.id + ":50\r\n";
   switch (request.kind) {
     case request_kind::chat:
       return "POST /chat/1 HTTP/1.1\r\n" + common + prompt + "Content-Length: 2\r\n\r\nhi";
--- a/Tests/Soak/soak_caller.h
+++ b/Tests/Soak/soak_caller.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "Traffic/event_loop.h"
 #include "Traffic/http_reader.h"
@@ -13,12 +14,17 @@
 
 enum class request_kind : std::uint8_t { chat, guide, payment, lookup };
 
+/// Name of the part of a prompt that crashes endpoints.
+inline constexpr std::string_view crashing_part = "crash";
+
 /// A request and the answer that its caller received.
 struct soak_request {
   std::string id;
   request_kind kind = request_kind::chat;
   std::string key;
   std::string gateway;
+  /// The prompt holds the part that crashes endpoints.
+  bool holds_crashing_part = false;
   steady_time sent_at{};
   steady_time ended_at{};
   /// 0 if no response head was received.
--- a/Tests/Soak/soak_checks.cxx
+++ b/Tests/Soak/soak_checks.cxx
@@ -1,6 +1,7 @@
 #include "soak_checks.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chestnuthead::soak {
 
@@ -20,6 +21,20 @@
   return endpoint.substr(0, endpoint.find('-'));
 }
 
+/// Crashes after which gateways must recognise the part of the prompt that causes them.
+constexpr std::size_t crashes_until_known = 5;
+/// Time from that crash on until requests with the part are kept from endpoints, except a few.
+constexpr milliseconds crash_isolation_time{3'000};
+constexpr std::size_t max_crashing_after = 3;
+/// Time from that crash on until sound requests are served again.
+constexpr milliseconds crash_recovery_time{6'000};
+/// Shortest period over which the share of served requests is compared.
+constexpr milliseconds min_crash_window{2'000};
+
+std::string format_percent(double share) {
+  return std::to_string(std::lround(share * 100)) + " %";
+}
+
 bool may_repeat(request_kind kind) {
   return kind == request_kind::chat || kind == request_kind::lookup;
 }
@@ -105,6 +120,7 @@
       this->check_leaving(request);
       this->check_silence(request);
     }
+    this->check_crashing_part();
     return this->violations;
   }
 
@@ -251,6 +267,63 @@
     }
   }
 
+  /// Share of the sound requests to engines that were sent in this period and served. Left out
+  /// are requests with revoked keys and those at gateways that were disturbed or stopped.
+  double served_share(steady_time from, steady_time until) {
+    int sent = 0;
+    int served = 0;
+    for (const soak_request& request : this->history.requests) {
+      const bool counts =
+          is_stream(request.kind) && request.sent_at >= from && request.sent_at < until &&
+          !this->history.crashing_requests.contains(request.id) &&
+          !this->history.revoked_keys.contains(request.key) &&
+          !disturbed(this->history, request.gateway, request.sent_at, request.ended_at) &&
+          std::none_of(this->history.planned_stops.begin(), this->history.planned_stops.end(),
+                       [&](const disturbance& stop) {
+                         return stop.process == request.gateway && stop.from < request.ended_at &&
+                                stop.until > request.sent_at;
+                       });
+      sent += counts ? 1 : 0;
+      served += counts && request.complete && request.status == 200 ? 1 : 0;
+    }
+    return sent == 0 ? 0.0 : static_cast<double>(served) / sent;
+  }
+
+  /// Once a part of the prompt has crashed some endpoints, gateways must isolate it.
+  void check_crashing_part() {
+    if (this->history.crashes.size() < crashes_until_known) {
+      return;
+    }
+    const steady_time known = this->history.crashes[crashes_until_known - 1];
+    std::size_t reached = 0;
+    for (const std::string& id : this->history.crashing_requests) {
+      const auto& runs = executions_of(this->executions, id);
+      reached += static_cast<std::size_t>(std::count_if(
+          runs.begin(), runs.end(),
+          [&](const execution& run) { return run.at > known + crash_isolation_time; }));
+    }
+    if (reached > max_crashing_after) {
+      this->violations.push_back(std::to_string(reached) +
+                                 " requests with the crashing part reached endpoints more than "
+                                 "crash_isolation_time after crash " +
+                                 std::to_string(crashes_until_known) + ".");
+    }
+    const steady_time recovered = known + crash_recovery_time;
+    if (recovered + min_crash_window > this->history.crashing_until) {
+      return;
+    }
+    const double before =
+        this->served_share(this->history.faults_from, this->history.crashing_from);
+    const double after = this->served_share(recovered, this->history.crashing_until);
+    if (after < before / 2) {
+      this->violations.push_back("Of sound requests to engines, " + format_percent(before) +
+                                 " were served before the crashing part, and " +
+                                 format_percent(after) +
+                                 " more than crash_recovery_time after crash " +
+                                 std::to_string(crashes_until_known) + ".");
+    }
+  }
+
   const soak_history& history;
   const execution_log& executions;
   std::vector<std::string> violations;
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -58,6 +59,14 @@
   std::vector<disturbance> planned_stops;
   /// For each endpoint, the periods in which it sent nothing and lost nothing.
   std::map<std::string, std::vector<std::pair<steady_time, steady_time>>> silences;
+  /// When the first fault may be injected.
+  steady_time faults_from{};
+  /// Requests with the part that crashes endpoints, the period in which they were sent, and the
+  /// crashes in order.
+  std::set<std::string> crashing_requests;
+  steady_time crashing_from{};
+  steady_time crashing_until{};
+  std::vector<steady_time> crashes;
 };
 
 /// Returns all violated guarantees, one sentence each.
--- a/Tests/Soak/soak_endpoint.cxx
+++ b/Tests/Soak/soak_endpoint.cxx
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Base/hashing.h"
+#include "soak_caller.h"
 
 namespace chestnuthead::soak {
 
@@ -18,6 +19,11 @@
   return value == nullptr ? std::string() : *value;
 }
 
+bool holds_crashing_part(const traffic::http_head& head) {
+  const std::string part = "," + std::string(crashing_part) + ":";
+  return header_value(head, "Prefix-Hash").find(part) != std::string::npos;
+}
+
 std::string chunk(const std::string& bytes) {
   std::array<char, 16> size{};
   std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
@@ -95,6 +101,11 @@
   if (head.target.starts_with("/chat/") || head.target.starts_with("/guide/")) {
     const std::string resumed = header_value(head, "Last-Event-Id");
     caller.send("HTTP/1.1 200 OK\r\n" + answer_head + "Transfer-Encoding: chunked\r\n\r\n");
+    if (this->on_crash && holds_crashing_part(head)) {
+      caller.send(chunk(format_event(request, resumed.empty() ? 1 : std::stoi(resumed) + 1)));
+      this->tasks.after(work_time, [this, request] { this->on_crash(request); });
+      return;
+    }
     this->send_events(caller, request, resumed.empty() ? 1 : std::stoi(resumed) + 1);
     return;
   }
--- a/Tests/Soak/soak_endpoint.h
+++ b/Tests/Soak/soak_endpoint.h
@@ -38,6 +38,10 @@
   /// Share of requests, from 0 to 1, that are executed and whose connection is then reset.
   double lost_answer_share = 0.0;
 
+  /// Called with the request when an answer to a prompt that crashes endpoints has begun. If it
+  /// is empty, no prompt crashes the endpoint.
+  std::function<void(const std::string&)> on_crash;
+
   /// Until this time the endpoint sends nothing, not even answers to health checks.
   steady_time silent_until{};
 
--- a/Tests/Soak/soak_proxy.cxx
+++ b/Tests/Soak/soak_proxy.cxx
@@ -113,7 +113,7 @@
   if (socket < 0) {
     return;
   }
-  if (this->fault.refuse_connections) {
+  if (this->fault.refuse_connections || this->down) {
     ::close(socket);
     return;
   }
--- a/Tests/Soak/soak_proxy.h
+++ b/Tests/Soak/soak_proxy.h
@@ -35,6 +35,8 @@
   /// Address that the proxy listens on.
   std::string address;
   link_fault fault;
+  /// The target is down: new connections are closed at once, whatever `fault` says.
+  bool down = false;
 
  private:
   class proxied_connection;
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -28,6 +28,7 @@
     : options(std::move(run_options)),
       caller_random(this->options.seed),
       fault_random(this->options.seed),
+      crash_random(this->options.seed),
       tasks(this->time),
       started_at(this->time.now()) {}
 
@@ -132,9 +133,13 @@
   }
 }
 
+std::string soak_run::next_request_id() {
+  return std::to_string(this->options.seed) + "-" + std::to_string(++this->requests_sent);
+}
+
 void soak_run::send_next_request(soak_caller& caller) {
   soak_request request;
-  request.id = std::to_string(this->options.seed) + "-" + std::to_string(++this->requests_sent);
+  request.id = this->next_request_id();
   request.kind = static_cast<request_kind>(next_below(this->caller_random, 4));
   // While faults are injected, callers go on using revoked keys.
   const std::uint64_t keys_used = this->faults_ended ? this->keys.size() : 5;
@@ -183,14 +188,16 @@
   this->tasks.after(start_time, [this] { this->schedule_faults(); });
   this->tasks.after(start_time, [this] { this->schedule_store_restores(); });
   this->tasks.after(start_time, [this] { this->schedule_silences(); });
+  this->tasks.after(start_time, [this] { this->schedule_crashing_part(); });
   // The longest fault lasts this long, so all faults have ended by `faults_end`.
   constexpr milliseconds longest_fault{8'500};
-  const steady_time faults_end =
-      this->time.now() + start_time + this->options.length + longest_fault;
+  this->history.faults_from = this->time.now() + start_time;
+  const steady_time faults_end = this->history.faults_from + this->options.length + longest_fault;
   while (this->time.now() < faults_end) {
     this->run_step();
   }
   this->faults_ended = true;
+  this->history.crashing_until = this->time.now();
   this->answered_in_row = 0;
   const steady_time give_up = this->time.now() + recovery_time;
   while (!this->has_recovered() && this->time.now() < give_up) {
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -31,6 +31,8 @@
   int store_copies = 0;
   /// Number of moments at which sound endpoints fall silent, besides the scheduled faults.
   int silences = 0;
+  /// Requests with a certain part of the prompt crash endpoints.
+  bool crashing_part = false;
   /// Numbers of the scheduled faults that are skipped.
   std::set<std::size_t> left_out;
 };
@@ -65,6 +67,11 @@
   void restore_store(seeded_random& restore_random);
   void schedule_store_restores();
   void schedule_silences();
+  void schedule_crashing_part();
+  /// Sends a request with the crashing part and schedules the next one.
+  void send_crashing_request();
+  /// Resets all connections of the endpoint and starts it anew later.
+  void crash_endpoint(soak_endpoint& endpoint, const std::string& request);
   /// Makes one, half or all of the endpoints send nothing for a while.
   void silence_endpoints(seeded_random& silence_random);
   void revoke_key();
@@ -75,6 +82,7 @@
                           std::chrono::milliseconds length);
   void restart_ended_gateways();
   void keep_callers_busy();
+  std::string next_request_id();
   void send_next_request(soak_caller& caller);
   void run_step();
   [[nodiscard]] bool has_recovered();
@@ -89,6 +97,8 @@
   seeded_random caller_random;
   /// For the fault that is being injected; reseeded for each fault.
   seeded_random fault_random;
+  /// For requests with the crashing part and for the crashes.
+  seeded_random crash_random;
   std::size_t fault_count = 0;
   traffic::event_loop loop;
   task_queue tasks;
