Let endpoints of the soak answer without length and chunks

Such answers end with their connection, so that a whole stream and one that its endpoint broke off look alike but for what they end with. `--unframed` makes about half of the endpoints, drawn from the seed apart from the faults, answer so; three in a hundred of their streams end inside an event.

--- a/Tests/Soak/soak.cxx
+++ b/Tests/Soak/soak.cxx
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::array<option, 12> long_options{{
+constexpr std::array<option, 13> long_options{{
     {"seed", required_argument, nullptr, 's'},
     {"seeds", required_argument, nullptr, 'n'},
     {"length", required_argument, nullptr, 'l'},
@@ -27,6 +27,7 @@
     {"store-copies", required_argument, nullptr, 'e'},
     {"silences", required_argument, nullptr, 'q'},
     {"crashing-part", no_argument, nullptr, 'p'},
+    {"unframed", no_argument, nullptr, 'u'},
     {nullptr, 0, nullptr, 0},
 }};
 
@@ -130,6 +131,9 @@
     case 'p':
       options.crashing_part = true;
       return true;
+    case 'u':
+      options.unframed = true;
+      return true;
     case 'r':
       line.shrink_failures = true;
       return true;
@@ -151,7 +155,7 @@
       std::cerr << "usage: soak [--seed N] [--seeds COUNT] [--length SECONDS] "
                    "[--gateway PROGRAM] [--gateways COUNT] [--folder FOLDER] "
                    "[--leave-out NUMBERS] [--shrink] [--store-copies COUNT] "
-                   "[--silences COUNT] [--crashing-part]\n";
+                   "[--silences COUNT] [--crashing-part] [--unframed]\n";
       return 2;
     }
   }
--- a/Tests/Soak/soak_checks.cxx
+++ b/Tests/Soak/soak_checks.cxx
@@ -119,6 +119,7 @@
       this->check_planned_stop(request);
       this->check_leaving(request);
       this->check_silence(request);
+      this->check_unframed(request);
     }
     this->check_crashing_part();
     return this->violations;
@@ -182,14 +183,16 @@
   }
 
   void check_planned_stop(const soak_request& request) {
-    if (request.complete) {
+    const auto& runs = executions_of(this->executions, request.id);
+    const bool endpoint_broke_off = !runs.empty() && runs.back().broken_off;
+    if (request.complete || endpoint_broke_off) {
       return;
     }
     for (const disturbance& stop : this->history.planned_stops) {
       const bool overlaps_stop = stop.process == request.gateway && request.sent_at < stop.until &&
                                  request.ended_at > stop.from;
       // A request that was sent while the gateway closed the connection was never forwarded.
-      const bool forwarded = !executions_of(this->executions, request.id).empty();
+      const bool forwarded = !runs.empty();
       if (overlaps_stop && forwarded &&
           !this->was_disturbed(request, request.sent_at, request.ended_at)) {
         this->add_violation(request, "a planned stop of the gateway truncated its answer.");
@@ -267,6 +270,22 @@
     }
   }
 
+  /// An answer without length and chunks that a sound endpoint has sent must reach the caller.
+  void check_unframed(const soak_request& request) {
+    const auto& runs = executions_of(this->executions, request.id);
+    if (runs.empty() || !runs.back().unframed || !runs.back().finished) {
+      return;
+    }
+    const bool whole = request.complete && request.status == 200;
+    if (!whole && request.ended_at < request.sent_at + patience &&
+        !this->gateway_disturbed(request) &&
+        !disturbed(this->history, runs.back().endpoint, request.sent_at, request.ended_at)) {
+      this->add_violation(request, "it ended with status " + std::to_string(request.status) +
+                                       " and without the whole unframed answer of " +
+                                       runs.back().endpoint + ".");
+    }
+  }
+
   /// Share of the sound requests to engines that were sent in this period and served. Left out
   /// are requests with revoked keys and those at gateways that were disturbed or stopped.
   double served_share(steady_time from, steady_time until) {
--- a/Tests/Soak/soak_endpoint.cxx
+++ b/Tests/Soak/soak_endpoint.cxx
@@ -1,5 +1,6 @@
 #include "soak_endpoint.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -69,7 +70,7 @@
   this->server.requests.clear();
   if (head.target != "/healthz" && header_value(head, "Expect-Instance") == this->name) {
     this->executions[header_value(head, "Attempt-Id")].push_back(
-        {this->name, header_value(head, "Tenant"), this->time.now()});
+        {this->name, header_value(head, "Tenant"), this->time.now(), false, false, false});
   }
   this->when_not_silent([this, &caller, head] {
     if (!caller.closed) {
@@ -99,39 +100,90 @@
     return;
   }
   if (head.target.starts_with("/chat/") || head.target.starts_with("/guide/")) {
-    const std::string resumed = header_value(head, "Last-Event-Id");
-    caller.send("HTTP/1.1 200 OK\r\n" + answer_head + "Transfer-Encoding: chunked\r\n\r\n");
-    if (this->on_crash && holds_crashing_part(head)) {
-      caller.send(chunk(format_event(request, resumed.empty() ? 1 : std::stoi(resumed) + 1)));
-      this->tasks.after(work_time, [this, request] { this->on_crash(request); });
-      return;
-    }
-    this->send_events(caller, request, resumed.empty() ? 1 : std::stoi(resumed) + 1);
+    this->answer_stream(caller, head, answer_head);
     return;
   }
   this->tasks.after(work_time, [this, &caller, answer_head, request] {
-    this->when_not_silent([&caller, answer_head, request] {
+    this->when_not_silent([this, &caller, answer_head, request] {
       if (!caller.closed) {
-        caller.send("HTTP/1.1 200 OK\r\n" + answer_head +
-                    "Content-Length: " + std::to_string(request.size()) + "\r\n\r\n" + request);
+        caller.send(this->format_head(request, answer_head, request.size()) + request);
+        this->finish_answer(caller, request);
       }
     });
   });
 }
 
-void soak_endpoint::send_events(scripted_endpoint::connection& caller, const std::string& request,
-                                int next) {
+std::string soak_endpoint::format_head(const std::string& request, const std::string& answer_head,
+                                       std::optional<std::size_t> length) const {
+  const std::string head = "HTTP/1.1 200 OK\r\n" + answer_head;
+  if (this->unframed) {
+    // HTTP/1.1 allows such answers with and without this header.
+    return head + (hash_text(request) % 2 == 0 ? "Connection: close\r\n" : "") + "\r\n";
+  }
+  return head +
+         (length ? "Content-Length: " + std::to_string(*length) : "Transfer-Encoding: chunked") +
+         "\r\n\r\n";
+}
+
+void soak_endpoint::answer_stream(scripted_endpoint::connection& caller,
+                                  const traffic::http_head& head, const std::string& answer_head) {
+  constexpr double broken_off_share = 0.03;
+  event_stream stream;
+  stream.request = header_value(head, "Attempt-Id");
+  const std::string resumed = header_value(head, "Last-Event-Id");
+  stream.next = resumed.empty() ? 1 : std::stoi(resumed) + 1;
+  if (this->unframed && next_unit(this->random) < broken_off_share) {
+    const auto events = static_cast<std::uint64_t>(event_count(stream.request));
+    stream.broken_off_at = 1 + static_cast<int>(next_below(this->random, events));
+  }
+  caller.send(this->format_head(stream.request, answer_head, std::nullopt));
+  if (this->on_crash && holds_crashing_part(head)) {
+    caller.send(this->frame(format_event(stream.request, stream.next)));
+    this->tasks.after(work_time, [this, stream] { this->on_crash(stream.request); });
+    return;
+  }
+  this->send_events(caller, stream);
+}
+
+std::string soak_endpoint::frame(const std::string& bytes) const {
+  return this->unframed ? bytes : chunk(bytes);
+}
+
+void soak_endpoint::finish_answer(scripted_endpoint::connection& caller,
+                                  const std::string& request) {
+  this->last_run(request).finished = true;
+  if (this->unframed) {
+    this->last_run(request).unframed = true;
+    caller.finish();
+  }
+}
+
+execution& soak_endpoint::last_run(const std::string& request) {
+  std::vector<execution>& runs = this->executions[request];
+  return *std::find_if(runs.rbegin(), runs.rend(),
+                       [this](const execution& run) { return run.endpoint == this->name; });
+}
+
+void soak_endpoint::send_events(scripted_endpoint::connection& caller, event_stream stream) {
   if (caller.closed) {
     return;
   }
-  if (next > event_count(request)) {
-    caller.send("0\r\n\r\n");
+  if (stream.next > event_count(stream.request)) {
+    caller.send(this->unframed ? "" : "0\r\n\r\n");
+    this->finish_answer(caller, stream.request);
+    return;
+  }
+  const std::string event = format_event(stream.request, stream.next);
+  if (stream.next == stream.broken_off_at) {
+    this->last_run(stream.request).broken_off = true;
+    caller.send(event.substr(0, 1 + next_below(this->random, event.size() - 1)));
+    caller.finish();
     return;
   }
-  caller.send(chunk(format_event(request, next)));
-  this->tasks.after(event_gap, [this, &caller, request, next] {
-    this->when_not_silent(
-        [this, &caller, request, next] { this->send_events(caller, request, next + 1); });
+  caller.send(this->frame(event));
+  ++stream.next;
+  this->tasks.after(event_gap, [this, &caller, stream] {
+    this->when_not_silent([this, &caller, stream] { this->send_events(caller, stream); });
   });
 }
 
--- a/Tests/Soak/soak_endpoint.h
+++ b/Tests/Soak/soak_endpoint.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,12 @@
   std::string endpoint;
   std::string customer;
   steady_time at{};
+  /// The endpoint has sent its whole answer.
+  bool finished = false;
+  /// The answer had neither a length nor chunks.
+  bool unframed = false;
+  /// The answer ended inside an event.
+  bool broken_off = false;
 };
 /// All executions, by request id.
 using execution_log = std::map<std::string, std::vector<execution>>;
@@ -45,6 +52,10 @@
   /// Until this time the endpoint sends nothing, not even answers to health checks.
   steady_time silent_until{};
 
+  /// Answers have neither a length nor chunks and end with their connection. A few streams end
+  /// inside an event.
+  bool unframed = false;
+
   /// The endpoint announces in its answers that it is leaving.
   bool leaving = false;
 
@@ -54,11 +65,28 @@
   }
 
  private:
+  /// The rest of a stream that is being sent.
+  struct event_stream {
+    std::string request;
+    int next = 1;
+    /// Number of the event in which the stream ends; 0 if it ends after its last event.
+    int broken_off_at = 0;
+  };
+
   void serve(scripted_endpoint::connection& caller);
   void answer(scripted_endpoint::connection& caller, const traffic::http_head& head);
   /// Runs the task at once, or as soon as the endpoint is no longer silent.
   void when_not_silent(std::function<void()> task);
-  void send_events(scripted_endpoint::connection& caller, const std::string& request, int next);
+  void answer_stream(scripted_endpoint::connection& caller, const traffic::http_head& head,
+                     const std::string& answer_head);
+  void send_events(scripted_endpoint::connection& caller, event_stream stream);
+  /// Ends an answer whose body has been sent.
+  void finish_answer(scripted_endpoint::connection& caller, const std::string& request);
+  /// Head of a successful answer; chunked if it has no length.
+  std::string format_head(const std::string& request, const std::string& answer_head,
+                          std::optional<std::size_t> length) const;
+  std::string frame(const std::string& bytes) const;
+  execution& last_run(const std::string& request);
 
   task_queue& tasks;
   const clock& time;
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -16,6 +16,8 @@
 /// Time for the gateways to start before faults begin.
 constexpr milliseconds start_time{2'500};
 constexpr milliseconds restart_delay{200};
+/// Separates the random source of the unframed answers from those of the faults.
+constexpr std::uint64_t unframed_seeds = 1ULL << 60U;
 constexpr int engines = 4;
 constexpr int plain_endpoints = 2;
 
@@ -101,6 +103,15 @@
   }
 }
 
+void soak_run::choose_unframed_endpoints() {
+  seeded_random choice(this->options.seed ^ unframed_seeds);
+  const auto one_engine = next_below(choice, engines);
+  for (std::size_t number = 0; number < this->endpoints.size(); ++number) {
+    const bool chosen = next_below(choice, 2) == 0 || number == one_engine;
+    this->endpoints[number]->unframed = this->options.unframed && chosen;
+  }
+}
+
 void soak_run::set_up() {
   this->keys = {"key-0", "key-1", "key-2", "key-3", "key-4"};
   this->store = std::make_unique<row_store>(this->loop, this->tasks, this->time);
@@ -111,6 +122,7 @@
         this->loop, this->tasks, this->time, this->executions, name, this->caller_random.next()));
     this->write_endpoint(name, "ready");
   }
+  this->choose_unframed_endpoints();
   for (int number = 0; number < this->options.gateways; ++number) {
     this->gateways.push_back(std::make_unique<soak_gateway>(
         "gateway-" + std::to_string(number), this->options.gateway_program, this->options.folder,
@@ -183,6 +195,26 @@
   return this->answered_in_row >= answers_for_recovery;
 }
 
+void soak_run::write_unframed_summary() {
+  if (!this->options.unframed) {
+    return;
+  }
+  int unframed = 0;
+  int broken_off = 0;
+  int resumed = 0;
+  for (const soak_request& request : this->history.requests) {
+    const std::vector<execution>& runs = this->executions[request.id];
+    const bool broken =
+        std::any_of(runs.begin(), runs.end(), [](const execution& run) { return run.broken_off; });
+    unframed += !runs.empty() && runs.back().unframed && request.complete ? 1 : 0;
+    broken_off += broken ? 1 : 0;
+    resumed += broken && request.complete && request.status == 200 ? 1 : 0;
+  }
+  std::ofstream(this->options.folder + "/summary.txt", std::ios::app)
+      << "unframed answers received " << unframed << " broken off " << broken_off
+      << " of which resumed " << resumed << "\n";
+}
+
 std::vector<std::string> soak_run::run_schedule() {
   this->set_up();
   this->tasks.after(start_time, [this] { this->schedule_faults(); });
@@ -215,6 +247,7 @@
   std::ofstream(this->options.folder + "/summary.txt")
       << "requests " << this->history.requests.size() << " served " << served << " broken "
       << violations.size() << "\n";
+  this->write_unframed_summary();
   return violations;
 }
 
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -33,6 +33,8 @@
   int silences = 0;
   /// Requests with a certain part of the prompt crash endpoints.
   bool crashing_part = false;
+  /// Some endpoints answer with neither a length nor chunks.
+  bool unframed = false;
   /// Numbers of the scheduled faults that are skipped.
   std::set<std::size_t> left_out;
 };
@@ -53,6 +55,7 @@
 
  private:
   void set_up();
+  void choose_unframed_endpoints();
   void write_configuration();
   void write_to_store(const std::string& table, const std::string& key, const std::string& value);
   void write_endpoint(const std::string& endpoint, const std::string& state);
@@ -86,6 +89,8 @@
   void send_next_request(soak_caller& caller);
   void run_step();
   [[nodiscard]] bool has_recovered();
+  /// Adds how many answers were unframed and how many streams were broken off and resumed.
+  void write_unframed_summary();
 
   std::chrono::milliseconds random_duration(int least, int most);
   soak_gateway& pick_gateway(random_source& source);
