Check sound requests too if a part of the prompt is isolated early

A gateway that refuses all prompts after its first crash was not held to the share of sound requests, because that check needed five crashes. With fewer it now counts from the last one.

--- a/Tests/Soak/soak_checks.cxx
+++ b/Tests/Soak/soak_checks.cxx
@@ -121,7 +121,8 @@
       this->check_silence(request);
       this->check_unframed(request);
     }
-    this->check_crashing_part();
+    this->check_isolation();
+    this->check_sound_requests();
     return this->violations;
   }
 
@@ -309,7 +310,7 @@
   }
 
   /// Once a part of the prompt has crashed some endpoints, gateways must isolate it.
-  void check_crashing_part() {
+  void check_isolation() {
     if (this->history.crashes.size() < crashes_until_known) {
       return;
     }
@@ -327,7 +328,15 @@
                                  "crash_isolation_time after crash " +
                                  std::to_string(crashes_until_known) + ".");
     }
-    const steady_time recovered = known + crash_recovery_time;
+  }
+
+  /// Isolating the part must not harm sound requests, even if it takes fewer crashes.
+  void check_sound_requests() {
+    if (this->history.crashes.empty()) {
+      return;
+    }
+    const std::size_t last = std::min(this->history.crashes.size(), crashes_until_known) - 1;
+    const steady_time recovered = this->history.crashes[last] + crash_recovery_time;
     if (recovered + min_crash_window > this->history.crashing_until) {
       return;
     }
@@ -335,11 +344,10 @@
         this->served_share(this->history.faults_from, this->history.crashing_from);
     const double after = this->served_share(recovered, this->history.crashing_until);
     if (after < before / 2) {
-      this->violations.push_back("Of sound requests to engines, " + format_percent(before) +
-                                 " were served before the crashing part, and " +
-                                 format_percent(after) +
-                                 " more than crash_recovery_time after crash " +
-                                 std::to_string(crashes_until_known) + ".");
+      this->violations.push_back(
+          "Of sound requests to engines, " + format_percent(before) +
+          " were served before the crashing part, and " + format_percent(after) +
+          " more than crash_recovery_time after crash " + std::to_string(last + 1) + ".");
     }
   }
 
