--- a/Tests/Soak/soak_faults.cxx
+++ b/Tests/Soak/soak_faults.cxx
@@ -149,7 +149,7 @@
 void soak_run::silence_endpoints(seeded_random& silence_random) {
   constexpr std::uint64_t shortest_ms = 800;
   constexpr std::uint64_t range_ms = 1'201;
-  // Of six moments one silences all endpoints on average, three each second one, the others one.
+  // On average one moment in six silences all endpoints, three every second one, two a single one.
   const auto scope = next_below(silence_random, 6);
   const auto first = next_below(silence_random, this->endpoints.size());
   const bool with_configuration = next_below(silence_random, 2) == 0;
