--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -29,6 +29,12 @@
   int callers = 24;
   /// Number of times that the store is restored from a copy, besides the scheduled faults.
   int store_copies = 0;
+  /// Number of moments at which sound endpoints fall silent, besides the scheduled faults.
+  int silences = 0;
+  /// Requests with a certain part of the prompt crash endpoints.
+  bool crashing_part = false;
+  /// Some endpoints answer with neither a length nor chunks.
+  bool unframed = false;
   /// Numbers of the scheduled faults that are skipped.
   std::set<std::size_t> left_out;
 };
@@ -49,6 +55,7 @@
 
  private:
   void set_up();
+  void choose_unframed_endpoints();
   void write_configuration();
   void write_to_store(const std::string& table, const std::string& key, const std::string& value);
   void write_endpoint(const std::string& endpoint, const std::string& state);
@@ -62,16 +69,28 @@
   /// Restores the store from a copy; later operators and endpoints write the lost rows again.
   void restore_store(seeded_random& restore_random);
   void schedule_store_restores();
+  void schedule_silences();
+  void schedule_crashing_part();
+  /// Sends a request with the crashing part and schedules the next one.
+  void send_crashing_request();
+  /// Resets all connections of the endpoint and starts it anew later.
+  void crash_endpoint(soak_endpoint& endpoint, const std::string& request);
+  /// Makes one, half or all of the endpoints send nothing for a while.
+  void silence_endpoints(seeded_random& silence_random);
   void revoke_key();
   void inject_planned_change();
   void stop_gracefully(soak_gateway& gateway);
   void log_event(const std::string& what);
-  void record_disturbance(const std::string& process, std::chrono::milliseconds length);
+  void record_disturbance(const std::string& process, disturbed_part part,
+                          std::chrono::milliseconds length);
   void restart_ended_gateways();
   void keep_callers_busy();
+  std::string next_request_id();
   void send_next_request(soak_caller& caller);
   void run_step();
   [[nodiscard]] bool has_recovered();
+  /// Adds how many answers were unframed and how many streams were broken off and resumed.
+  void write_unframed_summary();
 
   std::chrono::milliseconds random_duration(int least, int most);
   soak_gateway& pick_gateway(random_source& source);
@@ -83,6 +102,8 @@
   seeded_random caller_random;
   /// For the fault that is being injected; reseeded for each fault.
   seeded_random fault_random;
+  /// For requests with the crashing part and for the crashes.
+  seeded_random crash_random;
   std::size_t fault_count = 0;
   traffic::event_loop loop;
   task_queue tasks;
