Treat a stream that ends inside an event as broken off

What callers saw: a stream whose endpoint ended it in the midst of an event, with a length or chunks that were complete, was passed on as a whole answer. Cause: finish_stream looked for an unfinished event only in answers without framing. Evidence: chunked_stream_that_ends_inside_an_event_is_resumed and stream_that_ends_inside_an_event_does_not_look_complete fail before; five more tests of answers that end with their connection passed already. Change: an unfinished event counts as broken off, however the answer is framed.

--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -388,7 +388,6 @@
   if (row != nullptr) {
     handle_endpoint_notices(this->context, *row, this->call.answer, this->request.id);
   }
-  this->call.length_known = head.length.has_value() || head.chunked;
   if (!is_success(this->call.answer.status)) {
     return;
   }
@@ -535,21 +534,17 @@
 }
 
 void exchange::finish_stream() {
-  const bool unfinished = !this->events.partial.empty() && !this->call.length_known;
-  if (unfinished) {
+  // A stream ends after an event, however its end is framed.
+  if (!this->events.partial.empty()) {
     this->close_call(attempt_result::broken);
     this->events.partial.clear();
     this->continue_after(attempt_end::unknown);
     return;
   }
   this->close_call(attempt_result::answered);
-  const std::string rest = std::exchange(this->events.partial, {});
   if (!this->history.answer_begun) {
-    this->sink.send_whole(this->stream_status, this->stream_headers, rest);
+    this->sink.send_whole(this->stream_status, this->stream_headers, {});
   } else {
-    if (!rest.empty()) {
-      this->sink.send_more(rest);
-    }
     this->sink.end_stream();
   }
   this->conclude("answered", this->stream_status);
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -81,7 +81,6 @@
     gateway::endpoint_answer answer;
     /// The answer is forwarded to the caller while it is received.
     bool forwarding = false;
-    bool length_known = false;
     /// Body of an answer that is buffered until it is complete.
     std::string buffered;
   };
