Decide from crashes and answers which prompt parts crash endpoints

Cause: crashes were counted for whole requests, so requests that share a faulty prompt part but nothing else never added up.

Change: a module records for each crash the parts of the broken requests, and when a request with a part was last answered completely. A part is refused after crashes of three endpoints if no answer with it was completed since 1.5 s before them and if other requests to the pool were answered meanwhile. Beyond the simple count: - Reports carry the age of a crash or an answer, so that a report that is repeated for 5 s is not a second crash and an old answer does not clear a new crash. - A verdict waits for one round of the peers' reports after the second crash, as in a large fleet a gateway completes few answers with a shared part itself. A gateway without peers does not wait. - Crashes within 100 ms may be the loss of several endpoints at once; they wait for 1.5 s. - The part must stand in four of five crashes since its first one, or in those of six endpoints over 3 s, so that flapping endpoints do not incriminate the parts of their requests. - An answer that was received for over a second before its connection broke clears its parts. - A completed answer after the verdict lifts it, and so does the verdict on another part that explains all its crashes.

--- /dev/null
+++ b/Source/Gateway/part_verdicts.cxx
@@ -0,0 +1,240 @@
+#include "Gateway/part_verdicts.h"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "Gateway/peer_table.h"
+
+namespace chestnuthead::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time between two reviews of the same evidence.
+constexpr milliseconds review_interval{50};
+/// How long a tie between parts is left open after the newest crash, and the number of crashes
+/// from which on it is decided at once.
+constexpr milliseconds tie_wait{300};
+constexpr std::size_t tie_limit = 5;
+/// Crashes within this time may be the loss of several endpoints at once. They are decided on
+/// only once answers to other requests had time to arrive.
+constexpr milliseconds simultaneous{100};
+/// Endpoints and time from which on a part is refused even if most crashes have other causes.
+constexpr std::size_t persistent_crashes = 6;
+constexpr std::chrono::seconds persistent_time{3};
+/// Crashes with the part for each other crash that is tolerated before that.
+constexpr std::size_t crashes_per_other = 4;
+constexpr milliseconds message_delay{100};
+
+/// The crashes that count against one part.
+struct tally {
+  std::set<std::uint64_t> endpoints;
+  std::vector<const crash_event*> events;
+};
+
+std::vector<std::uint64_t> list_of(const tally& counted) {
+  return {counted.endpoints.begin(), counted.endpoints.end()};
+}
+
+using tallies = std::map<std::uint64_t, tally>;
+
+bool is_explained(const crashing_parts& table, const crash_event& event, steady_time now) {
+  return std::any_of(event.parts.begin(), event.parts.end(), [&](const auto& entry) {
+    const auto place = table.refused.find(entry.first);
+    return place != table.refused.end() && is_refused(place->second, now);
+  });
+}
+
+tallies count_crashes(const crashing_parts& table, steady_time now) {
+  tallies counts;
+  for (const crash_event& event : table.events) {
+    if (is_explained(table, event, now)) {
+      continue;
+    }
+    for (const auto& [part, suspect] : event.parts) {
+      if (!is_cleared(table, part, event.at)) {
+        counts[part].endpoints.insert(event.where.endpoint);
+        counts[part].events.push_back(&event);
+      }
+    }
+  }
+  return counts;
+}
+
+std::vector<steady_time> times_of(const tally& counted) {
+  std::vector<steady_time> times;
+  for (const crash_event* event : counted.events) {
+    times.push_back(event->at);
+  }
+  std::sort(times.begin(), times.end());
+  return times;
+}
+
+/// Time in which the peers learn of a crash and report what they know about its parts.
+milliseconds report_delay(std::uint32_t gateways) {
+  if (gateways <= 1) {
+    return milliseconds{0};
+  }
+  return 2 * std::min(peer_message_interval(gateways), urgent_interval) + message_delay;
+}
+
+/// True if requests with other prompts were answered since the first crash: if a pool fails
+/// altogether, its crashes say nothing about a part.
+bool others_were_answered(const crashing_parts& table, const tally& counted, steady_time first) {
+  return std::any_of(counted.events.begin(), counted.events.end(), [&](const crash_event* event) {
+    const auto place = table.latest_answers.find(event->where.pool);
+    return place != table.latest_answers.end() && place->second.front() >= first;
+  });
+}
+
+/// True if the part stands in nearly all crashes since its first one.
+bool explains_most(const crashing_parts& table, const tally& counted, steady_time first,
+                   steady_time now) {
+  const auto all =
+      std::count_if(table.events.begin(), table.events.end(), [&](const crash_event& event) {
+        return event.at >= first - simultaneous && !is_explained(table, event, now);
+      });
+  const std::size_t others = static_cast<std::size_t>(all) - counted.events.size();
+  return others * crashes_per_other <= counted.events.size();
+}
+
+bool is_proven(const crashing_parts& table, const tally& counted, std::uint32_t gateways,
+               steady_time now) {
+  if (counted.endpoints.size() < part_crashes_allowed) {
+    return false;
+  }
+  const std::vector<steady_time> times = times_of(counted);
+  const bool is_persistent = counted.endpoints.size() >= persistent_crashes &&
+                             times.back() - times.front() >= persistent_time;
+  const bool is_settled =
+      now - times[1] >= report_delay(gateways) &&
+      (times.back() - times.front() >= simultaneous || now - times.back() >= clearance_margin);
+  return is_settled && others_were_answered(table, counted, times.front()) &&
+         (is_persistent || explains_most(table, counted, times.front(), now));
+}
+
+/// True if the two parts stand in one event, the other one deeper in its prompt.
+bool is_shallower(const tally& counted, std::uint64_t part, std::uint64_t other) {
+  return std::any_of(counted.events.begin(), counted.events.end(), [&](const crash_event* event) {
+    const auto deeper = event->parts.find(other);
+    return deeper != event->parts.end() && deeper->second.depth > event->parts.at(part).depth;
+  });
+}
+
+/// The parts with the most crashes. Of those that share a prompt only the deepest, which is
+/// the most specific; empty while a tie may still be broken.
+std::vector<std::uint64_t> leading_parts(const tallies& counts, steady_time now) {
+  std::size_t most = 0;
+  for (const auto& [part, counted] : counts) {
+    most = std::max(most, counted.endpoints.size());
+  }
+  std::vector<std::uint64_t> leading;
+  for (const auto& [part, counted] : counts) {
+    if (counted.endpoints.size() == most) {
+      leading.push_back(part);
+    }
+  }
+  if (leading.size() <= 1) {
+    return leading;
+  }
+  const bool is_open =
+      most < tie_limit && std::any_of(leading.begin(), leading.end(), [&](std::uint64_t part) {
+        return now - times_of(counts.at(part)).back() < tie_wait;
+      });
+  if (is_open) {
+    return {};
+  }
+  std::vector<std::uint64_t> deepest;
+  std::copy_if(leading.begin(), leading.end(), std::back_inserter(deepest), [&](auto part) {
+    return std::none_of(leading.begin(), leading.end(), [&](std::uint64_t other) {
+      return is_shallower(counts.at(part), part, other);
+    });
+  });
+  return deepest;
+}
+
+void drop_expired(crashing_parts& table, steady_time now) {
+  std::erase_if(table.events,
+                [now](const crash_event& event) { return now - event.at >= part_crash_lifetime; });
+  std::erase_if(table.answers,
+                [now](const auto& entry) { return now - entry.second.at >= part_crash_lifetime; });
+  std::erase_if(table.refused,
+                [now](const auto& entry) { return now >= entry.second.until + part_probation; });
+}
+
+/// Endpoints that crashed while they executed a request with the part.
+std::vector<std::uint64_t> crashed_with(const crashing_parts& table, std::uint64_t part) {
+  std::set<std::uint64_t> endpoints;
+  for (const crash_event& event : table.events) {
+    if (event.parts.contains(part)) {
+      endpoints.insert(event.where.endpoint);
+    }
+  }
+  return {endpoints.begin(), endpoints.end()};
+}
+
+/// Parts that are on probation and have crashed an endpoint again.
+std::vector<std::uint64_t> relapsed_parts(const crashing_parts& table, const tallies& counts,
+                                          steady_time now) {
+  std::vector<std::uint64_t> relapsed;
+  for (const auto& [part, row] : table.refused) {
+    const auto place = counts.find(part);
+    if (!is_refused(row, now) && place != counts.end() &&
+        times_of(place->second).back() >= row.until) {
+      relapsed.push_back(part);
+    }
+  }
+  return relapsed;
+}
+
+void add_suspected(crashing_parts& table, const tallies& counts,
+                   std::vector<part_verdict>& verdicts) {
+  std::erase_if(table.suspected, [&](std::uint64_t part) { return !counts.contains(part); });
+  for (const auto& [part, counted] : counts) {
+    if (counted.endpoints.size() + 1 >= part_crashes_allowed &&
+        table.suspected.insert(part).second) {
+      verdicts.push_back({part, list_of(counted), false, false});
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<part_verdict> review_parts(crashing_parts& table, std::uint32_t gateways,
+                                       steady_time now) {
+  std::vector<part_verdict> verdicts;
+  for (const std::uint64_t part : std::exchange(table.newly_adopted, {})) {
+    verdicts.push_back({part, crashed_with(table, part), true, true});
+  }
+  if (now < table.next_review) {
+    return verdicts;
+  }
+  table.next_review = now + review_interval;
+  drop_expired(table, now);
+  if (table.events.empty()) {
+    table.suspected.clear();
+    return verdicts;
+  }
+  std::erase_if(table.refused, [&](const auto& entry) {
+    return is_refused(entry.second, now) && is_other_to_blame(table, entry.first, now);
+  });
+  const tallies counts = count_crashes(table, now);
+  add_suspected(table, counts, verdicts);
+  std::vector<std::uint64_t> guilty = relapsed_parts(table, counts, now);
+  for (const std::uint64_t part : leading_parts(counts, now)) {
+    if (is_proven(table, counts.at(part), gateways, now)) {
+      guilty.push_back(part);
+    }
+  }
+  for (const std::uint64_t part : guilty) {
+    refuse_part(table, part, now, now);
+    verdicts.push_back({part, list_of(counts.at(part)), true, false});
+  }
+  return verdicts;
+}
+
+}  // namespace chestnuthead::gateway
