Tell the peers which prompt parts crash endpoints

Cause: callers reach any gateway, so one gateway sees only a few of the crashes of a part, and answers that clear a shared part come from all of them.

Change: a message has three more fields after the fifteen of this version: the parts of crashed requests with endpoint, depth and age, cleared parts with the age of the answer, and parts that the sender refuses on evidence of its own. New entries make a message urgent. The first fifteen fields are unchanged byte for byte and the version stays 7.

Tested with bytes of the codec before this change: it reads a new message and ignores the surplus fields, and the new one reads its messages without the fields.

--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -10,6 +10,7 @@
 
 #include "Gateway/attempt_rules.h"
 #include "Gateway/crash_suspects.h"
+#include "Gateway/crashing_parts.h"
 #include "Gateway/endpoint_table.h"
 #include "Gateway/fleet_keys.h"
 #include "Gateway/peer_table.h"
@@ -35,6 +36,7 @@
   fleet_keys keys;
   store_eras eras;
   crash_suspects suspects;
+  crashing_parts parts;
   prefix_holders holders;
   rollout_table rollouts;
   rollout_terms rollout_limits;
--- a/Source/Gateway/peer_message.cxx
+++ b/Source/Gateway/peer_message.cxx
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <vector>
 
+#include "Base/hashing.h"
 #include "Gateway/endpoint_health.h"
 #include "Gateway/rollout_decision.h"
 
@@ -60,6 +61,21 @@
   }
 }
 
+void apply_part_reports(gateway_state& state, const part_reports& reports, steady_time now) {
+  for (const part_crash& crash : reports.crashes) {
+    const auto place = state.endpoints.by_hash.find(crash.endpoint);
+    if (place != state.endpoints.by_hash.end()) {
+      record_reported_crash(state.parts, crash, hash_text(place->second->listing.pool.value), now);
+    }
+  }
+  for (const part_clearance& cleared : reports.cleared) {
+    record_reported_clearance(state.parts, cleared, now);
+  }
+  for (const std::uint64_t part : reports.refused) {
+    adopt_refusal(state.parts, part, now);
+  }
+}
+
 void drop_expired_reports(loss_reports& losses, steady_time now) {
   std::erase_if(losses, [now](const auto& entry) {
     return now - entry.second.received_at >= loss_report_lifetime;
@@ -76,6 +92,7 @@
   for (const crash_report& crash : message.crashes) {
     record_crash(state.suspects, crash, now);
   }
+  apply_part_reports(state, message.parts, now);
   for (const prefix_placement& placement : message.placements) {
     record_placement(state.holders, placement, now);
     const auto place = state.endpoints.by_hash.find(placement.endpoint);
--- a/Source/Gateway/peer_table.cxx
+++ b/Source/Gateway/peer_table.cxx
@@ -173,7 +173,7 @@
   };
   return count_bad(message.rollouts) > count_bad(before.rollouts) ||
          is_new(message.unreachable, before.unreachable) ||
-         is_new(message.crashes, before.crashes) ||
+         is_new(message.crashes, before.crashes) || has_new_reports(message.parts, before.parts) ||
          is_new(message.leaving_endpoints, before.leaving_endpoints);
 }
 
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -10,6 +10,7 @@
 #include "chestnuthead/clock.h"
 #include "chestnuthead/ids.h"
 
+#include "Gateway/crashing_parts.h"
 #include "Gateway/endpoint_reports.h"
 #include "Gateway/endpoint_table.h"
 #include "Gateway/placement.h"
@@ -58,6 +59,8 @@
   std::vector<table_update> tables;
   /// Recent crashes.
   std::vector<crash_report> crashes;
+  /// Recent evidence about prompt parts that crash endpoints.
+  part_reports parts;
   /// Roll-outs in progress, with the sender's results since their orders.
   std::vector<rollout_report> rollouts;
   /// The store has recently confirmed the sender's configuration.
@@ -149,7 +152,8 @@
 /// Shortest time between two urgent messages.
 inline constexpr std::chrono::milliseconds urgent_interval{700};
 
-/// True if the message reports a lost or leaving endpoint, a crash or a bad version that the
+/// True if the message reports a lost or leaving endpoint, a crash, a prompt part
+/// that crashes endpoints or a bad version that the
 /// previous message did not, so that it should be sent before the next regular message.
 bool is_urgent(const peer_message& message, const peer_message& before);
 
--- a/Source/Traffic/peer_channel.cxx
+++ b/Source/Traffic/peer_channel.cxx
@@ -79,6 +79,7 @@
   const gateway::gateway_state& state = this->context.state;
   gateway::peer_message message = own_peer_message(state.endpoints, now);
   message.crashes = recent_crashes(state.suspects, now);
+  message.parts = recent_part_reports(state.parts, now);
   message.rollouts = rollout_reports(state.rollouts);
   message.current = is_current(state, now);
   message.configuration = state.services == nullptr ? 0 : state.services->version;
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -12,6 +12,7 @@
 
 /// To be increased when the fields change; gateways ignore messages of another version.
 constexpr std::uint32_t message_version = 7;
+constexpr std::size_t part_crash_fields = 4;
 /// Most elements of one list.
 constexpr std::size_t list_limit = 4'096;
 
@@ -74,10 +75,55 @@
   return update;
 }
 
+/// Writes the fields that earlier builds do not read.
+void write_parts(field_writer& out, const gateway::part_reports& reports) {
+  out.array(reports.crashes.size() * part_crash_fields);
+  for (const gateway::part_crash& crash : reports.crashes) {
+    out.put(crash.part);
+    out.put(crash.endpoint);
+    out.put(crash.depth);
+    out.put(crash.age);
+  }
+  write_pairs(out, reports.cleared, &gateway::part_clearance::part, &gateway::part_clearance::age);
+  out.array(reports.refused.size());
+  for (const std::uint64_t part : reports.refused) {
+    out.put(part);
+  }
+}
+
+void check_part_list(const msgpack::object& list, std::size_t fields, std::size_t most) {
+  if (list.type != msgpack::type::ARRAY || list.via.array.size > fields * most) {
+    throw msgpack::type_error();
+  }
+}
+
+gateway::part_reports read_parts(field_reader& in) {
+  gateway::part_reports reports;
+  const msgpack::object& crashes = in.object();
+  check_part_list(crashes, part_crash_fields, gateway::max_reported_crashes);
+  for (field_reader list(crashes); !list.at_end();) {
+    gateway::part_crash& crash = reports.crashes.emplace_back();
+    list.get(crash.part);
+    list.get(crash.endpoint);
+    list.get(crash.depth);
+    list.get(crash.age);
+  }
+  const msgpack::object& cleared = in.object();
+  check_part_list(cleared, 2, gateway::max_reported_clearances);
+  read_pairs(cleared, reports.cleared, &gateway::part_clearance::part,
+             &gateway::part_clearance::age);
+  const msgpack::object& refused = in.object();
+  check_part_list(refused, 1, gateway::max_reported_refusals);
+  for (field_reader list(refused); !list.at_end();) {
+    list.get(reports.refused.emplace_back());
+  }
+  return reports;
+}
+
 }  // namespace
 
 std::string encode_peer_message(const gateway::peer_message& message) {
-  constexpr std::size_t fields = 15;
+  constexpr std::size_t fields = 18;
   field_writer out;
   out.array(fields);
   out.put(message_version);
@@ -105,6 +151,7 @@
     write_table(out, update);
   }
   write_rollouts(out, message.rollouts);
+  write_parts(out, message.parts);
   return out.text();
 }
 
@@ -146,6 +193,10 @@
       message.tables.push_back(read_table(list.object()));
     }
     message.rollouts = read_rollouts(in.object());
+    // Messages of earlier builds end here.
+    if (!in.at_end()) {
+      message.parts = read_parts(in);
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/Tests/Traffic/peer_codec_test.cxx
+++ b/Tests/Traffic/peer_codec_test.cxx
@@ -6,9 +6,14 @@
 
 namespace chestnuthead::traffic {
 
+using namespace std::string_view_literals;
+
 class gateway_peer_codec_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(gateway_peer_codec_test);
   CPPUNIT_TEST(message_survives_a_round_trip);
+  CPPUNIT_TEST(message_without_prompt_parts_is_read);
+  CPPUNIT_TEST(earlier_builds_read_the_first_fields);
+  CPPUNIT_TEST(excessive_part_reports_are_rejected);
   CPPUNIT_TEST(corrupt_bytes_are_handled);
   CPPUNIT_TEST(excessive_declared_sizes_are_rejected);
   CPPUNIT_TEST_SUITE_END();
@@ -31,6 +36,14 @@
     CPPUNIT_ASSERT(message.crashes == decoded->crashes);
     CPPUNIT_ASSERT(message.placements == decoded->placements);
     CPPUNIT_ASSERT(message.shorter_prefixes == decoded->shorter_prefixes);
+    const gateway::part_crash& crash = decoded->parts.crashes.at(1);
+    CPPUNIT_ASSERT_EQUAL(message.parts.crashes[1].part, crash.part);
+    CPPUNIT_ASSERT_EQUAL(message.parts.crashes[1].endpoint, crash.endpoint);
+    CPPUNIT_ASSERT_EQUAL(message.parts.crashes[1].depth, crash.depth);
+    CPPUNIT_ASSERT(message.parts.crashes[1].age == crash.age);
+    CPPUNIT_ASSERT_EQUAL(message.parts.cleared[0].part, decoded->parts.cleared.at(0).part);
+    CPPUNIT_ASSERT(message.parts.cleared[0].age == decoded->parts.cleared[0].age);
+    CPPUNIT_ASSERT(message.parts.refused == decoded->parts.refused);
     const gateway::table_update& update = decoded->tables.at(0);
     CPPUNIT_ASSERT_EQUAL(message.tables[0].table, update.table);
     CPPUNIT_ASSERT_EQUAL(message.tables[0].version, update.version);
@@ -58,6 +71,41 @@
     CPPUNIT_ASSERT(sent.pace == received.pace);
   }
 
+  void message_without_prompt_parts_is_read() {
+    const auto decoded = decode_peer_message("\x9f" + earlier_fields());
+    CPPUNIT_ASSERT(decoded.has_value());
+    CPPUNIT_ASSERT(decoded->crashes == (std::vector<gateway::crash_report>{{1, 2}}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{71}, decoded->configuration);
+    CPPUNIT_ASSERT(decoded->parts.crashes.empty() && decoded->parts.refused.empty());
+  }
+
+  /// Earlier builds read fifteen fields and ignore further ones.
+  void earlier_builds_read_the_first_fields() {
+    const auto earlier = decode_peer_message("\x9f" + earlier_fields());
+    gateway::peer_message message = *earlier;
+    message.parts = sample().parts;
+    const std::string bytes = encode_peer_message(message);
+    const std::string head("\xdc\x00\x12", 3);
+    CPPUNIT_ASSERT(bytes.starts_with(head + earlier_fields()));
+    // A build with yet more fields can be read as well.
+    const auto later =
+        decode_peer_message(std::string("\xdc\x00\x13", 3) + bytes.substr(head.size()) + "\x90");
+    CPPUNIT_ASSERT(later.has_value());
+    CPPUNIT_ASSERT(later->parts.refused == message.parts.refused);
+  }
+
+  void excessive_part_reports_are_rejected() {
+    gateway::peer_message message = sample();
+    message.parts.crashes.resize(gateway::max_reported_crashes + 1);
+    CPPUNIT_ASSERT(!decode_peer_message(encode_peer_message(message)).has_value());
+    message = sample();
+    message.parts.cleared.resize(gateway::max_reported_clearances + 1);
+    CPPUNIT_ASSERT(!decode_peer_message(encode_peer_message(message)).has_value());
+    message = sample();
+    message.parts.refused.resize(gateway::max_reported_refusals + 1);
+    CPPUNIT_ASSERT(!decode_peer_message(encode_peer_message(message)).has_value());
+  }
+
   void corrupt_bytes_are_handled() {
     check_property("damaged messages are read or refused", [](std::uint8_t value) {
       std::string bytes = encode_peer_message(sample());
@@ -79,6 +127,15 @@
   }
 
  private:
+  /// The fields of a message as a build before prompt parts wrote them, without the array head.
+  static std::string earlier_fields() {
+    constexpr std::string_view bytes =
+        "\x07\xa9gateway-1\x11\x04\xc2\xc3\x47\x92\x07\x09\x91\x05\x92\x06\xcf\x00\x00\x01\x8b"
+        "\xcf\xe5\x68\x00\x92\x01\x02\x92\x03\x04\x92\x1f\x06\x91\x97\xa7servers\x5a\x50\xcd\x13"
+        "\x88\x46\x94\xa3one\xc4\x02{}\xc2\x4d\x04\x90"sv;
+    return std::string(bytes);
+  }
+
   static gateway::peer_message sample() {
     gateway::peer_message message;
     message.sender = {"gateway-1"};
@@ -99,6 +156,10 @@
     message.shorter_prefixes = {{31, 6}};
     message.leaving_endpoints = {{6, 1'700'000'000'000}, {7, 0}};
     message.crashes = {{1, 2}};
+    message.parts.crashes = {{8, 9, 1, std::chrono::milliseconds{0}},
+                             {10, 11, 2, std::chrono::milliseconds{4'999}}};
+    message.parts.cleared = {{12, std::chrono::milliseconds{30}}};
+    message.parts.refused = {13, 14};
     message.placements = {{3, 4}, {5, 6}};
     gateway::rollout_report report{
         {pool_id{"engines"}, "v2", std::chrono::seconds{12}, {31, 2}}, true, "failures", {}};
