Send no request to an endpoint whose prompt has a part that crashes endpoints

Cause: an exchange asked only whether the whole request had crashed three endpoints.

Change: before each send the prompt's parts are checked. A request that was never executed is refused with a time (503); one that may have been executed gets the failure answer (502), and one whose answer has begun is cut. A request that waits for its answer is withdrawn when one of its parts is refused, so that it does not crash its endpoint later. A broken connection is evidence against the parts, a completed answer evidence for them. The gateway logs prompt_part_suspected and request_part_refused and counts refused parts and requests.

--- /dev/null
+++ b/Source/Traffic/crashing_part_review.cxx
@@ -0,0 +1,49 @@
+#include "Traffic/crashing_part_review.h"
+
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+#include <vector>
+
+#include "Gateway/part_verdicts.h"
+
+namespace chestnuthead::traffic {
+
+namespace {
+
+std::string endpoint_names(const gateway::endpoint_table& endpoints,
+                           const std::vector<std::uint64_t>& hashes) {
+  std::string names;
+  for (const std::uint64_t hash : hashes) {
+    const auto place = endpoints.by_hash.find(hash);
+    const std::string name =
+        place == endpoints.by_hash.end() ? part_text(hash) : place->second->listing.name.value;
+    names += names.empty() ? name : "," + name;
+  }
+  return names;
+}
+
+}  // namespace
+
+std::string part_text(std::uint64_t part) {
+  std::array<char, 17> digits{};
+  std::snprintf(digits.data(), digits.size(), "%016" PRIx64, part);
+  return digits.data();
+}
+
+void review_crashing_parts(traffic_context& context, const std::string& request, steady_time now) {
+  gateway::gateway_state& state = context.state;
+  for (const gateway::part_verdict& verdict :
+       review_parts(state.parts, state.fleet.gateways, now)) {
+    std::vector<log_field> fields{{"part", part_text(verdict.part)},
+                                  {"endpoints", endpoint_names(state.endpoints, verdict.endpoints)},
+                                  {"request", request}};
+    if (verdict.refused) {
+      fields.push_back({"source", std::string(verdict.from_peer ? "peer" : "own")});
+    }
+    context.log.write(verdict.refused ? log_level::warning : log_level::info,
+                      verdict.refused ? "request_part_refused" : "prompt_part_suspected", fields);
+  }
+}
+
+}  // namespace chestnuthead::traffic
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Base/hashing.h"
+#include "Traffic/crashing_part_review.h"
 #include "Traffic/endpoint_notices.h"
 #include "Traffic/rollout_results.h"
 
@@ -233,6 +235,9 @@
 
 void exchange::send_to_endpoint() {
   const steady_time now = this->context.time.now();
+  if (this->end_with_refused_part(now)) {
+    return;
+  }
   const gateway::pool& pool = *this->admitted->taken_pool;
   this->update_hints(now);
   if (this->use_standby(now)) {
@@ -556,7 +561,56 @@
   if (row != nullptr && !is_retired(this->context.state.rollouts, *row)) {
     record_crash(this->context.state.suspects, {this->fingerprint, row->hash},
                  this->context.time.now());
+    this->suspect_parts(*row);
+  }
+}
+
+void exchange::suspect_parts(const gateway::endpoint& row) {
+  const steady_time now = this->context.time.now();
+  const std::optional<steady_time> began_at = this->attempts.back().first_bytes_at;
+  if (began_at && now - *began_at > gateway::crash_onset) {
+    this->clear_parts();
+    return;
+  }
+  record_part_crash(this->context.state.parts, {row.hash, hash_text(row.listing.pool.value)},
+                    this->request.prompt, now);
+  review_crashing_parts(this->context, this->request.id, now);
+}
+
+void exchange::clear_parts() {
+  record_part_answer(this->context.state.parts, hash_text(this->admitted->taken_pool->name.value),
+                     this->request.prompt, this->context.time.now());
+}
+
+bool exchange::end_with_refused_part(steady_time now) {
+  gateway::crashing_parts& parts = this->context.state.parts;
+  this->refused_part = gateway::refused_part(parts, this->request.prompt, now);
+  if (!this->refused_part) {
+    return false;
+  }
+  note_refused_request(parts, *this->refused_part, now);
+  this->context.metrics.count("chestnuthead_requests_with_refused_part_total", this->pool_label());
+  if (this->history.answer_begun) {
+    this->sink.abort_answer();
+    this->conclude("cut", 0);
+  } else if (this->history.executions > 0) {
+    this->answer_error(error_kind::endpoint_failed, {});
+  } else {
+    this->answer_error(error_kind::request_refused_after_crashes, gateway::part_refusal_time);
   }
+  return true;
+}
+
+bool exchange::withdraw_with_refused_part(steady_time now) {
+  if (this->call.answered ||
+      !gateway::refused_part(this->context.state.parts, this->request.prompt, now)) {
+    return false;
+  }
+  if (!this->call.link->is_open()) {
+    --this->history.executions;
+  }
+  this->cancel_call("withdrawn");
+  return this->end_with_refused_part(now);
 }
 
 void exchange::on_call_failed(call_failure failure) {
@@ -657,6 +711,9 @@
     }
     return;
   }
+  if (this->withdraw_with_refused_part(now)) {
+    return;
+  }
   if (now >= this->admitted->answer_by) {
     this->time_out();
     return;
@@ -715,17 +772,20 @@
     return;
   }
   if (this->call.link != nullptr) {
-    this->call.link->abandon();
-    this->call.link = nullptr;
-    this->end_attempt(this->call.answered ? "answering" : "waiting");
-    if (gateway::endpoint* row =
-            find_endpoint(this->context.state.endpoints, this->call.endpoint)) {
-      end_request(*row);
-    }
+    this->cancel_call(this->call.answered ? "answering" : "waiting");
   }
   this->conclude("caller_left", 0);
 }
 
+void exchange::cancel_call(std::string_view result) {
+  this->call.link->abandon();
+  this->call.link = nullptr;
+  this->end_attempt(result);
+  if (gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->call.endpoint)) {
+    end_request(*row);
+  }
+}
+
 void exchange::refuse(const gateway::refusal& why) {
   this->answer_error(why.kind, why.retry_after);
 }
@@ -792,6 +852,9 @@
     fields.push_back({"events", static_cast<std::int64_t>(last.events)});
     fields.push_back({"not_resent", std::string(name_of(this->not_resent))});
   }
+  if (this->refused_part) {
+    fields.push_back({"refused_part", part_text(*this->refused_part)});
+  }
   if (this->first_bytes_at) {
     fields.push_back(
         {"first_bytes_ms", milliseconds_between(this->arrived_at, *this->first_bytes_at)});
@@ -808,6 +871,9 @@
   this->over = true;
   this->standby.reset();
   const steady_time now = this->context.time.now();
+  if (outcome == "answered" && is_success(status)) {
+    this->clear_parts();
+  }
   this->context.metrics.count("chestnuthead_requests_total",
                               this->pool_label() + ",outcome=\"" + std::string(outcome) + "\"");
   if (outcome != "answered" && this->not_resent != gateway::resend_obstacle::none) {
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -125,6 +125,17 @@
   void note_health(gateway::endpoint& row, gateway::attempt_result result);
   /// Records that the request may have crashed the endpoint.
   void suspect_crash();
+  /// Records that one of the prompt's parts may have crashed the endpoint.
+  void suspect_parts(const gateway::endpoint& row);
+  /// Records that the parts of the prompt did not crash the endpoint.
+  void clear_parts();
+  /// Ends a request whose prompt has a refused part. Returns true if it has one.
+  bool end_with_refused_part(steady_time now);
+  /// Does the same for a request that waits for its answer at an endpoint, so that it does not
+  /// crash this endpoint too.
+  bool withdraw_with_refused_part(steady_time now);
+  /// Cancels the call at the present endpoint, which is not at fault.
+  void cancel_call(std::string_view result);
   /// Counts a long wait against the endpoint, at most once for each call.
   void report_long_wait(steady_time now);
   /// `gateway::obstacle_to_resend` now.
@@ -181,6 +192,8 @@
   int stream_status = 0;
   steady_time arrived_at{};
   std::uint64_t fingerprint = 0;
+  /// The prompt part because of which the request was ended.
+  std::optional<std::uint64_t> refused_part;
   /// `gateway::shorter_prefixes` of the request.
   std::vector<std::uint64_t> shorter_prefixes;
   /// `affinity_of` the request.
--- a/Source/Traffic/gateway_metrics.cxx
+++ b/Source/Traffic/gateway_metrics.cxx
@@ -68,6 +68,8 @@
   metrics.set("chestnuthead_keys_trusted", {}, keys_trusted(state, now) ? 1.0 : 0.0);
   metrics.set("chestnuthead_prefixes_remembered", {},
               static_cast<double>(state.holders.rows.size()));
+  metrics.set("chestnuthead_prompt_parts_refused", {},
+              static_cast<double>(count_refused(state.parts, now)));
   metrics.set("chestnuthead_endpoint_connections_opened_total", {},
               static_cast<double>(links.opened()));
   set_pools(metrics, state, now);
--- a/Source/Traffic/gateway_server.cxx
+++ b/Source/Traffic/gateway_server.cxx
@@ -5,6 +5,8 @@
 
 #include <unistd.h>
 
+#include "Traffic/crashing_part_review.h"
+
 namespace chestnuthead::traffic {
 
 namespace {
@@ -61,6 +63,7 @@
 }
 
 void gateway_server::tick(steady_time now) {
+  review_crashing_parts(this->context, {}, now);
   std::vector<caller_link*> present;
   present.reserve(this->links.size());
   for (const auto& [key, link] : this->links) {
--- a/Tests/Traffic/crashing_part_test.cxx
+++ b/Tests/Traffic/crashing_part_test.cxx
@@ -4,6 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Base/hashing.h"
 #include "Traffic/traffic_harness.h"
 
 namespace chestnuthead {
@@ -55,6 +56,7 @@
 class crashing_part_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(crashing_part_test);
   CPPUNIT_TEST(part_that_crashes_endpoints_is_not_sent_to_each_of_them);
+  CPPUNIT_TEST(waiting_request_is_withdrawn_when_its_part_is_refused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -76,10 +78,32 @@
     const int allowed = 8;
     const int sent = this->count_crashing(harness);
     CPPUNIT_ASSERT_MESSAGE("sent " + std::to_string(sent), sent <= allowed);
+    const std::string log = harness.take_log();
+    CPPUNIT_ASSERT(log.find("\"request_part_refused\"") != std::string::npos);
+    CPPUNIT_ASSERT(log.find("\"prompt_part_suspected\"") != std::string::npos);
+    CPPUNIT_ASSERT(log.find("\"refused_part\"") != std::string::npos);
     CPPUNIT_ASSERT_EQUAL(sound.size(), static_cast<std::size_t>(
                                            std::count_if(sound.begin(), sound.end(), is_served)));
   }
 
+  void waiting_request_is_withdrawn_when_its_part_is_refused() {
+    traffic_harness harness(1);
+    scripted_endpoint& engine = *harness.endpoints[0];
+    engine.scripts = {[](connection& /*caller*/) {}};
+    const auto waiting = send(harness, chat_with_part(crashing_part, 1));
+    CPPUNIT_ASSERT(harness.run_until([&] { return engine.requests.size() == 1; }));
+    adopt_refusal(harness.state.parts, hash_text(crashing_part), harness.time.now());
+    CPPUNIT_ASSERT(harness.run_until([&] { return waiting->has_answers(1); }));
+    // It may have been executed, so it is not reported as not run.
+    CPPUNIT_ASSERT(waiting->bytes.starts_with("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(harness.run_until([&] { return engine.connections[0]->closed; }));
+    const auto next = send(harness, chat_with_part(crashing_part, 2));
+    CPPUNIT_ASSERT(harness.run_until([&] { return next->has_answers(1); }));
+    CPPUNIT_ASSERT(next->bytes.starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(next->bytes.find("Retry-After: 60") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, engine.requests.size());
+  }
+
  private:
   static void script_engines(traffic_harness& harness) {
     for (int engine = 0; engine < engines; ++engine) {
