--- a/Tests/Traffic/log_schema_test.cxx
+++ b/Tests/Traffic/log_schema_test.cxx
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Base/hashing.h"
 #include "Net/json_text.h"
 #include "Traffic/traffic_harness.h"
 
@@ -33,6 +34,14 @@
     const auto other = harness.connect();
     other->send(traffic_harness::chat_bytes("c1"));
     CPPUNIT_ASSERT(harness.run_until([&] { return other->has_answers(1); }));
+    // A prompt part that is suspected, and one that a peer refuses.
+    for (const std::uint64_t endpoint : {1U, 2U}) {
+      record_part_crash(harness.state.parts, {endpoint, 1}, {{7, 10}, {8, 10}}, harness.time.now());
+    }
+    adopt_refusal(harness.state.parts, hash_text("5c1e"), harness.time.now());
+    const auto refused = harness.connect();
+    refused->send(traffic_harness::chat_bytes("c2"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return refused->has_answers(1); }));
     check_lines(harness.take_log());
   }
 
@@ -73,7 +82,8 @@
       }
       seen.insert(event);
     }
-    for (const char* expected : {"request_ended", "request_rejected", "endpoint_set_aside"}) {
+    for (const char* expected : {"request_ended", "request_rejected", "endpoint_set_aside",
+                                 "prompt_part_suspected", "request_part_refused"}) {
       CPPUNIT_ASSERT_MESSAGE(expected, seen.contains(expected));
     }
   }
