Hold endpoints that fail for other reasons against a verdict on a prompt part

Crashes were compared only from the part's first one on, and those of six endpoints were not compared at all.

Change: crashes without the part count from 5 s before its first one. For a part that has crashed six endpoints over 3 s there must still be one crash for each other crash.

--- a/Source/Gateway/part_verdicts.cxx
+++ b/Source/Gateway/part_verdicts.cxx
@@ -23,11 +23,13 @@
 /// Crashes within this time may be the loss of several endpoints at once. They are decided on
 /// only once answers to other requests had time to arrive.
 constexpr milliseconds simultaneous{100};
-/// Endpoints and time from which on a part is refused even if most crashes have other causes.
+/// Crashes with the part for each other crash that is tolerated.
+constexpr std::size_t crashes_per_other = 4;
+/// Endpoints and time from which on one crash with the part for each other crash suffices.
 constexpr std::size_t persistent_crashes = 6;
 constexpr std::chrono::seconds persistent_time{3};
-/// Crashes with the part for each other crash that is tolerated before that.
-constexpr std::size_t crashes_per_other = 4;
+/// Crashes up to this long before the first one with the part show that endpoints fail without it.
+constexpr std::chrono::seconds background_time{5};
 constexpr milliseconds message_delay{100};
 
 /// The crashes that count against one part.
@@ -91,15 +93,17 @@
   });
 }
 
-/// True if the part stands in nearly all crashes since its first one.
-bool explains_most(const crashing_parts& table, const tally& counted, steady_time first,
-                   steady_time now) {
+/// True if few endpoints have crashed without the part since shortly before its first crash.
+bool explains_most(const crashing_parts& table, const tally& counted,
+                   const std::vector<steady_time>& times, steady_time now) {
+  const bool is_persistent = counted.endpoints.size() >= persistent_crashes &&
+                             times.back() - times.front() >= persistent_time;
   const auto all =
       std::count_if(table.events.begin(), table.events.end(), [&](const crash_event& event) {
-        return event.at >= first - simultaneous && !is_explained(table, event, now);
+        return event.at >= times.front() - background_time && !is_explained(table, event, now);
       });
   const std::size_t others = static_cast<std::size_t>(all) - counted.events.size();
-  return others * crashes_per_other <= counted.events.size();
+  return others * (is_persistent ? 1 : crashes_per_other) <= counted.events.size();
 }
 
 bool is_proven(const crashing_parts& table, const tally& counted, std::uint32_t gateways,
@@ -108,13 +112,11 @@
     return false;
   }
   const std::vector<steady_time> times = times_of(counted);
-  const bool is_persistent = counted.endpoints.size() >= persistent_crashes &&
-                             times.back() - times.front() >= persistent_time;
   const bool is_settled =
       now - times[1] >= report_delay(gateways) &&
       (times.back() - times.front() >= simultaneous || now - times.back() >= clearance_margin);
   return is_settled && others_were_answered(table, counted, times.front()) &&
-         (is_persistent || explains_most(table, counted, times.front(), now));
+         explains_most(table, counted, times, now);
 }
 
 /// True if the two parts stand in one event, the other one deeper in its prompt.
--- a/Tests/Gateway/part_fleet.cxx
+++ b/Tests/Gateway/part_fleet.cxx
@@ -216,8 +216,8 @@
     for (; this->crashing_due >= 1.0; this->crashing_due -= 1.0) {
       // Its other parts stand in sound prompts too.
       std::vector<prompt_part> prompt = this->sound_prompt();
-      prompt.insert(prompt.begin() + 1, {crashing_part, 100});
-      prompt.erase(prompt.begin() + 3);
+      prompt.erase(prompt.begin() + 2);
+      prompt.insert(prompt.begin() + this->settings.crashing_depth, {crashing_part, 100});
       this->arrive(std::move(prompt), true);
     }
     this->exchange_reports();
--- a/Tests/Gateway/part_fleet.h
+++ b/Tests/Gateway/part_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -19,6 +20,8 @@
   /// Requests per second over the fleet.
   double sound_rate = 60.0;
   double crashing_rate = 0.0;
+  /// Index of the crashing part in its prompts, which have four parts.
+  std::ptrdiff_t crashing_depth = 1;
   /// Share of answers that break off at a random time, without a crash.
   double broken_share = 0.0;
   /// Share of the messages between gateways that are lost.
--- a/Tests/Gateway/part_fleet_test.cxx
+++ b/Tests/Gateway/part_fleet_test.cxx
@@ -13,6 +13,7 @@
 class part_fleet_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(part_fleet_test);
   CPPUNIT_TEST(crashing_part_is_refused_by_the_whole_fleet);
+  CPPUNIT_TEST(crashing_part_is_refused_while_other_endpoints_flap);
   CPPUNIT_TEST(endpoints_lost_at_once_refuse_no_part);
   CPPUNIT_TEST(flapping_endpoints_refuse_no_part);
   CPPUNIT_TEST(pool_that_is_lost_and_back_refuses_no_part);
@@ -33,6 +34,20 @@
     }
   }
 
+  void crashing_part_is_refused_while_other_endpoints_flap() {
+    part_fleet_settings settings;
+    settings.endpoints = 56;
+    part_fleet fleet(settings);
+    for (std::size_t second = 0; second < 25; ++second) {
+      fleet.settings.crashing_rate = second < 5 ? 0.0 : 5.0;
+      fleet.lose_endpoint(second % 6, milliseconds{2'500});
+      fleet.run(seconds{1});
+    }
+    CPPUNIT_ASSERT(fleet.results.late_arrivals <= 3);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.results.sound_refused);
+    CPPUNIT_ASSERT(fleet.is_refused_everywhere(part_fleet::crashing_part));
+  }
+
   void endpoints_lost_at_once_refuse_no_part() {
     for_each_fleet([](part_fleet& fleet) {
       for (int round = 0; round < 4; ++round) {
@@ -85,6 +100,7 @@
     settings.gateways = gateways;
     settings.endpoints = endpoints;
     settings.seed = seed;
+    settings.crashing_depth = static_cast<std::ptrdiff_t>(seed % 3);
     part_fleet fleet(settings);
     fleet.run(seconds{5});
     fleet.settings.crashing_rate = rate;
--- a/Tests/Gateway/peer_message_test.cxx
+++ b/Tests/Gateway/peer_message_test.cxx
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(loss_reports_of_peers_are_not_forwarded);
   CPPUNIT_TEST(few_gateways_check_after_one_loss_report);
   CPPUNIT_TEST(all_gateways_check_after_two_loss_reports);
+  CPPUNIT_TEST(new_part_reports_are_urgent);
+  CPPUNIT_TEST(part_that_a_peer_refuses_is_refused);
   CPPUNIT_TEST(a_newcomer_receives_the_latest_placements);
   CPPUNIT_TEST(few_gateways_send_placements_to_a_newcomer);
   CPPUNIT_TEST(gateways_started_together_send_no_placements);
@@ -128,6 +130,35 @@
     CPPUNIT_ASSERT(checking <= 4);
   }
 
+  void new_part_reports_are_urgent() {
+    peer_message before;
+    before.parts = {{{1, 2, 0, milliseconds{0}}}, {{3, milliseconds{0}}}, {4}};
+    peer_message message = before;
+    message.parts.crashes[0].age = milliseconds{200};
+    message.parts.cleared[0].age = milliseconds{200};
+    CPPUNIT_ASSERT(!is_urgent(message, before));
+    message.parts.crashes.push_back({1, 5, 0, milliseconds{0}});
+    CPPUNIT_ASSERT(is_urgent(message, before));
+    message = before;
+    message.parts.refused.push_back(6);
+    CPPUNIT_ASSERT(is_urgent(message, before));
+  }
+
+  void part_that_a_peer_refuses_is_refused() {
+    gateway_state state = test_state(2);
+    const std::uint64_t hash = state.endpoints.rows.begin()->second.hash;
+    const caller_request request = chat_request(9);
+    peer_message message = message_from("a", 1);
+    message.parts = {{{9, hash, 1, milliseconds{0}}, {9, 12'345, 1, milliseconds{0}}}, {}, {9}};
+    CPPUNIT_ASSERT(apply_peer_message(state, message, test_start));
+    // An endpoint that this gateway does not know is ignored.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.parts.events.size());
+    CPPUNIT_ASSERT(refused_part(state.parts, request.prompt, test_start).has_value());
+    CPPUNIT_ASSERT(!refused_part(state.parts, chat_request(8).prompt, test_start).has_value());
+    const steady_time later = test_start + part_refusal_time;
+    CPPUNIT_ASSERT(!refused_part(state.parts, request.prompt, later).has_value());
+  }
+
   void a_newcomer_receives_the_latest_placements() {
     prefix_holders table;
     for (std::uint64_t prefix = 1; prefix <= 10; ++prefix) {
