--- a/Tests/Gateway/crashing_parts_test.cxx
+++ b/Tests/Gateway/crashing_parts_test.cxx
@@ -22,6 +22,7 @@
 
 std::vector<prompt_part> prompt_of(const std::vector<std::uint64_t>& parts) {
   std::vector<prompt_part> prompt;
+  prompt.reserve(parts.size());
   for (const std::uint64_t part : parts) {
     prompt.push_back({part, 100});
   }
