--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -798,7 +798,7 @@
   /// Two engines: the one that gets the first request sends events 1 and 2 and falls silent, the
   /// other one runs a script. Both ignore health checks.
   struct silent_pair {
-    silent_pair(traffic_harness& harness, scripted_endpoint::script second) {
+    silent_pair(traffic_harness& harness, const scripted_endpoint::script& second) {
       for (std::size_t engine = 0; engine < 2; ++engine) {
         harness.endpoints[engine]->scripts = {[this, &harness, engine, second](connection& caller) {
           const auto& requests = harness.endpoints[engine]->requests;
@@ -876,7 +876,6 @@
     CPPUNIT_ASSERT_EQUAL(traffic_harness::events(1, 4), passed());
   }
 
- private:
   /// Adds a second endpoint to the plain pool.
   static scripted_endpoint& add_plain_endpoint(traffic_harness& harness) {
     harness.endpoints.push_back(std::make_unique<scripted_endpoint>(harness.loop));
