Start the gateway of a process test on ports that no connection is given

The kernel gives ports from 32768 on to outgoing connections, and the tests that run beside it make many. Change: two ports from 20000 to 31999, never shared by two process IDs in a row. What is tested stays the same.

--- a/Tests/Processes/gateway_start.sh
+++ b/Tests/Processes/gateway_start.sh
@@ -22,7 +22,8 @@
 sh -c "$build_command" > "$folder/build.log" 2>&1 || fail "The build command failed."
 program=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
 
-public=$((20000 + $$ % 20000))
+# Two ports below those that the kernel gives to outgoing connections, from 32768 on.
+public=$((20000 + $$ % 6000 * 2))
 print_settings() {
   printf '{"node":"g","failure_domain":"north","public_address":"127.0.0.1:%s",' "$public"
   printf '"ready_address":"127.0.0.1:%s","store_address":"127.0.0.1:9"}' "$((public + 1))"
