--- /dev/null
+++ b/Tests/Traffic/answer_delivery_test.cxx
@@ -0,0 +1,139 @@
+#include <cerrno>
+#include <string_view>
+
+#include <Poco/Net/SocketAddress.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Traffic/traffic_harness.h"
+
+namespace chestnuthead {
+
+using std::chrono::milliseconds;
+using connection = scripted_endpoint::connection;
+
+namespace {
+
+const std::string last_chunk = "0\r\n\r\n";
+
+/// A caller with a small receive buffer that reads only when asked to.
+class reluctant_caller {
+ public:
+  explicit reluctant_caller(const std::string& address)
+      : descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const int buffer_bytes = 4'096;
+    ::setsockopt(this->descriptor, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof buffer_bytes);
+    const Poco::Net::SocketAddress target(address);
+    CPPUNIT_ASSERT_EQUAL(0, ::connect(this->descriptor, target.addr(), target.length()));
+  }
+  ~reluctant_caller() {
+    ::close(this->descriptor);
+  }
+  reluctant_caller(const reluctant_caller&) = delete;
+  reluctant_caller& operator=(const reluctant_caller&) = delete;
+
+  void send(std::string_view sent) const {
+    CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(sent.size()),
+                         ::send(this->descriptor, sent.data(), sent.size(), MSG_NOSIGNAL));
+  }
+  /// Reads all bytes that have arrived.
+  void read() {
+    static std::array<char, 65'536> buffer;
+    while (!this->ended) {
+      const ssize_t count = ::recv(this->descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (count > 0) {
+        this->bytes.append(buffer.data(), static_cast<std::size_t>(count));
+        continue;
+      }
+      this->ended = count == 0 || errno != EAGAIN;
+      return;
+    }
+  }
+
+  std::string bytes;
+  bool ended = false;
+
+ private:
+  int descriptor;
+};
+
+/// An event of 100 kB as one chunk.
+std::string large_event_chunk(int number) {
+  const std::string text =
+      "id: " + std::to_string(number) + "\ndata: " + std::string(100'000, 'y') + "\n\n";
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+  return size.data() + text + "\r\n";
+}
+
+}  // namespace
+
+/// Tests that answers reach their callers while the gateway closes, stops or is reconfigured.
+class answer_delivery_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(answer_delivery_test);
+  CPPUNIT_TEST(unsent_bytes_of_a_whole_answer_outlast_the_close);
+  CPPUNIT_TEST(request_that_waits_at_the_end_of_a_stop_is_answered);
+  CPPUNIT_TEST(smaller_head_limit_of_callers_spares_an_endpoints_answer);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void unsent_bytes_of_a_whole_answer_outlast_the_close() {
+    traffic_harness harness(1);
+    harness.endpoints[0]->scripts = {[](connection& caller) {
+                                       caller.send(traffic_harness::stream_head("c1"));
+                                       for (int number = 1; number <= 30; ++number) {
+                                         caller.send(large_event_chunk(number));
+                                       }
+                                       caller.send(last_chunk);
+                                     },
+                                     [](connection& /*caller*/) {}};
+    reluctant_caller caller(harness.address);
+    caller.send(traffic_harness::chat_bytes("c1", "Connection: close\r\n"));
+    harness.run_for(milliseconds{2'500});
+    const steady_time until = harness.time.now() + milliseconds{2'500};
+    harness.run_until([&] {
+      caller.read();
+      return caller.ended || harness.time.now() > until;
+    });
+    CPPUNIT_ASSERT(caller.bytes.ends_with(last_chunk));
+  }
+
+  void request_that_waits_at_the_end_of_a_stop_is_answered() {
+    traffic_harness harness;
+    connection* open = nullptr;
+    harness.plain->scripts = {[&open](connection& caller) { open = &caller; }};
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::payment_bytes("p1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return open != nullptr; }));
+    harness.server->begin_stop(milliseconds{1'200}, harness.time.now());
+    CPPUNIT_ASSERT(harness.run_until([&] { return harness.server->stopped(harness.time.now()); }));
+    harness.server.reset();
+    for (int round = 0; round < 20; ++round) {
+      harness.loop.run_once(milliseconds{10});
+    }
+    CPPUNIT_ASSERT(caller->has_answers(1));
+  }
+
+  void smaller_head_limit_of_callers_spares_an_endpoints_answer() {
+    constexpr std::size_t small_limit = 1'024;
+    constexpr std::size_t usual_limit = 80'000;
+    traffic_harness harness;
+    connection* open = nullptr;
+    harness.plain->scripts = {[&open](connection& caller) { open = &caller; }};
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::payment_bytes("p1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return open != nullptr; }));
+    traffic::set_largest_head(small_limit);
+    std::string answer = traffic_harness::answer_bytes("p1", "paid");
+    answer.insert(answer.find("Attempt-Id"), "X-Note: " + std::string(1'500, 'n') + "\r\n");
+    open->send(answer);
+    harness.run_until([&] { return caller->has_answers(1) || caller->ended; });
+    traffic::set_largest_head(usual_limit);
+    CPPUNIT_ASSERT(caller->bytes.ends_with("paid"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(answer_delivery_test);
+
+}  // namespace chestnuthead
