Build large events of tests in one place

slow_caller_test and answer_delivery_test each framed the same event of 100 kB; the harness does it now, with the framing of its other chunks.

--- a/Tests/Traffic/answer_delivery_test.cxx
+++ b/Tests/Traffic/answer_delivery_test.cxx
@@ -58,15 +58,6 @@
   int descriptor;
 };
 
-/// An event of 100 kB as one chunk.
-std::string large_event_chunk(int number) {
-  const std::string text =
-      "id: " + std::to_string(number) + "\ndata: " + std::string(100'000, 'y') + "\n\n";
-  std::array<char, 16> size{};
-  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
-  return size.data() + text + "\r\n";
-}
-
 }  // namespace
 
 /// Tests that answers reach their callers while the gateway closes, stops or is reconfigured.
@@ -83,7 +74,7 @@
     harness.endpoints[0]->scripts = {[](connection& caller) {
                                        caller.send(traffic_harness::stream_head("c1"));
                                        for (int number = 1; number <= 30; ++number) {
-                                         caller.send(large_event_chunk(number));
+                                         caller.send(traffic_harness::large_event_chunk(number));
                                        }
                                        caller.send(last_chunk);
                                      },
--- a/Tests/Traffic/slow_caller_test.cxx
+++ b/Tests/Traffic/slow_caller_test.cxx
@@ -11,16 +11,7 @@
 
 const std::string last_chunk = "0\r\n\r\n";
 /// Events whose bytes exceed what the sockets between endpoint and caller can hold.
-constexpr std::size_t event_count = 400;
-constexpr std::size_t event_bytes = 100'000;
-
-std::string large_event_chunk(std::size_t number) {
-  const std::string text =
-      "id: " + std::to_string(number) + "\ndata: " + std::string(event_bytes, 'y') + "\n\n";
-  std::array<char, 16> size{};
-  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
-  return size.data() + text + "\r\n";
-}
+constexpr int event_count = 400;
 
 }  // namespace
 
@@ -55,8 +46,8 @@
           return;
         }
         caller.send(traffic_harness::stream_head("c1"));
-        for (std::size_t number = 1; number <= event_count; ++number) {
-          caller.send(large_event_chunk(number));
+        for (int number = 1; number <= event_count; ++number) {
+          caller.send(traffic_harness::large_event_chunk(number));
         }
         caller.send(last_chunk);
       }};
@@ -70,7 +61,7 @@
     CPPUNIT_ASSERT(
         harness.run_until([&] { return caller->ended || caller->bytes.ends_with(last_chunk); }));
     CPPUNIT_ASSERT(caller->bytes.ends_with(last_chunk));
-    CPPUNIT_ASSERT(caller->bytes.size() > event_count * event_bytes);
+    CPPUNIT_ASSERT(caller->bytes.size() > event_count * traffic_harness::large_event_bytes);
     CPPUNIT_ASSERT_EQUAL(1, calls);
   }
 };
--- a/Tests/Traffic/traffic_harness.cxx
+++ b/Tests/Traffic/traffic_harness.cxx
@@ -11,6 +11,12 @@
 constexpr std::chrono::seconds run_timeout{20};
 constexpr std::chrono::milliseconds tick_interval{5};
 
+std::string chunk_of(const std::string& text) {
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+  return size.data() + text + "\r\n";
+}
+
 }  // namespace
 
 test_caller::test_caller(traffic::event_loop& loop, const std::string& address)
@@ -123,10 +129,12 @@
 }
 
 std::string traffic_harness::event_chunk(int first, int last) {
-  const std::string text = events(first, last);
-  std::array<char, 16> size{};
-  std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
-  return size.data() + text + "\r\n";
+  return chunk_of(events(first, last));
+}
+
+std::string traffic_harness::large_event_chunk(int number) {
+  return chunk_of("id: " + std::to_string(number) +
+                  "\ndata: " + std::string(large_event_bytes, 'y') + "\n\n");
 }
 
 std::string traffic_harness::unchunked(const std::string& answer) {
--- a/Tests/Traffic/traffic_harness.h
+++ b/Tests/Traffic/traffic_harness.h
@@ -79,6 +79,9 @@
   static std::string stream_head(const std::string& id);
   /// The events `first` to `last` as one chunk.
   static std::string event_chunk(int first, int last);
+  /// Event `number` with `large_event_bytes` of data as one chunk.
+  static std::string large_event_chunk(int number);
+  static constexpr std::size_t large_event_bytes = 100'000;
   static std::string events(int first, int last);
 
   /// The decoded body of a chunked answer.
