--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -258,10 +258,7 @@
   }
   const auto left = std::chrono::duration_cast<milliseconds>(this->admitted->deadline - now);
   if (this->history.answer_begun) {
-    if (!this->wait_for_endpoint(now)) {
-      this->sink.abort_answer();
-      this->conclude("cut", 0);
-    }
+    this->wait_or_cut(now);
   } else if (this->history.executions > 0) {
     this->answer_error(error_kind::retries_exhausted, {});
   } else if (this->last_no_choice == gateway::no_choice::all_paused) {
@@ -346,7 +343,13 @@
   this->not_resent = this->find_obstacle(now);
   if (this->not_resent == gateway::resend_obstacle::none) {
     this->send_to_endpoint();
-  } else if (!this->wait_for_endpoint(now)) {
+  } else {
+    this->wait_or_cut(now);
+  }
+}
+
+void exchange::wait_or_cut(steady_time now) {
+  if (!this->wait_for_endpoint(now)) {
     this->sink.abort_answer();
     this->conclude("cut", 0);
   }
@@ -377,10 +380,7 @@
       this->answer_error(error_kind::endpoint_failed, {});
       return;
     case next_step::cut:
-      if (!this->wait_for_endpoint(now)) {
-        this->sink.abort_answer();
-        this->conclude("cut", 0);
-      }
+      this->wait_or_cut(now);
       return;
   }
 }
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -143,6 +143,8 @@
   /// Keeps a stream that has begun open without a call if an endpoint may be able to resume it
   /// soon; false if there is no such hope.
   [[nodiscard]] bool wait_for_endpoint(steady_time now);
+  /// Waits for an endpoint if there is such hope; otherwise cuts the answer that has begun.
+  void wait_or_cut(steady_time now);
   /// Searches for an endpoint again while the request waits for one.
   void end_wait(steady_time now);
   /// Takes the next step after an attempt: a retry, or an answer to the caller.
