Show that streams are continued by another software version; listed as known failures

What two versions of an endpoint's software write does not fit together. Callers get such answers today: a stream whose endpoint crashes, breaks off, spoils its answer or falls silent goes on at any endpoint of its pool, and so does a stream that its caller sends again with Last-Event-Id and Resumes. Nothing is refused, though 503 would tell the caller to begin anew.

The harness lists endpoints with versions, notes and forgets versions as a gateway does, and repeats a gateway's scans in its loop.

--- a/Tests/Traffic/traffic_harness.cxx
+++ b/Tests/Traffic/traffic_harness.cxx
@@ -60,11 +60,42 @@
   this->plain = this->endpoints.back().get();
 }
 
-void traffic_harness::add_endpoint(const std::string& name, const pool_id& pool) {
+void traffic_harness::list(const gateway::endpoint_listing& listing) {
+  const steady_time now = this->time.now();
+  note_version(this->state.rollouts, listing.pool, listing.version, now);
+  list_endpoint(this->state.endpoints, listing, now);
+  // As if the orders had been read after the listing and named no version.
+  accept_versions(this->state.rollouts, now + tick_interval);
+}
+
+scripted_endpoint& traffic_harness::add_endpoint(const std::string& name, const pool_id& pool,
+                                                 const std::string& version) {
   this->endpoints.push_back(std::make_unique<scripted_endpoint>(this->loop));
   gateway::endpoint_listing listing = gateway::listing_of(name, pool);
   listing.address = this->endpoints.back()->address;
-  list_endpoint(this->state.endpoints, listing, this->time.now());
+  listing.version = version;
+  this->list(listing);
+  return *this->endpoints.back();
+}
+
+void traffic_harness::update_endpoint(const std::string& name, const std::string& version) {
+  gateway::endpoint_listing listing =
+      find_endpoint(this->state.endpoints, endpoint_id{name})->listing;
+  ++listing.started;
+  listing.version = version;
+  this->list(listing);
+}
+
+void traffic_harness::unlist(const std::string& name) {
+  const steady_time now = this->time.now();
+  unlist_endpoint(this->state.endpoints, endpoint_id{name}, now, now);
+  this->sweep(now);
+}
+
+void traffic_harness::sweep(steady_time now) {
+  expire_missing(this->state.endpoints, now);
+  drop_unlisted(this->state.endpoints, now);
+  forget_versions(this->state.rollouts, this->state.endpoints);
 }
 
 bool traffic_harness::run_until(const std::function<bool()>& condition) {
@@ -75,6 +106,7 @@
     }
     this->loop.run_once(tick_interval);
     this->server->tick(this->time.now());
+    this->sweep(this->time.now());
   }
   return true;
 }
@@ -104,9 +136,13 @@
          headers + "Content-Length: 5\r\n\r\nhello";
 }
 
-std::string traffic_harness::payment_bytes(const std::string& id) {
+std::string traffic_harness::payment_bytes(const std::string& id, const std::string& headers) {
   return "POST /pay/1 HTTP/1.1\r\nHost: chats.example\r\nAttempt-Id: " + id +
-         "\r\nApi-Key: key-1\r\nDeadline-Ms: 4000\r\nContent-Length: 3\r\n\r\npay";
+         "\r\nApi-Key: key-1\r\nDeadline-Ms: 4000\r\n" + headers + "Content-Length: 3\r\n\r\npay";
+}
+
+std::string traffic_harness::resumption_headers(int last_event, const std::string& began_as) {
+  return "Last-Event-Id: " + std::to_string(last_event) + "\r\nResumes: " + began_as + "\r\n";
 }
 
 std::string traffic_harness::answer_bytes(const std::string& id, const std::string& body) {
--- a/Tests/Traffic/traffic_harness.h
+++ b/Tests/Traffic/traffic_harness.h
@@ -66,13 +66,22 @@
 
   std::unique_ptr<test_caller> connect();
 
+  /// Lists one more endpoint, as an endpoint of a version that may take all requests.
+  scripted_endpoint& add_endpoint(const std::string& name, const pool_id& pool,
+                                  const std::string& version = {});
+  /// Lists a new incarnation of the endpoint, of another version, at the same address.
+  void update_endpoint(const std::string& name, const std::string& version);
+  void unlist(const std::string& name);
+
   /// Returns the log lines written since the last call.
   std::string take_log();
 
   /// A chat request with its body.
   static std::string chat_bytes(const std::string& id, const std::string& headers = {});
   /// A payment request with its body.
-  static std::string payment_bytes(const std::string& id);
+  static std::string payment_bytes(const std::string& id, const std::string& headers = {});
+  /// The headers of a request that goes on with the stream that attempt `began_as` began.
+  static std::string resumption_headers(int last_event, const std::string& began_as);
   /// A complete answer of an endpoint.
   static std::string answer_bytes(const std::string& id, const std::string& body);
   /// The head of an endpoint's chunked event stream.
@@ -103,7 +112,9 @@
   scripted_endpoint* plain = nullptr;
 
  private:
-  void add_endpoint(const std::string& name, const pool_id& pool);
+  void list(const gateway::endpoint_listing& listing);
+  /// The periodic scans of a gateway.
+  void sweep(steady_time now);
 };
 
 }  // namespace chestnuthead
