--- a/Tests/Soak/soak.cxx
+++ b/Tests/Soak/soak.cxx
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::array<option, 13> long_options{{
+constexpr std::array<option, 14> long_options{{
     {"seed", required_argument, nullptr, 's'},
     {"seeds", required_argument, nullptr, 'n'},
     {"length", required_argument, nullptr, 'l'},
@@ -28,6 +28,7 @@
     {"silences", required_argument, nullptr, 'q'},
     {"crashing-part", no_argument, nullptr, 'p'},
     {"unframed", no_argument, nullptr, 'u'},
+    {"releases", required_argument, nullptr, 'v'},
     {nullptr, 0, nullptr, 0},
 }};
 
@@ -134,6 +135,9 @@
     case 'u':
       options.unframed = true;
       return true;
+    case 'v':
+      options.releases = std::atoi(optarg);
+      return true;
     case 'r':
       line.shrink_failures = true;
       return true;
@@ -155,7 +159,7 @@
       std::cerr << "usage: soak [--seed N] [--seeds COUNT] [--length SECONDS] "
                    "[--gateway PROGRAM] [--gateways COUNT] [--folder FOLDER] "
                    "[--leave-out NUMBERS] [--shrink] [--store-copies COUNT] "
-                   "[--silences COUNT] [--crashing-part] [--unframed]\n";
+                   "[--silences COUNT] [--crashing-part] [--unframed] [--releases COUNT]\n";
       return 2;
     }
   }
--- a/Tests/Soak/soak_caller.h
+++ b/Tests/Soak/soak_caller.h
@@ -12,7 +12,7 @@
 
 namespace chestnuthead::soak {
 
-enum class request_kind : std::uint8_t { chat, guide, payment, lookup };
+enum class request_kind : std::uint8_t { chat, guide, payment, lookup, writing };
 
 /// Name of the part of a prompt that crashes endpoints.
 inline constexpr std::string_view crashing_part = "crash";
@@ -25,12 +25,22 @@
   std::string gateway;
   /// The prompt holds the part that crashes endpoints.
   bool holds_crashing_part = false;
+  /// How long the caller waits for the whole answer.
+  std::chrono::milliseconds time_left{4'000};
+  /// For a writing: the name of the stream, the attempt that brought its first event, empty if
+  /// there is none, and the last event that has arrived.
+  std::string stream;
+  std::string resumed_attempt;
+  int last_event = 0;
   steady_time sent_at{};
   steady_time ended_at{};
   /// 0 if no response head was received.
   int status = 0;
   bool complete = false;
-  bool has_retry_after = false;
+  /// The connection could not be opened, so nothing was sent.
+  bool refused = false;
+  /// Zero if the answer names no time.
+  std::chrono::milliseconds retry_after{0};
   std::string signature;
   std::string body;
 };
@@ -54,6 +64,8 @@
     return this->closed;
   }
   void send_request(soak_request request);
+  /// Resets the connection. A request in progress is reported.
+  void reset();
 
   void on_open() override {}
   void on_bytes(std::string_view bytes) override;
--- a/Tests/Soak/soak_checks.cxx
+++ b/Tests/Soak/soak_checks.cxx
@@ -123,6 +123,7 @@
     }
     this->check_isolation();
     this->check_sound_requests();
+    add_writing_violations(this->history.writings, this->violations);
     return this->violations;
   }
 
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -10,6 +11,7 @@
 
 #include "soak_caller.h"
 #include "soak_endpoint.h"
+#include "soak_streams.h"
 
 namespace chestnuthead::soak {
 
@@ -19,8 +21,8 @@
 inline constexpr std::chrono::milliseconds leaving_lag{2'000};
 /// Time after the end of a disturbance in which its process may still be affected.
 inline constexpr std::chrono::milliseconds contact_time{3'000};
-/// Deadline of every request and time-out of every route, as in the requests and the
-/// configuration.
+/// Deadline of every request and time-out of every route except of writings, as in the requests
+/// and the configuration.
 inline constexpr std::chrono::milliseconds patience{4'000};
 /// Longest time until service has recovered after the last fault.
 inline constexpr std::chrono::milliseconds recovery_time{12'000};
@@ -67,6 +69,7 @@
   steady_time crashing_from{};
   steady_time crashing_until{};
   std::vector<steady_time> crashes;
+  std::deque<writing> writings;
 };
 
 /// Returns all violated guarantees, one sentence each.
--- a/Tests/Soak/soak_crashes.cxx
+++ b/Tests/Soak/soak_crashes.cxx
@@ -65,19 +65,27 @@
   if (endpoint.proxy().down) {
     return;
   }
+  this->history.crashes.push_back(this->time.now());
   const milliseconds absence{2'000 + next_below(this->crash_random, 2'001)};
   const bool removes_row = next_below(this->crash_random, 2) == 0;
-  this->log_event(endpoint.name + " crashes on request " + request + ", away for " +
-                  std::to_string(absence.count()) + " ms, its row " +
-                  (removes_row ? "is removed" : "stays"));
+  this->log_event(endpoint.name + " crashes on request " + request);
+  this->take_down(endpoint, absence, removes_row);
+}
+
+void soak_run::take_down(soak_endpoint& endpoint, milliseconds absence, bool removes_row) {
+  this->log_event(endpoint.name + " is away for " + std::to_string(absence.count()) +
+                  " ms, its row " + (removes_row ? "is removed" : "stays"));
   this->record_disturbance(endpoint.name, disturbed_part::endpoint_link, absence);
-  this->history.crashes.push_back(this->time.now());
   endpoint.proxy().down = true;
   endpoint.proxy().reset_all();
   if (removes_row) {
     this->write_to_store("servers", endpoint.name, "");
   }
   this->tasks.after(absence, [this, &endpoint] {
+    if (!this->endpoint_states.contains(endpoint.name)) {
+      // It has left for good in the meantime.
+      return;
+    }
     endpoint.proxy().down = false;
     ++this->endpoint_restarts[endpoint.name];
     this->write_endpoint(endpoint.name, std::string(this->endpoint_states[endpoint.name]));
--- a/Tests/Soak/soak_endpoint.cxx
+++ b/Tests/Soak/soak_endpoint.cxx
@@ -7,13 +7,17 @@
 
 #include "Base/hashing.h"
 #include "soak_caller.h"
+#include "soak_streams.h"
 
 namespace chestnuthead::soak {
 
 namespace {
 
 constexpr std::chrono::milliseconds event_gap{15};
+/// Between the events of a writing.
+constexpr std::chrono::milliseconds writing_gap{100};
 constexpr std::chrono::milliseconds work_time{10};
+const std::string writing_prefix = "/write/";
 
 std::string header_value(const traffic::http_head& head, const std::string& name) {
   const std::string* value = find_field(head, name);
@@ -99,7 +103,8 @@
     caller.reset();
     return;
   }
-  if (head.target.starts_with("/chat/") || head.target.starts_with("/guide/")) {
+  if (head.target.starts_with("/chat/") || head.target.starts_with("/guide/") ||
+      head.target.starts_with(writing_prefix)) {
     this->answer_stream(caller, head, answer_head);
     return;
   }
@@ -125,20 +130,41 @@
          "\r\n\r\n";
 }
 
-void soak_endpoint::answer_stream(scripted_endpoint::connection& caller,
-                                  const traffic::http_head& head, const std::string& answer_head) {
+soak_endpoint::event_stream soak_endpoint::make_stream(const traffic::http_head& head) {
   constexpr double broken_off_share = 0.03;
+  constexpr double spoilt_share = 0.03;
   event_stream stream;
   stream.request = header_value(head, "Attempt-Id");
+  stream.data = stream.request;
+  stream.last = event_count(stream.request);
+  stream.gap = event_gap;
+  const bool writing = head.target.starts_with(writing_prefix);
+  if (writing) {
+    const std::string stream_name = head.target.substr(writing_prefix.size());
+    stream.data = stream_name + " " + this->version;
+    stream.last = writing_event_count(stream_name);
+    stream.gap = writing_gap;
+  }
   const std::string resumed = header_value(head, "Last-Event-Id");
   stream.next = resumed.empty() ? 1 : std::stoi(resumed) + 1;
-  if (this->unframed && next_unit(this->random) < broken_off_share) {
-    const auto events = static_cast<std::uint64_t>(event_count(stream.request));
-    stream.broken_off_at = 1 + static_cast<int>(next_below(this->random, events));
+  const auto any_event = [this, &stream] {
+    return 1 + static_cast<int>(next_below(this->random, static_cast<std::uint64_t>(stream.last)));
+  };
+  if ((this->unframed || writing) && next_unit(this->random) < broken_off_share) {
+    stream.broken_off_at = any_event();
+  }
+  if (writing && next_unit(this->random) < spoilt_share) {
+    stream.spoilt_at = any_event();
   }
+  return stream;
+}
+
+void soak_endpoint::answer_stream(scripted_endpoint::connection& caller,
+                                  const traffic::http_head& head, const std::string& answer_head) {
+  const event_stream stream = this->make_stream(head);
   caller.send(this->format_head(stream.request, answer_head, std::nullopt));
   if (this->on_crash && holds_crashing_part(head)) {
-    caller.send(this->frame(format_event(stream.request, stream.next)));
+    caller.send(this->frame(format_event(stream.data, stream.next)));
     this->tasks.after(work_time, [this, stream] { this->on_crash(stream.request); });
     return;
   }
@@ -168,21 +194,23 @@
   if (caller.closed) {
     return;
   }
-  if (stream.next > event_count(stream.request)) {
+  if (stream.next > stream.last) {
     caller.send(this->unframed ? "" : "0\r\n\r\n");
     this->finish_answer(caller, stream.request);
     return;
   }
-  const std::string event = format_event(stream.request, stream.next);
+  // A gateway can't tell that the first event of a stream is missing, so that one stays sound.
+  const bool spoilt = stream.next == stream.spoilt_at && stream.next > 1;
+  const std::string event = format_event(stream.data, stream.next + (spoilt ? 1 : 0));
   if (stream.next == stream.broken_off_at) {
     this->last_run(stream.request).broken_off = true;
-    caller.send(event.substr(0, 1 + next_below(this->random, event.size() - 1)));
+    caller.send(this->frame(event.substr(0, 1 + next_below(this->random, event.size() - 1))));
     caller.finish();
     return;
   }
   caller.send(this->frame(event));
   ++stream.next;
-  this->tasks.after(event_gap, [this, &caller, stream] {
+  this->tasks.after(stream.gap, [this, &caller, stream] {
     this->when_not_silent([this, &caller, stream] { this->send_events(caller, stream); });
   });
 }
--- a/Tests/Soak/soak_endpoint.h
+++ b/Tests/Soak/soak_endpoint.h
@@ -56,10 +56,16 @@
   /// inside an event.
   bool unframed = false;
 
+  /// Version of the endpoint's software, in the events of writings and in its row.
+  std::string version;
+
   /// The endpoint announces in its answers that it is leaving.
   bool leaving = false;
 
   const std::string name;
+  [[nodiscard]] bool is_down() const {
+    return this->front_proxy.down;
+  }
   fault_proxy& proxy() {
     return this->front_proxy;
   }
@@ -68,9 +74,15 @@
   /// The rest of a stream that is being sent.
   struct event_stream {
     std::string request;
+    /// Data of its events.
+    std::string data;
     int next = 1;
+    int last = 0;
     /// Number of the event in which the stream ends; 0 if it ends after its last event.
     int broken_off_at = 0;
+    /// Number of an event that is sent with the number of the next; 0 if there is none.
+    int spoilt_at = 0;
+    std::chrono::milliseconds gap{};
   };
 
   void serve(scripted_endpoint::connection& caller);
@@ -79,6 +91,7 @@
   void when_not_silent(std::function<void()> task);
   void answer_stream(scripted_endpoint::connection& caller, const traffic::http_head& head,
                      const std::string& answer_head);
+  event_stream make_stream(const traffic::http_head& head);
   void send_events(scripted_endpoint::connection& caller, event_stream stream);
   /// Ends an answer whose body has been sent.
   void finish_answer(scripted_endpoint::connection& caller, const std::string& request);
--- a/Tests/Soak/soak_faults.cxx
+++ b/Tests/Soak/soak_faults.cxx
@@ -126,8 +126,13 @@
   this->store->restore_oldest_copy(downtime);
   this->tasks.after(rewrite_delay, [this] {
     this->store->put("op", "config", this->configuration);
-    for (const auto& [endpoint, state] : std::map(this->endpoint_states)) {
-      this->write_endpoint(endpoint, state);
+    for (const auto& endpoint : this->endpoints) {
+      const auto state = this->endpoint_states.find(endpoint->name);
+      if (state != this->endpoint_states.end()) {
+        this->write_endpoint(endpoint->name, std::string(state->second));
+      } else {
+        this->write_to_store("servers", endpoint->name, "");
+      }
     }
   });
 }
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -16,6 +16,8 @@
 /// Time for the gateways to start before faults begin.
 constexpr milliseconds start_time{2'500};
 constexpr milliseconds restart_delay{200};
+/// Longer, so that the gateways of a run with releases are away all at once.
+constexpr milliseconds release_restart_delay{1'000};
 /// Separates the random source of the unframed answers from those of the faults.
 constexpr std::uint64_t unframed_seeds = 1ULL << 60U;
 constexpr int engines = 4;
@@ -23,6 +25,14 @@
 
 const std::string chat_pool = "engines";
 const std::string plain_pool = "orders";
+const std::string writer_pool = "writers";
+
+const std::string& pool_of(const std::string& endpoint) {
+  if (endpoint.starts_with("writer")) {
+    return writer_pool;
+  }
+  return endpoint.starts_with("plain") ? plain_pool : chat_pool;
+}
 
 }  // namespace
 
@@ -31,6 +41,7 @@
       caller_random(this->options.seed),
       fault_random(this->options.seed),
       crash_random(this->options.seed),
+      release_random(this->options.seed),
       tasks(this->time),
       started_at(this->time.now()) {}
 
@@ -54,23 +65,32 @@
   for (const std::string& key : this->keys) {
     key_list += (key_list.empty() ? "\"" : ",\"") + key + "\"";
   }
-  const auto route = [](const std::string& prefix, const std::string& pool,
-                        const std::string& rest) {
+  const auto route = [](const std::string& prefix, const std::string& pool, const std::string& rest,
+                        milliseconds timeout = patience) {
     return R"({"name":")" + prefix + R"(","host":"soak.example","prefix":"/)" + prefix +
-           R"(/","timeout_ms":4000,"target_latency_ms":300,"service":")" + pool + "\"," + rest +
-           "}";
+           R"(/","timeout_ms":)" + std::to_string(timeout.count()) +
+           R"(,"target_latency_ms":300,"service":")" + pool + "\"," + rest + "}";
   };
+  std::string write_route;
+  std::string write_service;
+  if (this->options.releases > 0) {
+    write_route =
+        "," + route("write", writer_pool,
+                    R"("type":"stream","stream_resume":true,"max_attempts":3)", writing_patience);
+    write_service = R"(,{"name":"writers","health_check_path":"/healthz","max_connections":300})";
+  }
   this->configuration =
       R"({"version":)" + std::to_string(++this->configuration_version) + R"(,"routes":[)" +
       route("chat", chat_pool,
             R"("type":"stream","stream_resume":true,"max_attempts":2,"gap_target_ms":250)") +
       "," + route("guide", chat_pool, R"("type":"stream","max_attempts":1)") + "," +
       route("pay", plain_pool, R"("type":"unsafe","max_attempts":1)") + "," +
-      route("look", plain_pool, R"("type":"safe","max_attempts":2)") +
+      route("look", plain_pool, R"("type":"safe","max_attempts":2)") + write_route +
       R"(],"services":[{"name":"engines","health_check_path":"/healthz",)"
       R"("max_connections":300},{"name":"orders","health_check_path":"/healthz",)"
-      R"("max_connections":300}],"limits":{},"tenants":[{"name":"schools","api_keys":[)" +
-      key_list + "]}]}";
+      R"("max_connections":300})" +
+      write_service + R"(],"limits":{},"tenants":[{"name":"schools","api_keys":[)" + key_list +
+      "]}]}";
   this->write_to_store("op", "config", this->configuration);
 }
 
@@ -90,15 +110,15 @@
   this->endpoint_states[endpoint] = state;
   for (const auto& one : this->endpoints) {
     if (one->name == endpoint) {
-      const bool plain = endpoint.starts_with("plain");
       one->leaving = state == "draining";
       this->write_to_store(
           "servers", endpoint,
-          R"({"service":")" + (plain ? plain_pool : chat_pool) + R"(","address":")" +
-              one->proxy().address + R"(","zone":"north","batch_slots":64,"state":")" + state +
+          R"({"service":")" + pool_of(endpoint) + R"(","address":")" + one->proxy().address +
+              R"(","zone":"north","batch_slots":64,"state":")" + state +
               R"(","warmup_remaining_ms":0,"born":)" +
               std::to_string(1 + this->endpoint_restarts[endpoint]) + R"(,"sequence":)" +
-              std::to_string(++this->heartbeat_sequence) + "}");
+              std::to_string(++this->heartbeat_sequence) +
+              (one->version.empty() ? "" : R"(,"version":")" + one->version + "\"") + "}");
     }
   }
 }
@@ -122,6 +142,7 @@
         this->loop, this->tasks, this->time, this->executions, name, this->caller_random.next()));
     this->write_endpoint(name, "ready");
   }
+  this->set_up_writers();
   this->choose_unframed_endpoints();
   for (int number = 0; number < this->options.gateways; ++number) {
     this->gateways.push_back(std::make_unique<soak_gateway>(
@@ -137,7 +158,8 @@
     const bool ran = one->last_status != -2;
     if (!one->is_running() && ran) {
       one->last_status = -2;
-      this->tasks.after(restart_delay, [one] {
+      const bool releases = this->options.releases > 0;
+      this->tasks.after(releases ? release_restart_delay : restart_delay, [one] {
         one->start();
         one->last_status = -1;
       });
@@ -217,7 +239,13 @@
 
 std::vector<std::string> soak_run::run_schedule() {
   this->set_up();
-  this->tasks.after(start_time, [this] { this->schedule_faults(); });
+  this->tasks.after(start_time, [this] {
+    if (this->options.releases > 0) {
+      this->schedule_releases();
+    } else {
+      this->schedule_faults();
+    }
+  });
   this->tasks.after(start_time, [this] { this->schedule_store_restores(); });
   this->tasks.after(start_time, [this] { this->schedule_silences(); });
   this->tasks.after(start_time, [this] { this->schedule_crashing_part(); });
@@ -248,6 +276,7 @@
       << "requests " << this->history.requests.size() << " served " << served << " broken "
       << violations.size() << "\n";
   this->write_unframed_summary();
+  this->write_writing_summary();
   return violations;
 }
 
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -35,6 +35,8 @@
   bool crashing_part = false;
   /// Some endpoints answer with neither a length nor chunks.
   bool unframed = false;
+  /// Number of releases of the writers' software, in place of the scheduled faults.
+  int releases = 0;
   /// Numbers of the scheduled faults that are skipped.
   std::set<std::size_t> left_out;
 };
@@ -75,6 +77,27 @@
   void send_crashing_request();
   /// Resets all connections of the endpoint and starts it anew later.
   void crash_endpoint(soak_endpoint& endpoint, const std::string& request);
+  /// Resets all connections of the endpoint and starts it anew after this time unless it has left.
+  void take_down(soak_endpoint& endpoint, std::chrono::milliseconds absence, bool removes_row);
+  /// Creates the endpoints of all versions that write streams and lists those of the first one.
+  void set_up_writers();
+  void schedule_releases();
+  /// Lists the writers of the next version, lets those of this one leave, and kills all gateways
+  /// twice meanwhile.
+  void schedule_release(int version, std::chrono::milliseconds begin);
+  void end_writer(soak_endpoint& writer);
+  /// Takes down one of the writers that serve.
+  void crash_writer(std::chrono::milliseconds absence);
+  void kill_all_gateways();
+  [[nodiscard]] bool is_serving(const soak_endpoint& endpoint) const;
+  /// True if two endpoints of the version that began the stream serve.
+  [[nodiscard]] bool two_serve(const writing& stream) const;
+  [[nodiscard]] std::vector<soak_endpoint*> writers_of(const std::string& version) const;
+  /// Starts a stream of a writer and schedules the next one.
+  void begin_writing();
+  void send_attempt(writing& stream);
+  void end_attempt(writing& stream, const soak_request& attempt);
+  std::chrono::milliseconds draw_time(int least, int most);
   /// Makes one, half or all of the endpoints send nothing for a while.
   void silence_endpoints(seeded_random& silence_random);
   void revoke_key();
@@ -89,6 +112,8 @@
   void send_next_request(soak_caller& caller);
   void run_step();
   [[nodiscard]] bool has_recovered();
+  /// Prints and adds how many streams of writers began and went on, and in which versions.
+  void write_writing_summary();
   /// Adds how many answers were unframed and how many streams were broken off and resumed.
   void write_unframed_summary();
 
@@ -104,6 +129,8 @@
   seeded_random fault_random;
   /// For requests with the crashing part and for the crashes.
   seeded_random crash_random;
+  /// For the releases, their crashes and the callers of writers.
+  seeded_random release_random;
   std::size_t fault_count = 0;
   traffic::event_loop loop;
   task_queue tasks;
@@ -113,6 +140,8 @@
   std::vector<std::unique_ptr<soak_gateway>> gateways;
   std::vector<std::unique_ptr<soak_endpoint>> endpoints;
   std::vector<std::unique_ptr<soak_caller>> callers;
+  /// Callers of writers, by attempt.
+  std::map<std::string, std::unique_ptr<soak_caller>> writing_callers;
   std::vector<std::string> keys;
   std::string schedule;
   std::uint64_t configuration_version = 0;
