Deliver the unsent bytes of an answer before dropping a closing connection

A caller that read nothing for more than 2 s while its connection was closing lost the end of its answer, although the gateway had the whole answer.

Cause: a closing connection was removed 2 s after the last answer, whether the caller had received it or not. The time was meant for callers that have all bytes and do not close their side. A connection on which a part of the next request had arrived was removed in the same way when that request's time-out ended.

Evidence: unsent_bytes_of_a_whole_answer_outlast_the_close printed answer_delivery_test.cxx:90:Assertion - Expression: caller.bytes.ends_with(last_chunk) The new test unsent_bytes_outlast_the_timeout_of_the_next_request fails in the same way if only the change of that time-out is taken out.

Why it works: tcp_link::undelivered counts the bytes that the caller's system has not acknowledged, those in the socket included. While there are any, the connection stays as long as their number falls, and 15 s after it last fell: the limit that the socket already has for callers that read nothing, now named in one place. Without such bytes the 2 s hold as before. The end of a planned stop still closes all connections.

--- a/Source/Traffic/caller_link.cxx
+++ b/Source/Traffic/caller_link.cxx
@@ -13,8 +13,9 @@
 
 namespace {
 
-/// How long a connection that is closing waits for the caller to close its side.
-constexpr std::chrono::seconds linger_limit{2};
+/// How long a connection that is closing waits for the caller to close its side once the caller
+/// has all bytes.
+constexpr std::chrono::milliseconds linger_limit{2'000};
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 
 void append_chunk(std::string& out, std::string_view bytes) {
@@ -216,9 +217,22 @@
 void caller_link::close_gracefully() {
   this->closing = true;
   this->phase_started_at = this->context.time.now();
+  this->undelivered = this->link.undelivered();
   this->link.finish_sending();
 }
 
+void caller_link::tick_closing(steady_time now) {
+  const std::size_t left = this->link.undelivered();
+  if (left < this->undelivered) {
+    this->phase_started_at = now;
+  }
+  this->undelivered = left;
+  const std::chrono::milliseconds limit = left > 0 ? accepted_unacknowledged_limit : linger_limit;
+  if (now - this->phase_started_at > limit) {
+    this->remove();
+  }
+}
+
 void caller_link::on_end(link_end /*end*/) {
   if (this->active != nullptr) {
     this->active->caller_left();
@@ -227,6 +241,15 @@
   this->remove();
 }
 
+void caller_link::end_reading() {
+  // The caller may not have received all of the answer before.
+  if (this->link.undelivered() > 0) {
+    this->close_gracefully();
+  } else {
+    this->remove();
+  }
+}
+
 void caller_link::remove() {
   if (!this->gone) {
     this->gone = true;
@@ -254,14 +277,12 @@
   }
   const gateway::caller_limits limits = limits_of(this->context);
   if (this->closing) {
-    if (now - this->phase_started_at > linger_limit) {
-      this->remove();
-    }
+    this->tick_closing(now);
   } else if (!this->reader.between_messages()) {
     // A request whose head was read may take up to the idle timeout to send its body.
     const auto longest = this->request ? limits.idle_timeout : limits.header_timeout;
     if (now - this->phase_started_at > longest && !this->link.has_unread_input()) {
-      this->remove();
+      this->end_reading();
     }
   } else if (now - this->phase_started_at > limits.idle_timeout) {
     this->close_if_idle();
--- a/Source/Traffic/caller_link.h
+++ b/Source/Traffic/caller_link.h
@@ -68,6 +68,11 @@
   /// Drops a request whose caller has disconnected before it was read, and its connection.
   void drop_disconnected_caller();
   void close_gracefully();
+  /// Removes a connection that is closing once its caller has all bytes and had time to close its
+  /// side, or takes no more bytes.
+  void tick_closing(steady_time now);
+  /// Ends a connection whose next request does not arrive in time.
+  void end_reading();
   void remove();
   [[nodiscard]] bool stays_open() const;
   /// Closes the connection after this answer if another gateway can serve the caller's next
@@ -89,7 +94,10 @@
   bool stopping = false;
   bool closing = false;
   bool gone = false;
+  /// While the connection is closing, also when the caller last took bytes.
   steady_time phase_started_at{};
+  /// `tcp_link::undelivered` at the latest check of a connection that is closing.
+  std::size_t undelivered = 0;
 };
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/tcp_link.cxx
+++ b/Source/Traffic/tcp_link.cxx
@@ -5,8 +5,10 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,9 +23,6 @@
 /// Time that sent data may stay unacknowledged before the kernel closes the connection
 /// (TCP_USER_TIMEOUT).
 constexpr int unacknowledged_limit_ms = 3'000;
-/// The same for accepted connections. It also ends a connection whose peer reads nothing and
-/// answers each probe, and a caller may do that for as long as it waits for an answer.
-constexpr int accepted_unacknowledged_limit_ms = 15'000;
 /// Idle time before the first TCP keep-alive probe, and the interval between two.
 constexpr int keepalive_interval_s = 1;
 /// Unanswered keep-alive probes after which the kernel closes the connection.
@@ -67,7 +66,9 @@
 tcp_link::tcp_link(event_loop& owner, int socket, link_listener& receiver)
     : loop(owner), listener(receiver), descriptor(socket), open(true) {
   set_link_options(this->descriptor);
-  set_option(this->descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, accepted_unacknowledged_limit_ms);
+  // This time also ends a connection whose peer reads nothing but answers each probe.
+  set_option(this->descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+             static_cast<int>(accepted_unacknowledged_limit.count()));
   this->loop.watch(this->descriptor, *this, this->interest);
 }
 
@@ -112,6 +113,16 @@
   return ::recv(this->descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+std::size_t tcp_link::undelivered() const {
+  int queued = 0;
+  if (this->descriptor < 0 || ::ioctl(this->descriptor, SIOCOUTQ, &queued) != 0 || queued <= 0) {
+    return this->unsent();
+  }
+  // The kernel counts the end of the sending side as one byte.
+  const bool is_end_queued = this->sending_finished && this->unsent() == 0;
+  return this->unsent() + static_cast<std::size_t>(queued) - (is_end_queued ? 1U : 0U);
+}
+
 void tcp_link::update_interest() {
   const io_interest wanted{!this->paused && this->open, !this->open || this->unsent() > 0};
   if (wanted.read != this->interest.read || wanted.write != this->interest.write) {
--- a/Source/Traffic/tcp_link.h
+++ b/Source/Traffic/tcp_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -9,6 +10,10 @@
 
 namespace chestnuthead::traffic {
 
+/// How long an accepted connection stays open whose peer takes none of the bytes sent to it. A
+/// caller may read nothing for as long as it waits for an answer.
+inline constexpr std::chrono::milliseconds accepted_unacknowledged_limit{15'000};
+
 /// How a connection ended.
 enum class link_end : std::uint8_t {
   /// The peer closed it gracefully.
@@ -68,6 +73,9 @@
   [[nodiscard]] std::size_t unsent() const {
     return this->out.size() - this->out_sent;
   }
+  /// Bytes that the peer's system has not acknowledged: those of `unsent()` and those that wait
+  /// in the socket.
+  [[nodiscard]] std::size_t undelivered() const;
 
   void on_ready(bool readable, bool writable) override;
 
--- a/Tests/Traffic/answer_delivery_test.cxx
+++ b/Tests/Traffic/answer_delivery_test.cxx
@@ -64,6 +64,7 @@
 class answer_delivery_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(answer_delivery_test);
   CPPUNIT_TEST(unsent_bytes_of_a_whole_answer_outlast_the_close);
+  CPPUNIT_TEST(unsent_bytes_outlast_the_timeout_of_the_next_request);
   CPPUNIT_TEST(request_that_waits_at_the_end_of_a_stop_is_answered);
   CPPUNIT_TEST(smaller_head_limit_of_callers_spares_an_endpoints_answer);
   CPPUNIT_TEST_SUITE_END();
@@ -90,6 +91,29 @@
     CPPUNIT_ASSERT(caller.bytes.ends_with(last_chunk));
   }
 
+  /// A part of the next request lies behind the one whose answer is being received.
+  void unsent_bytes_outlast_the_timeout_of_the_next_request() {
+    traffic_harness harness(1);
+    harness.endpoints[0]->scripts = {[](connection& caller) {
+                                       caller.send(traffic_harness::stream_head("c1"));
+                                       for (int number = 1; number <= 30; ++number) {
+                                         caller.send(traffic_harness::large_event_chunk(number));
+                                       }
+                                       caller.send(last_chunk);
+                                     },
+                                     [](connection& /*caller*/) {}};
+    reluctant_caller caller(harness.address);
+    caller.send(traffic_harness::chat_bytes("c1") + "POST /chat/1 HTTP/1.1\r\n");
+    CPPUNIT_ASSERT(harness.run_until([&] { return harness.state.requests_in_flight > 0; }));
+    CPPUNIT_ASSERT(harness.run_until([&] { return harness.state.requests_in_flight == 0; }));
+    harness.server->tick(harness.time.now() + std::chrono::seconds{16});
+    CPPUNIT_ASSERT(harness.run_until([&] {
+      caller.read();
+      return caller.ended;
+    }));
+    CPPUNIT_ASSERT(caller.bytes.ends_with(last_chunk));
+  }
+
   void request_that_waits_at_the_end_of_a_stop_is_answered() {
     traffic_harness harness;
     connection* open = nullptr;
