Answer the requests that still run when a planned stop ends

A request that still ran at the end of the grace time of a planned stop got no answer: its connection was closed, and the log had no line for it.

Cause: at the end of the stop the server destroyed all connections with the requests on them. Nothing ended those requests first.

Evidence: request_that_waits_at_the_end_of_a_stop_is_answered printed answer_delivery_test.cxx:130:Assertion - Expression: caller->has_answers(1)

Why it works: 0.1 s before the end, each request whose answer has not begun is ended. Its call is cancelled, which is not counted against the endpoint. The caller gets outcome_unknown (502) if an endpoint may have run the request, and stopping (503, with Retry-After) only if nothing of it was sent, as the connection to the endpoint was not open yet. Requests that arrive afterwards are refused with stopping. If the process was held up past the end, it still ends its requests before it stops. An answer that has begun goes on until the end, as before.

Tests added: the end of a stop that is noticed late, and a stream that goes on meanwhile. The answer with stopping has no test: the harness has no endpoint whose connection stays unopened.

--- a/Source/Gateway/admission.cxx
+++ b/Source/Gateway/admission.cxx
@@ -42,7 +42,7 @@
 admission_result admit(const gateway_state& state, const caller_request& request,
                        random_source& random, steady_time now) {
   if (state.closed) {
-    return refuse_locally(error_kind::stopping, !state.peers.rows.empty(), random);
+    return refuse_at_stop(state, random);
   }
   if (state.services == nullptr || !state.endpoints_known) {
     return refuse_locally(error_kind::not_ready, others_are_better(state, now), random);
@@ -75,6 +75,10 @@
   return taken;
 }
 
+refusal refuse_at_stop(const gateway_state& state, random_source& random) {
+  return refuse_locally(error_kind::stopping, !state.peers.rows.empty(), random);
+}
+
 refusal refuse_without_endpoint(no_choice why, std::chrono::milliseconds time_left,
                                 random_source& random) {
   const error_kind kind =
--- a/Source/Gateway/admission.h
+++ b/Source/Gateway/admission.h
@@ -47,6 +47,10 @@
 admission_result admit(const gateway_state& state, const caller_request& request,
                        random_source& random, steady_time now);
 
+/// The refusal of a request because this gateway is stopping. If there are other gateways, the
+/// retry time is short.
+refusal refuse_at_stop(const gateway_state& state, random_source& random);
+
 /// The refusal of a request for which no endpoint is available. Retry times carry
 /// random jitter, so that callers don't retry at the same moment.
 refusal refuse_without_endpoint(no_choice why, std::chrono::milliseconds time_left,
--- a/Source/Traffic/caller_link.cxx
+++ b/Source/Traffic/caller_link.cxx
@@ -270,6 +270,12 @@
   }
 }
 
+void caller_link::end_request_at_stop() {
+  if (this->active != nullptr) {
+    this->active->end_at_stop();
+  }
+}
+
 void caller_link::tick(steady_time now) {
   if (this->active != nullptr) {
     this->active->tick(now);
--- a/Source/Traffic/caller_link.h
+++ b/Source/Traffic/caller_link.h
@@ -42,6 +42,8 @@
   void stop_when_idle();
   /// Closes the connection unless a request is in progress or lies unread in the socket.
   void close_if_idle();
+  /// Ends the request in progress with an error unless its answer has begun.
+  void end_request_at_stop();
   [[nodiscard]] bool busy() const {
     return this->active != nullptr;
   }
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -665,10 +665,7 @@
       !gateway::refused_part(this->context.state.parts, this->request.prompt, now)) {
     return false;
   }
-  if (!this->call.link->is_open()) {
-    --this->history.executions;
-  }
-  this->cancel_call("withdrawn");
+  this->withdraw_call("withdrawn");
   return this->end_with_refused_part(now);
 }
 
@@ -828,6 +825,20 @@
   this->answer_error(error_kind::deadline_exceeded, {});
 }
 
+void exchange::end_at_stop() {
+  if (this->over || this->history.answer_begun) {
+    return;
+  }
+  if (this->call.link != nullptr) {
+    this->withdraw_call("stopped");
+  }
+  if (this->history.executions > 0) {
+    this->answer_error(error_kind::outcome_unknown, {});
+  } else {
+    this->refuse(refuse_at_stop(this->context.state, this->context.random));
+  }
+}
+
 void exchange::caller_left() {
   if (this->over) {
     return;
@@ -847,6 +858,13 @@
   }
 }
 
+void exchange::withdraw_call(std::string_view result) {
+  if (!this->call.link->is_open()) {
+    --this->history.executions;
+  }
+  this->cancel_call(result);
+}
+
 void exchange::refuse(const gateway::refusal& why) {
   this->answer_error(why.kind, why.retry_after);
 }
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -58,6 +58,9 @@
   void start();
   /// Checks the timeouts. Call it every few tens of milliseconds.
   void tick(steady_time now);
+  /// The gateway is about to close its connections: answers a request whose answer has not begun
+  /// with an error. An answer that has begun goes on.
+  void end_at_stop();
   /// The caller has disconnected: cancels the call at the endpoint.
   void caller_left();
 
@@ -147,6 +150,8 @@
   bool withdraw_with_refused_part(steady_time now);
   /// Cancels the call at the present endpoint, which is not at fault.
   void cancel_call(std::string_view result);
+  /// Does the same, and no longer counts the call as an execution if nothing of it was sent.
+  void withdraw_call(std::string_view result);
   /// Counts a long wait against the endpoint, at most once for each call.
   void report_long_wait(steady_time now);
   /// `gateway::obstacle_to_resend` now.
--- a/Source/Traffic/gateway_server.cxx
+++ b/Source/Traffic/gateway_server.cxx
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds balancer_lag{2'600};
 /// Part of the grace period that is reserved for the exit of the process.
 constexpr std::chrono::milliseconds exit_margin{600};
+/// How long before the end of a graceful shutdown the requests that still run are ended, so that
+/// their callers receive an answer before the connections close.
+constexpr std::chrono::milliseconds last_answers_margin{100};
 /// Most connections accepted in one round, so that accepting does not delay the open ones.
 constexpr int accepts_per_round = 16;
 
@@ -70,12 +73,17 @@
     present.push_back(key);
   }
   this->context.state.closed = this->stopping && now >= this->close_idle_at;
+  const bool is_ending = this->stopping && now >= this->end_requests_at;
   for (caller_link* link : present) {
     link->tick(now);
-    if (this->stopping && now >= this->close_idle_at) {
+    if (this->context.state.closed) {
       link->close_if_idle();
     }
+    if (is_ending) {
+      link->end_request_at_stop();
+    }
   }
+  this->requests_ended = is_ending;
   this->context.links.tick();
   this->checks.tick(now);
 }
@@ -86,8 +94,10 @@
   }
   this->stopping = true;
   this->context.state.stopping = true;
-  this->close_idle_at = now + std::min(balancer_lag, grace / 2);
   this->stop_at = now + grace - exit_margin;
+  this->end_requests_at = this->stop_at - last_answers_margin;
+  // Requests that arrive after the last ones were ended are refused.
+  this->close_idle_at = std::min({now + balancer_lag, now + grace / 2, this->end_requests_at});
   for (const auto& [key, link] : this->links) {
     link->stop_when_idle();
   }
@@ -98,7 +108,8 @@
     return false;
   }
   const bool idle = this->links.empty() && now >= this->close_idle_at;
-  return idle || now >= this->stop_at;
+  // A process that was held up answers its requests before it ends, even if late.
+  return idle || (this->requests_ended && now >= this->stop_at);
 }
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/gateway_server.h
+++ b/Source/Traffic/gateway_server.h
@@ -41,6 +41,9 @@
   std::map<caller_link*, std::unique_ptr<caller_link>> links;
   bool stopping = false;
   steady_time close_idle_at{};
+  /// From when on requests without an answer are ended with an error.
+  steady_time end_requests_at{};
+  bool requests_ended = false;
   steady_time stop_at{};
 };
 
--- a/Tests/Traffic/answer_delivery_test.cxx
+++ b/Tests/Traffic/answer_delivery_test.cxx
@@ -66,6 +66,8 @@
   CPPUNIT_TEST(unsent_bytes_of_a_whole_answer_outlast_the_close);
   CPPUNIT_TEST(unsent_bytes_outlast_the_timeout_of_the_next_request);
   CPPUNIT_TEST(request_that_waits_at_the_end_of_a_stop_is_answered);
+  CPPUNIT_TEST(late_end_of_a_stop_reports_that_the_outcome_is_unknown);
+  CPPUNIT_TEST(stream_goes_on_while_the_last_requests_of_a_stop_are_ended);
   CPPUNIT_TEST(smaller_head_limit_of_callers_spares_an_endpoints_answer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -130,6 +132,50 @@
     CPPUNIT_ASSERT(caller->has_answers(1));
   }
 
+  /// The process was held up until the grace time was over.
+  void late_end_of_a_stop_reports_that_the_outcome_is_unknown() {
+    constexpr milliseconds grace{1'200};
+    traffic_harness harness;
+    connection* open = nullptr;
+    harness.plain->scripts = {[&open](connection& caller) { open = &caller; }};
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::payment_bytes("p1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return open != nullptr; }));
+    harness.server->begin_stop(grace, harness.time.now() - grace);
+    CPPUNIT_ASSERT(!harness.server->stopped(harness.time.now()));
+    CPPUNIT_ASSERT(harness.run_until([&] { return harness.server->stopped(harness.time.now()); }));
+    harness.server.reset();
+    for (int round = 0; round < 20; ++round) {
+      harness.loop.run_once(milliseconds{10});
+    }
+    CPPUNIT_ASSERT(caller->has_answers(1));
+    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(caller->bytes.find("outcome_unknown") != std::string::npos);
+    CPPUNIT_ASSERT(open->closed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.plain->requests.size());
+  }
+
+  void stream_goes_on_while_the_last_requests_of_a_stop_are_ended() {
+    traffic_harness harness;
+    connection* chat = nullptr;
+    connection* payment = nullptr;
+    harness.endpoints[0]->scripts = {[&chat](connection& caller) {
+      chat = &caller;
+      caller.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(1, 2));
+    }};
+    harness.plain->scripts = {[&payment](connection& caller) { payment = &caller; }};
+    const auto reader = harness.connect();
+    const auto payer = harness.connect();
+    reader->send(traffic_harness::chat_bytes("c1"));
+    payer->send(traffic_harness::payment_bytes("p1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return !reader->bytes.empty() && payment != nullptr; }));
+    harness.server->begin_stop(milliseconds{1'200}, harness.time.now());
+    CPPUNIT_ASSERT(harness.run_until([&] { return payer->has_answers(1); }));
+    chat->send(traffic_harness::event_chunk(3, 4) + last_chunk);
+    CPPUNIT_ASSERT(harness.run_until([&] { return reader->has_answers(1) || reader->ended; }));
+    CPPUNIT_ASSERT_EQUAL(traffic_harness::events(1, 4), traffic_harness::unchunked(reader->bytes));
+  }
+
   void smaller_head_limit_of_callers_spares_an_endpoints_answer() {
     constexpr std::size_t small_limit = 1'024;
     constexpr std::size_t usual_limit = 80'000;
