Apply the limit of callers' heads to callers' requests only

A request under way got 502 (endpoint_failed) when a new configuration made the limit of callers' heads smaller than the head of the endpoint's answer. The endpoint had run the request and its answer was sound.

Cause: the HTTP parser keeps one limit for the whole process, and set_largest_head changed it. So it also held for answers of endpoints, for replies of the store, for requests to the monitoring port, and for a caller's head of which a part had been read.

Evidence: smaller_head_limit_of_callers_spares_an_endpoints_answer printed - Expression: caller->bytes.ends_with("paid")

Why it works: each reader has its limit, which is set at the parser while that reader parses and taken back afterwards, as a listener may let another reader parse meanwhile. Readers of callers' connections take the limit of the configuration when a message begins and keep it until its end. All others have a fixed limit of 81,920 bytes, so that bytes without end are still bounded (endless_bytes_test).

Tests added: a larger limit of callers leaves that of endpoints as it is, and a smaller one holds from a caller's next request on, which gets 431; 431 had no test.

--- a/Source/Traffic/caller_link.cxx
+++ b/Source/Traffic/caller_link.cxx
@@ -55,6 +55,7 @@
   while (!this->unread.empty() && this->active == nullptr && !this->closing && !this->gone) {
     if (this->reader.between_messages()) {
       this->phase_started_at = this->context.time.now();
+      this->reader.limit_heads(largest_head());
     }
     const std::string bytes = std::exchange(this->unread, {});
     const std::size_t taken = this->reader.feed(bytes);
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <limits>
+#include <utility>
 
 #include <http_parser.h>
 #include <strings.h>
@@ -14,6 +15,34 @@
 /// The parser's `content_length` for a message without that header.
 constexpr std::uint64_t no_length = std::numeric_limits<std::uint64_t>::max();
 
+std::size_t& head_bytes_of_callers() {
+  static std::size_t bytes = usual_head_bytes;
+  return bytes;
+}
+
+/// Sets the parser's limit of a head, which is one for the whole process, while a reader parses.
+/// A listener may let another reader parse meanwhile.
+class scoped_head_limit {
+ public:
+  explicit scoped_head_limit(std::size_t bytes) : outer(std::exchange(present(), bytes)) {
+    http_parser_set_max_header_size(static_cast<std::uint32_t>(bytes));
+  }
+  ~scoped_head_limit() {
+    present() = this->outer;
+    http_parser_set_max_header_size(static_cast<std::uint32_t>(this->outer));
+  }
+  scoped_head_limit(const scoped_head_limit&) = delete;
+  scoped_head_limit& operator=(const scoped_head_limit&) = delete;
+
+ private:
+  static std::size_t& present() {
+    static std::size_t bytes = usual_head_bytes;
+    return bytes;
+  }
+
+  std::size_t outer;
+};
+
 }  // namespace
 
 struct http_reader::parser_state {
@@ -25,6 +54,9 @@
   bool no_body = false;
   bool refused = false;
   bool in_message = false;
+  /// Largest head of the present message, and of those that follow.
+  std::size_t present_head_bytes = usual_head_bytes;
+  std::size_t next_head_bytes = usual_head_bytes;
 };
 
 namespace {
@@ -192,6 +224,10 @@
   if (HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED) {
     http_parser_pause(&parser, 0);
   }
+  if (!this->state->in_message) {
+    this->state->present_head_bytes = this->state->next_head_bytes;
+  }
+  const scoped_head_limit limit(this->state->present_head_bytes);
   return http_parser_execute(&parser, &callbacks<parser_state>(), bytes.data(), bytes.size());
 }
 
@@ -207,6 +243,10 @@
   this->state->no_body = expected;
 }
 
+void http_reader::limit_heads(std::size_t bytes) {
+  this->state->next_head_bytes = bytes;
+}
+
 http_fault http_reader::fault() const {
   const http_errno error = HTTP_PARSER_ERRNO(&this->state->parser);
   if (error == HPE_OK || error == HPE_PAUSED) {
@@ -220,7 +260,11 @@
 }
 
 void set_largest_head(std::size_t bytes) {
-  http_parser_set_max_header_size(static_cast<std::uint32_t>(bytes));
+  head_bytes_of_callers() = bytes;
+}
+
+std::size_t largest_head() {
+  return head_bytes_of_callers();
 }
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/http_reader.h
+++ b/Source/Traffic/http_reader.h
@@ -12,6 +12,10 @@
 /// An incremental parser of HTTP/1.1 messages.
 namespace chestnuthead::traffic {
 
+/// Largest head of a message unless its reader has another limit. It holds for the answers of
+/// endpoints, whatever callers may send.
+inline constexpr std::size_t usual_head_bytes = 81'920;
+
 enum class http_kind : std::uint8_t { request, answer };
 
 /// Start line and headers of a message.
@@ -48,7 +52,8 @@
 /// Why bytes could not be read as a message.
 enum class http_fault : std::uint8_t { none, header_too_large, malformed };
 
-/// Parses the successive messages of one connection.
+/// Parses the successive messages of one connection. All readers of a process belong to one
+/// thread.
 class http_reader {
  public:
   http_reader(http_kind kind, http_listener& listener);
@@ -67,6 +72,9 @@
   /// If true, the answers that follow have no body, as for HEAD requests.
   void expect_no_body(bool expected);
 
+  /// Sets the largest head of the messages that follow. A message that has begun keeps its limit.
+  void limit_heads(std::size_t bytes);
+
   [[nodiscard]] http_fault fault() const;
   /// True if no message is partly parsed.
   [[nodiscard]] bool between_messages() const;
@@ -77,7 +85,10 @@
   std::unique_ptr<parser_state> state;
 };
 
-/// Sets the largest message head that any reader accepts.
+/// Sets the largest head of callers' requests.
 void set_largest_head(std::size_t bytes);
 
+/// The largest head of callers' requests, `usual_head_bytes` unless it was set.
+std::size_t largest_head();
+
 }  // namespace chestnuthead::traffic
--- a/Tests/Traffic/answer_delivery_test.cxx
+++ b/Tests/Traffic/answer_delivery_test.cxx
@@ -58,6 +58,22 @@
   int descriptor;
 };
 
+/// Sets the largest head of callers' requests for one test.
+class scoped_head_limit_of_callers {
+ public:
+  explicit scoped_head_limit_of_callers(std::size_t bytes) : before(traffic::largest_head()) {
+    traffic::set_largest_head(bytes);
+  }
+  ~scoped_head_limit_of_callers() {
+    traffic::set_largest_head(this->before);
+  }
+  scoped_head_limit_of_callers(const scoped_head_limit_of_callers&) = delete;
+  scoped_head_limit_of_callers& operator=(const scoped_head_limit_of_callers&) = delete;
+
+ private:
+  std::size_t before;
+};
+
 }  // namespace
 
 /// Tests that answers reach their callers while the gateway closes, stops or is reconfigured.
@@ -69,6 +85,8 @@
   CPPUNIT_TEST(late_end_of_a_stop_reports_that_the_outcome_is_unknown);
   CPPUNIT_TEST(stream_goes_on_while_the_last_requests_of_a_stop_are_ended);
   CPPUNIT_TEST(smaller_head_limit_of_callers_spares_an_endpoints_answer);
+  CPPUNIT_TEST(larger_head_limit_of_callers_leaves_that_of_endpoints);
+  CPPUNIT_TEST(smaller_head_limit_of_callers_holds_from_their_next_request_on);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -193,6 +211,41 @@
     traffic::set_largest_head(usual_limit);
     CPPUNIT_ASSERT(caller->bytes.ends_with("paid"));
   }
+
+  void larger_head_limit_of_callers_leaves_that_of_endpoints() {
+    const scoped_head_limit_of_callers limit(8 * traffic::usual_head_bytes);
+    traffic_harness harness;
+    harness.plain->scripts = {[](connection& caller) {
+      std::string answer = traffic_harness::answer_bytes("p1", "paid");
+      answer.insert(answer.find("Attempt-Id"),
+                    "X-Note: " + std::string(2 * traffic::usual_head_bytes, 'n') + "\r\n");
+      caller.send(answer);
+    }};
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::payment_bytes("p1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1) || caller->ended; }));
+    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 502 "));
+  }
+
+  void smaller_head_limit_of_callers_holds_from_their_next_request_on() {
+    constexpr std::size_t small_limit = 1'024;
+    traffic_harness harness;
+    harness.plain->scripts = {
+        [](connection& caller) { caller.send(traffic_harness::answer_bytes("p1", "paid")); }};
+    std::string request = traffic_harness::payment_bytes("p1");
+    const std::size_t middle = request.find("Attempt-Id");
+    request.insert(middle, "X-Note: " + std::string(1'500, 'n') + "\r\n");
+    const auto caller = harness.connect();
+    caller->send(request.substr(0, middle));
+    harness.run_for(milliseconds{50});
+    const scoped_head_limit_of_callers limit(small_limit);
+    caller->send(request.substr(middle));
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1) || caller->ended; }));
+    CPPUNIT_ASSERT(caller->bytes.ends_with("paid"));
+    caller->send(request);
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(2) || caller->ended; }));
+    CPPUNIT_ASSERT(caller->bytes.find("HTTP/1.1 431 ") != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(answer_delivery_test);
