Keep the limits of a request under way when the configuration changes

A caller whose body was still arriving lost its connection, or got 413, when a new configuration made the idle time-out shorter or the limit of bodies smaller. A caller whose head was refused (400) was closed without this answer if its body took longer than the header time-out.

Cause: time-outs and the limit of bodies were read from the present configuration at each check. The header time-out also applied to the body of a request whose head was refused.

Why it works: a connection takes the limits when a request begins to arrive and uses them until it is read. The idle time-out between requests is still that of the present configuration.

--- a/Source/Traffic/caller_link.cxx
+++ b/Source/Traffic/caller_link.cxx
@@ -56,6 +56,7 @@
     if (this->reader.between_messages()) {
       this->phase_started_at = this->context.time.now();
       this->reader.limit_heads(largest_head());
+      this->limits = limits_of(this->context);
     }
     const std::string bytes = std::exchange(this->unread, {});
     const std::size_t taken = this->reader.feed(bytes);
@@ -83,7 +84,7 @@
   } else {
     this->request = std::move(std::get<gateway::caller_request>(decoded));
   }
-  if (head.length.value_or(0) > limits_of(this->context).body_bytes) {
+  if (head.length.value_or(0) > this->limits.body_bytes) {
     this->send_error(error_kind::body_too_large);
     return false;
   }
@@ -99,7 +100,7 @@
   if (this->closing) {
     return;
   }
-  if (this->body.size() + bytes.size() > limits_of(this->context).body_bytes) {
+  if (this->body.size() + bytes.size() > this->limits.body_bytes) {
     this->send_error(error_kind::body_too_large);
     return;
   }
@@ -282,16 +283,16 @@
     this->active->tick(now);
     return;
   }
-  const gateway::caller_limits limits = limits_of(this->context);
   if (this->closing) {
     this->tick_closing(now);
   } else if (!this->reader.between_messages()) {
     // A request whose head was read may take up to the idle timeout to send its body.
-    const auto longest = this->request ? limits.idle_timeout : limits.header_timeout;
+    const bool is_head_read = this->request || this->rejection;
+    const auto longest = is_head_read ? this->limits.idle_timeout : this->limits.header_timeout;
     if (now - this->phase_started_at > longest && !this->link.has_unread_input()) {
       this->end_reading();
     }
-  } else if (now - this->phase_started_at > limits.idle_timeout) {
+  } else if (now - this->phase_started_at > limits_of(this->context).idle_timeout) {
     this->close_if_idle();
   }
 }
--- a/Source/Traffic/caller_link.h
+++ b/Source/Traffic/caller_link.h
@@ -10,6 +10,7 @@
 #include "chestnuthead/error_kind.h"
 
 #include "Gateway/request.h"
+#include "Gateway/service_map.h"
 #include "Traffic/event_loop.h"
 #include "Traffic/exchange.h"
 #include "Traffic/http_reader.h"
@@ -92,6 +93,8 @@
   std::optional<error_kind> rejection;
   std::string body;
   std::unique_ptr<exchange> active;
+  /// Limits of the latest request, as they were when it began to arrive.
+  gateway::caller_limits limits;
   bool keeps_open = true;
   bool stopping = false;
   bool closing = false;
--- a/Tests/Traffic/answer_delivery_test.cxx
+++ b/Tests/Traffic/answer_delivery_test.cxx
@@ -87,6 +87,8 @@
   CPPUNIT_TEST(smaller_head_limit_of_callers_spares_an_endpoints_answer);
   CPPUNIT_TEST(larger_head_limit_of_callers_leaves_that_of_endpoints);
   CPPUNIT_TEST(smaller_head_limit_of_callers_holds_from_their_next_request_on);
+  CPPUNIT_TEST(body_under_way_keeps_its_limits);
+  CPPUNIT_TEST(refusal_waits_for_a_body_as_long_as_an_answer_does);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -246,6 +248,37 @@
     CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(2) || caller->ended; }));
     CPPUNIT_ASSERT(caller->bytes.find("HTTP/1.1 431 ") != std::string::npos);
   }
+
+  void body_under_way_keeps_its_limits() {
+    traffic_harness harness;
+    harness.plain->scripts = {
+        [](connection& caller) { caller.send(traffic_harness::answer_bytes("p1", "paid")); }};
+    const std::string request = traffic_harness::payment_bytes("p1");
+    const auto caller = harness.connect();
+    caller->send(request.substr(0, request.size() - 1));
+    harness.run_for(milliseconds{50});
+    gateway::service_map map = gateway::test_services();
+    map.limits.header_timeout = milliseconds{100};
+    map.limits.idle_timeout = milliseconds{100};
+    map.limits.body_bytes = 1;
+    harness.state.services = std::make_shared<const gateway::service_map>(std::move(map));
+    harness.server->tick(harness.time.now() + std::chrono::seconds{1});
+    caller->send(request.substr(request.size() - 1));
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1) || caller->ended; }));
+    CPPUNIT_ASSERT(caller->bytes.ends_with("paid"));
+  }
+
+  void refusal_waits_for_a_body_as_long_as_an_answer_does() {
+    traffic_harness harness;
+    const std::string request = "POST /pay/1 HTTP/1.1\r\nContent-Length: 3\r\n\r\npay";
+    const auto caller = harness.connect();
+    caller->send(request.substr(0, request.size() - 1));
+    harness.run_for(milliseconds{50});
+    harness.server->tick(harness.time.now() + std::chrono::seconds{4});
+    caller->send(request.substr(request.size() - 1));
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1) || caller->ended; }));
+    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 400 "));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(answer_delivery_test);
