--- a/Tests/Platform/stream_record_test.cxx
+++ b/Tests/Platform/stream_record_test.cxx
@@ -33,6 +33,9 @@
 constexpr milliseconds store_start{700'000};
 /// For a call over the loopback interface, with the rounding of the store's clock.
 constexpr milliseconds tolerance{20};
+/// How often the gateways read the table: one has requests that wait for it, one has few.
+constexpr milliseconds first_read_interval{100};
+constexpr milliseconds second_read_interval{3'000};
 constexpr int status_unavailable = 503;
 constexpr std::string_view versions_of_pools = "version/";
 constexpr std::string_view begun_streams = "begun/";
@@ -66,11 +69,15 @@
     const auto written = json_array(*object, "set_keys");
     for (unsigned index = 0; index < written->size(); ++index) {
       const auto row = written->getObject(index);
-      this->rows[json_text(*row, "key")] = decode_base64(json_text(*row, "value"));
+      const std::string key = json_text(*row, "key");
+      this->rows[key] = decode_base64(json_text(*row, "value"));
+      this->changes.push_back({key, this->rows[key], false, 0});
     }
     const auto removed = json_array(*object, "delete");
     for (unsigned index = 0; index < removed->size(); ++index) {
-      this->rows.erase(json_text(*removed->getObject(index), "key"));
+      const std::string key = json_text(*removed->getObject(index), "key");
+      this->rows.erase(key);
+      this->changes.push_back({key, {}, true, 0});
     }
   }
 
@@ -104,6 +111,8 @@
 
   scripted_endpoint endpoint;
   std::map<std::string, std::string> rows;
+  /// All changes that gateways have made.
+  std::vector<table_row> changes;
   milliseconds now = store_start;
   int status = status_success;
   /// Bodies of the writes that were called, also of the refused ones.
@@ -131,6 +140,18 @@
   /// Applies the complete table.
   void read() {
     this->apply(this->offset());
+    this->changes_read = this->store.changes.size();
+  }
+
+  /// Applies what has changed since the last read, as the store's feed reports it.
+  void read_changes() {
+    const auto begin =
+        this->store.changes.begin() + static_cast<std::ptrdiff_t>(this->changes_read);
+    table_change change;
+    change.rows = gateway::newest_of_each({begin, this->store.changes.end()});
+    change.as_of = this->time.now();
+    this->record.apply(change, this->offset());
+    this->changes_read = this->store.changes.size();
   }
 
   void apply(std::optional<std::chrono::nanoseconds> store_offset) {
@@ -143,6 +164,11 @@
     this->record.apply(change, store_offset);
   }
 
+  /// Forgets what is outdated, as a gateway does periodically.
+  void forget() {
+    update_stream_versions(this->state.streams, this->state.endpoints, this->time.now());
+  }
+
   void list(const std::string& version) {
     note_stream_version(this->state.streams, gateway::engine_pool, version, this->time.now());
   }
@@ -167,6 +193,8 @@
 
   traffic::event_loop& loop;
   streams_store& store;
+  /// How many of the store's changes were read.
+  std::size_t changes_read = 0;
   stepped_clock time;
   seeded_random random{1};
   line_ring lines;
@@ -212,6 +240,20 @@
     this->run_for(2 * this->interval());
   }
 
+  /// Runs for `time`, while each gateway reads the table's changes at its own interval.
+  void run_and_read_for(milliseconds time) {
+    const milliseconds end = this->store.now + time;
+    while (this->store.now < end) {
+      this->run_for(first_read_interval);
+      this->first.read_changes();
+      if (this->store.now % second_read_interval < first_read_interval) {
+        this->second.read_changes();
+      }
+      this->first.forget();
+      this->second.forget();
+    }
+  }
+
   /// The first gateway reads the table and knows two versions of the pool.
   void list_two_versions() {
     this->first.read();
@@ -264,6 +306,7 @@
   CPPUNIT_TEST(records_of_a_dead_gateway_do_not_pile_up);
   CPPUNIT_TEST(records_that_others_may_need_are_not_removed);
   CPPUNIT_TEST(row_of_a_forgotten_version_is_removed);
+  CPPUNIT_TEST(forgotten_version_is_not_kept_alive_by_two_gateways);
   CPPUNIT_TEST(undated_record_is_logged_and_applied_later);
   CPPUNIT_TEST(restarted_gateway_knows_streams_by_its_followers_offset);
   CPPUNIT_TEST_SUITE_END();
@@ -466,8 +509,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.store.listed_versions().size());
     keep_listed(fleet.first, "v2");
     fleet.advance(gateway::version_lifetime + step);
-    update_stream_versions(fleet.first.state.streams, fleet.first.state.endpoints,
-                           fleet.first.time.now());
+    fleet.first.forget();
     const std::vector<std::string> left{"v2"};
     CPPUNIT_ASSERT(fleet.run_until([&] { return fleet.store.listed_versions() == left; }));
     const std::size_t calls = fleet.store.calls.size();
@@ -475,6 +517,25 @@
     CPPUNIT_ASSERT_EQUAL(calls, fleet.store.calls.size());
   }
 
+  /// Each gateway that reads the row counts the version for some time more; if it then wrote
+  /// the row again for the other, streams of unknown origin would be refused for ever.
+  void forgotten_version_is_not_kept_alive_by_two_gateways() {
+    fleet_fixture fleet;
+    fleet.list_two_versions();
+    // The second gateway has seen the old version's endpoint a little longer.
+    fleet.second.read();
+    fleet.second.list("v1");
+    keep_listed(fleet.first, "v2");
+    keep_listed(fleet.second, "v2");
+    fleet.advance(gateway::version_lifetime - seconds{2});
+    constexpr int lifetimes = 3;
+    fleet.run_and_read_for(lifetimes * gateway::version_lifetime);
+    CPPUNIT_ASSERT(fleet.store.listed_versions() == std::vector<std::string>{"v2"});
+    for (const gateway_fixture* gateway : {&fleet.first, &fleet.second}) {
+      CPPUNIT_ASSERT(!has_several_versions(gateway->state.streams, gateway::engine_pool));
+    }
+  }
+
   void undated_record_is_logged_and_applied_later() {
     fleet_fixture fleet;
     const std::string key = "begun/000000000700000/gateway-8";
