Do not count the streams table as read before its records can be dated

Records that were applied before the store's clock was known were ignored, but the table counted as read, so that a request would not have waited for its stream. No gateway does this now: the follower that delivers the rows knows the clock from the same answer.

--- a/Tests/Platform/stream_record_test.cxx
+++ b/Tests/Platform/stream_record_test.cxx
@@ -308,6 +308,7 @@
   CPPUNIT_TEST(row_of_a_forgotten_version_is_removed);
   CPPUNIT_TEST(forgotten_version_is_not_kept_alive_by_two_gateways);
   CPPUNIT_TEST(undated_record_is_logged_and_applied_later);
+  CPPUNIT_TEST(undated_record_is_not_taken_as_read);
   CPPUNIT_TEST(restarted_gateway_knows_streams_by_its_followers_offset);
   CPPUNIT_TEST_SUITE_END();
 
@@ -548,6 +549,14 @@
     CPPUNIT_ASSERT(fleet.second.knows(7, "v1"));
   }
 
+  /// A request whose stream is in the record would not wait for it any longer.
+  void undated_record_is_not_taken_as_read() {
+    fleet_fixture fleet;
+    fleet.store.rows["begun/000000000700000/gateway-8"] = record_of(store_start, 7);
+    fleet.second.apply(std::nullopt);
+    CPPUNIT_ASSERT(!fleet.second.state.streams.records_as_of);
+  }
+
   /// The offset is known by the answer that brings the rows.
   void restarted_gateway_knows_streams_by_its_followers_offset() {
     fleet_fixture fleet;
