Show streams of two versions after a restore of the store

An entry of an earlier incarnation, from the copy from which the store was restored, replaces the entry of an endpoint that was started again with another version since: is_outdated compares heartbeats of the same incarnation only. Streams are then continued by another version.

--- a/review/stage/stage.cxx
+++ b/review/stage/stage.cxx
@@ -45,9 +45,12 @@
   return address;
 }
 
-int listen_any(std::string& address) {
+/// Listens on the address, or on a free port of 127.0.0.1 if it is empty.
+int listen_on(std::string& address) {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in own = address_of("127.0.0.1:0");
+  sockaddr_in own = address_of(address.empty() ? "127.0.0.1:0" : address);
+  const int on = 1;
+  ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (::bind(descriptor, reinterpret_cast<sockaddr*>(&own), sizeof own) != 0 ||
       ::listen(descriptor, 1'024) != 0) {
     give_up("can't listen");
@@ -292,20 +295,38 @@
   return std::make_unique<connection>(descriptor);
 }
 
-std::string serve(std::function<void(connection&)> handler) {
-  std::string address;
-  const int listening = listen_any(address);
-  std::thread([listening, handler = std::move(handler)] {
+std::string serve(std::function<void(connection&)> handler, std::shared_ptr<server> process,
+                  std::string address) {
+  const int listening = listen_on(address);
+  if (process == nullptr) {
+    process = std::make_shared<server>();
+  }
+  process->listening = listening;
+  std::thread([listening, process, handler = std::move(handler)] {
     while (true) {
       const int descriptor = ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
+      const std::lock_guard<std::mutex> guard(process->lock);
+      if (process->has_ended) {
+        if (descriptor >= 0) {
+          ::close(descriptor);
+        }
+        ::close(listening);
+        return;
+      }
       if (descriptor < 0) {
         continue;
       }
       const int on = 1;
       ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      std::thread([descriptor, handler] {
-        connection caller(descriptor);
+      process->connections.insert(descriptor);
+      std::thread([descriptor, process, handler] {
+        // A duplicate, so that the number is not given away before it is erased.
+        connection caller(::dup(descriptor));
         handler(caller);
+        caller.close();
+        const std::lock_guard<std::mutex> held(process->lock);
+        process->connections.erase(descriptor);
+        ::close(descriptor);
       }).detach();
     }
   }).detach();
@@ -321,18 +342,48 @@
   this->tables[table][key] = {value, this->version, removed};
 }
 
+std::string store::present_era() {
+  const std::lock_guard<std::mutex> guard(this->lock);
+  return std::to_string(this->era);
+}
+
 void store::put(const std::string& table, const std::string& key, const std::string& value) {
   const std::lock_guard<std::mutex> guard(this->lock);
+  if (this->is_away) {
+    return;
+  }
   ++this->version;
   this->put_encoded(table, key, encode_base64(value), false);
 }
 
 void store::remove(const std::string& table, const std::string& key) {
   const std::lock_guard<std::mutex> guard(this->lock);
+  if (this->is_away) {
+    return;
+  }
   ++this->version;
   this->put_encoded(table, key, {}, true);
 }
 
+void store::save_copy() {
+  const std::lock_guard<std::mutex> guard(this->lock);
+  this->copied_tables = this->tables;
+  this->copied_version = this->version;
+}
+
+void store::restore_copy(milliseconds downtime) {
+  {
+    const std::lock_guard<std::mutex> guard(this->lock);
+    this->is_away = true;
+  }
+  sleep_for(downtime);
+  const std::lock_guard<std::mutex> guard(this->lock);
+  this->tables = this->copied_tables;
+  this->version = this->copied_version;
+  ++this->era;
+  this->is_away = false;
+}
+
 std::string store::format(const std::string& table, const std::string& key,
                           const row& found) const {
   return R"({"table":")" + table + R"(","part":"","key":")" + key + R"(",)" +
@@ -375,12 +426,18 @@
 
 std::pair<int, std::string> store::answer(const request& call) {
   const std::lock_guard<std::mutex> guard(this->lock);
+  if (this->is_away) {
+    return {503, "{}"};
+  }
   if (call.target.rfind("/-/rows-tx", 0) == 0) {
     return this->write(call.body);
   }
   const std::string table = query_value(call.target, "table");
   const bool feed = call.target.rfind("/-/rows-feed", 0) == 0;
   const std::uint64_t after = feed ? std::stoull(query_value(call.target, "after")) : 0;
+  if (after > this->version) {
+    return {410, "{}"};
+  }
   const std::string from = query_value(call.target, "from");
   std::vector<std::pair<std::uint64_t, std::string>> found;
   for (const auto& [key, one] : this->tables[table]) {
@@ -404,49 +461,91 @@
   while (caller.read_request(call)) {
     sleep_for(store_time);
     const auto [status, body] = this->answer(call);
-    if (!caller.send("HTTP/1.1 " + std::to_string(status) +
-                     " Answer\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
-                     "Content-Length: " +
-                     std::to_string(body.size()) + "\r\n\r\n" + body)) {
+    if (!caller.send(
+            "HTTP/1.1 " + std::to_string(status) +
+            " Answer\r\nContent-Type: application/json\r\nStore-Era: " + this->present_era() +
+            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)) {
       return;
     }
   }
 }
 
-void start(replica& one, store& rows) {
-  one.born =
-      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-          .count();
-  one.address = serve([&one](connection& caller) {
-    request call;
-    while (caller.is_open() && caller.read_request(call)) {
-      if (call.target == "/healthz") {
-        caller.send("HTTP/1.1 200 OK\r\nInstance-Id: " + one.id + "\r\nContent-Length: 0\r\n\r\n");
-      } else if (call.field("Expect-Instance") != one.id) {
-        caller.send("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + one.id +
-                    "\r\nContent-Length: 0\r\n\r\n");
-      } else {
-        one.work(one, caller, call);
-      }
+namespace {
+
+void write_entry(replica& one, store& rows) {
+  const std::lock_guard<std::mutex> guard(one.lock);
+  rows.put("servers", one.id,
+           R"({"service":")" + one.service + R"(","address":")" + one.address + R"(","zone":")" +
+               one.zone + R"(","version":")" + one.version + R"(","batch_slots":)" +
+               std::to_string(one.slots) + R"(,"state":")" + one.state +
+               R"(","warmup_remaining_ms":0,"born":)" + std::to_string(one.born) +
+               R"(,"sequence":)" + std::to_string(++one.sequence) + "}");
+}
+
+void serve_caller(replica& one, connection& caller) {
+  request call;
+  while (caller.is_open() && caller.read_request(call)) {
+    if (call.target == "/healthz") {
+      caller.send("HTTP/1.1 200 OK\r\nInstance-Id: " + one.id + "\r\nContent-Length: 0\r\n\r\n");
+    } else if (call.field("Expect-Instance") != one.id) {
+      caller.send("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + one.id +
+                  "\r\nContent-Length: 0\r\n\r\n");
+    } else {
+      one.work(one, caller, call);
     }
-  });
-  const auto write = [&one, &rows] {
-    rows.put("servers", one.id,
-             R"({"service":")" + one.service + R"(","address":")" + one.address + R"(","zone":")" +
-                 one.zone + R"(","version":")" + one.version + R"(","batch_slots":)" +
-                 std::to_string(one.slots) + R"(,"state":"ready","warmup_remaining_ms":0,"born":)" +
-                 std::to_string(one.born) + R"(,"sequence":)" + std::to_string(++one.sequence) +
-                 "}");
-  };
-  write();
-  std::thread([write] {
+  }
+}
+
+}  // namespace
+
+void start(replica& one, store& rows) {
+  const auto process = std::make_shared<server>();
+  {
+    const std::lock_guard<std::mutex> guard(one.lock);
+    one.process = process;
+    one.state = "ready";
+    one.sequence = 0;
+    one.born = std::chrono::duration_cast<milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+                   .count();
+    one.address =
+        serve([&one](connection& caller) { serve_caller(one, caller); }, process, one.address);
+  }
+  write_entry(one, rows);
+  std::thread([&one, &rows, process] {
     while (true) {
       sleep_for(heartbeat);
-      write();
+      {
+        const std::lock_guard<std::mutex> guard(process->lock);
+        if (process->has_ended) {
+          return;
+        }
+      }
+      write_entry(one, rows);
     }
   }).detach();
 }
 
+void drain(replica& one, store& rows) {
+  {
+    const std::lock_guard<std::mutex> guard(one.lock);
+    one.state = "draining";
+  }
+  write_entry(one, rows);
+}
+
+void end(replica& one, store& rows) {
+  {
+    const std::lock_guard<std::mutex> guard(one.process->lock);
+    one.process->has_ended = true;
+    ::shutdown(one.process->listening, SHUT_RDWR);
+    for (const int descriptor : one.process->connections) {
+      ::shutdown(descriptor, SHUT_RDWR);
+    }
+  }
+  rows.remove("servers", one.id);
+}
+
 std::string success_head(const request& call, const std::string& id, int length) {
   const std::string attempt = call.field("Attempt-Id");
   return "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nResponse-Signature: s." + attempt +
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -96,12 +97,15 @@
   bool is_late = false;
 };
 
+struct server;
+
 /// Connects within a second; null if that fails.
 std::unique_ptr<connection> connect_to(const std::string& address);
 
-/// Listens on a free port of 127.0.0.1 and serves each connection on a thread of its own. Returns
-/// the address.
-std::string serve(std::function<void(connection&)> handler);
+/// Listens on `address`, or on a free port of 127.0.0.1, and serves each connection on a thread of
+/// its own. Returns the address. They end with `process`, if one is given.
+std::string serve(std::function<void(connection&)> handler,
+                  std::shared_ptr<server> process = nullptr, std::string address = {});
 
 /// The platform's store. Each call takes 4 ms.
 class store {
@@ -110,6 +114,10 @@
 
   void put(const std::string& table, const std::string& key, const std::string& value);
   void remove(const std::string& table, const std::string& key);
+  /// Keeps a copy of all rows.
+  void save_copy();
+  /// The store is away for `downtime`; then it comes back from the copy, in a new era.
+  void restore_copy(milliseconds downtime);
 
   std::string address;
 
@@ -121,6 +129,7 @@
   };
 
   void serve_connection(connection& caller);
+  std::string present_era();
   std::pair<int, std::string> answer(const request& call);
   std::pair<int, std::string> write(const std::string& body);
   void put_encoded(const std::string& table, const std::string& key, const std::string& value,
@@ -130,6 +139,18 @@
   std::mutex lock;
   std::map<std::string, std::map<std::string, row>> tables;
   std::uint64_t version = 100;
+  std::map<std::string, std::map<std::string, row>> copied_tables;
+  std::uint64_t copied_version = 0;
+  std::uint64_t era = 1;
+  bool is_away = false;
+};
+
+/// The connections of a process, which end with it.
+struct server {
+  std::mutex lock;
+  int listening = -1;
+  std::set<int> connections;
+  bool has_ended = false;
 };
 
 /// A replica. Its entry is renewed every 1,200 ms.
@@ -140,15 +161,25 @@
   std::string version = "v1";
   std::string address;
   int slots = 6;
+  /// The fields that change are guarded by `lock`.
+  std::mutex lock;
+  std::string state = "ready";
   std::int64_t born = 0;
-  std::atomic<std::uint64_t> sequence{0};
+  std::uint64_t sequence = 0;
+  std::shared_ptr<server> process;
   /// Handles a request that names this replica.
   std::function<void(replica&, connection&, const request&)> work;
 };
 
-/// Starts the replica, and lists it in the store.
+/// Starts the replica, and lists it in the store. One that has ended starts again at its address.
 void start(replica& one, store& rows);
 
+/// The replica says in its entry that it is draining.
+void drain(replica& one, store& rows);
+
+/// Ends the replica's process and removes its entry.
+void end(replica& one, store& rows);
+
 /// "Attempt-Id", "Response-Signature" and, if `length` is not negative, "Content-Length" of a
 /// successful answer, with its status line and the blank line.
 std::string success_head(const request& call, const std::string& id, int length);
