--- a/review/stage/stage.cxx
+++ b/review/stage/stage.cxx
@@ -534,7 +534,7 @@
   write_entry(one, rows);
 }
 
-void end(replica& one, store& rows) {
+void crash(replica& one) {
   {
     const std::lock_guard<std::mutex> guard(one.process->lock);
     one.process->has_ended = true;
@@ -543,6 +543,10 @@
       ::shutdown(descriptor, SHUT_RDWR);
     }
   }
+}
+
+void end(replica& one, store& rows) {
+  crash(one);
   rows.remove("servers", one.id);
 }
 
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -151,6 +151,7 @@
   int listening = -1;
   std::set<int> connections;
   bool has_ended = false;
+  bool is_crashing = false;
 };
 
 /// A replica. Its entry is renewed every 1,200 ms.
@@ -177,7 +178,10 @@
 /// The replica says in its entry that it is draining.
 void drain(replica& one, store& rows);
 
-/// Ends the replica's process and removes its entry.
+/// Ends the replica's process.
+void crash(replica& one);
+
+/// Does the same, and removes the replica's entry.
 void end(replica& one, store& rows);
 
 /// "Attempt-Id", "Response-Signature" and, if `length` is not negative, "Content-Length" of a
