--- a/Source/Traffic/event_loop.cxx
+++ b/Source/Traffic/event_loop.cxx
@@ -90,6 +90,7 @@
     const auto generation = static_cast<std::uint32_t>(event.data.u64 >> generation_shift);
     const watch_entry entry = this->watches[descriptor];
     if (entry.watcher != nullptr && entry.generation == generation) {
+      ++this->handled;
       const bool failed = (event.events & (EPOLLERR | EPOLLHUP)) != 0;
       entry.watcher->on_ready(failed || (event.events & EPOLLIN) != 0,
                               failed || (event.events & EPOLLOUT) != 0);
--- a/Source/Traffic/event_loop.h
+++ b/Source/Traffic/event_loop.h
@@ -54,6 +54,11 @@
   /// pending than one round fetches.
   bool run_once(std::chrono::milliseconds longest);
 
+  /// Number of events handled so far.
+  [[nodiscard]] std::uint64_t events_handled() const {
+    return this->handled;
+  }
+
  private:
   struct watch_entry {
     io_watcher* watcher = nullptr;
@@ -64,6 +69,7 @@
   void control(int operation, int descriptor, io_interest interest) const;
 
   int poll_descriptor = -1;
+  std::uint64_t handled = 0;
   std::vector<watch_entry> watches;
   std::vector<std::unique_ptr<disposable>> disposed;
 };
