Search each byte of an event only once

What callers saw: an endpoint's answer that went on with one event without end, in small chunks, stopped the gateway that forwarded it for 18 s.

Cause: for each piece of a body, split_events searched all bytes of the unfinished event again, twice, and copied them. The reader delivers each chunk as a piece, thousands in one read, so that the work of a single read grew with the bytes buffered, up to the limit of 262,144. For complete events the search for CRLF blank lines went to the end of the piece each time.

Now the search goes on after the bytes that were searched before, finds both kinds of blank line in one pass, and copies nothing while an event is unfinished: each byte is handled a fixed number of times however it arrives.

--- a/Source/Gateway/event_stream.cxx
+++ b/Source/Gateway/event_stream.cxx
@@ -6,14 +6,17 @@
 
 namespace {
 
-/// Length of the first complete event of `text` including its blank line, or 0.
-std::size_t whole_event_length(std::string_view text) {
-  const std::size_t plain = text.find("\n\n");
-  const std::size_t carriage = text.find("\r\n\r\n");
-  if (plain == std::string_view::npos && carriage == std::string_view::npos) {
-    return 0;
+/// Length of the first complete event of `text` including its blank line, or 0. No event ends
+/// within the first `searched` bytes, which are not searched again.
+std::size_t whole_event_length(std::string_view text, std::size_t searched) {
+  for (std::size_t at = text.find('\n', searched); at != std::string_view::npos;
+       at = text.find('\n', at + 1)) {
+    const std::string_view lines = text.substr(0, at + 1);
+    if (lines.ends_with("\n\n") || lines.ends_with("\r\n\r\n")) {
+      return lines.size();
+    }
   }
-  return plain < carriage ? plain + 2 : carriage + 4;
+  return 0;
 }
 
 /// Appends one complete event to `whole` unless the caller has received it already.
@@ -57,19 +60,24 @@
 }
 
 void split_events(event_splitter& splitter, std::string_view bytes, std::string& whole) {
+  const std::size_t searched = splitter.partial.size();
   std::string_view rest = bytes;
-  if (!splitter.partial.empty()) {
+  if (searched > 0) {
     splitter.partial.append(bytes);
     rest = splitter.partial;
   }
-  std::size_t length = whole_event_length(rest);
+  std::size_t length = whole_event_length(rest, searched);
+  const bool is_buffered = searched > 0 && length == 0;
   while (length > 0 && splitter.sound) {
     append_event(splitter, rest.substr(0, length), whole);
     rest.remove_prefix(length);
-    length = whole_event_length(rest);
+    length = whole_event_length(rest, 0);
+  }
+  if (!is_buffered) {
+    // Not an assignment: it would keep the memory of a long event.
+    std::string left(rest);
+    splitter.partial.swap(left);
   }
-  std::string left(rest);
-  splitter.partial.swap(left);
   if (splitter.partial.size() > longest_event_bytes) {
     splitter.sound = false;
   }
--- a/Tests/Traffic/endless_bytes_test.cxx
+++ b/Tests/Traffic/endless_bytes_test.cxx
@@ -4,8 +4,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Gateway/event_stream.h"
 #include "Traffic/http_client.h"
 #include "Traffic/traffic_harness.h"
+#include "processor_time.h"
 
 namespace chestnuthead {
 
@@ -18,6 +20,8 @@
   CPPUNIT_TEST(endless_answer_of_an_endpoint_is_cancelled);
   CPPUNIT_TEST(endless_rejection_still_counts_as_not_executed);
   CPPUNIT_TEST(endless_event_is_retried_at_another_endpoint);
+  CPPUNIT_TEST(endless_event_in_small_chunks_delays_no_other_request);
+  CPPUNIT_TEST(endless_events_in_small_chunks_delay_no_other_request);
   CPPUNIT_TEST(events_not_forwarded_are_read_from_another_endpoint);
   CPPUNIT_TEST(trickling_answer_ends_with_the_route_timeout);
   CPPUNIT_TEST(trickling_stream_is_resumed_at_another_endpoint);
@@ -106,6 +110,16 @@
     CPPUNIT_ASSERT_EQUAL(2, requests);
   }
 
+  /// Guards against a gateway that reads nothing else for seconds while an event grows.
+  void endless_event_in_small_chunks_delays_no_other_request() {
+    check_others_are_served("2\r\nx\n\r\n");
+  }
+
+  /// The same with events that end.
+  void endless_events_in_small_chunks_delay_no_other_request() {
+    check_others_are_served("3\r\n:\n\n\r\n");
+  }
+
   /// The first endpoint's events are out of order before any was forwarded.
   void events_not_forwarded_are_read_from_another_endpoint() {
     traffic_harness harness(2);
@@ -232,6 +246,44 @@
   }
 
  private:
+  /// An endpoint sends `chunk` without end after some events, until it has sent twice as many
+  /// bytes as an event may have. Payments are answered meanwhile.
+  static void check_others_are_served(const std::string& chunk) {
+    traffic_harness harness;
+    connection* open = nullptr;
+    harness.endpoints[0]->scripts = {[&open](connection& caller) {
+      open = &caller;
+      caller.send(traffic_harness::stream_head("c1") + traffic_harness::event_chunk(1, 2));
+    }};
+    harness.plain->scripts = {
+        [](connection& caller) { caller.send(traffic_harness::answer_bytes("p1", "paid")); }};
+    const auto reader = harness.connect();
+    reader->send(traffic_harness::chat_bytes("c1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return open != nullptr; }));
+    std::string chunks;
+    while (chunks.size() < 4'096) {
+      chunks += chunk;
+    }
+    constexpr milliseconds longest_time{500};
+    for (std::size_t sent = 0; sent < 2 * gateway::longest_event_bytes * chunk.size();) {
+      const auto payer = harness.connect();
+      payer->send(traffic_harness::payment_bytes("p1"));
+      const milliseconds spent = processor_time_of([&] {
+        CPPUNIT_ASSERT(harness.run_until([&] {
+          for (int count = 0; count < 16 && !open->closed; ++count) {
+            open->send(chunks);
+            sent += chunks.size();
+          }
+          return payer->has_answers(1);
+        }));
+      });
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(spent.count()) + " ms", spent < longest_time);
+      if (open->closed) {
+        break;
+      }
+    }
+  }
+
   static std::string chunk_of(const std::string& bytes) {
     std::ostringstream chunk;
     chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
