Search each byte of an engine's stream only once

A line without end in small pieces would stop a router.

Found by reading all code that buffers a part of a message until more of it arrives; the frame readers, the HTTP readers and the HTTP client look at new bytes only.

Before: line_without_end_in_small_pieces_takes_little_time fails with 42 s of processor time for 2 MB.

--- a/Source/Net/engine_answer.cxx
+++ b/Source/Net/engine_answer.cxx
@@ -29,12 +29,14 @@
     this->text.clear();
     return;
   }
+  // The bytes of the unfinished line were searched when they arrived.
+  const std::size_t searched = this->text.size();
   this->text.append(piece);
   if (!this->stream) {
     return;
   }
   std::size_t start = 0;
-  std::size_t end = this->text.find('\n');
+  std::size_t end = this->text.find('\n', searched);
   while (end != std::string::npos) {
     this->handle_line(this->text.substr(start, end - start));
     start = end + 1;
