Resume streams of a split route in the pool that began them

Streams of services whose versions have the same name could go on at another service.

Cause: admit draws the pool of every request by weight, also of one that goes on with a stream. resume_stream looked for the stream's version in the drawn pool only. That pool was nowhere recorded, and while each pool had one version nothing was recorded of the streams at all.

With four pools of even weight a quarter goes on.

Now the origin of a stream has its pool, in memory and in the store's record. choose_resumption takes that pool as long as the route sends requests there; otherwise, and for records of earlier builds, one of the route's pools that has the version. Streams are also recorded while their pool shares a route of resumable streams with another one, and those that began before once a configuration splits the route. An unknown stream of a split route is refused, at once if its caller does not name it. The pools follow the fields that earlier builds read, so that both builds read the rows of the other; the golden bytes of the earlier record stay in the test of the codec.

--- a/Source/Gateway/admission.cxx
+++ b/Source/Gateway/admission.cxx
@@ -64,7 +64,7 @@
     taken.holder = holder->name;
     taken.priority = holder->priority >= 0 ? holder->priority : found->priority;
   }
-  taken.taken_pool = pick_pool(services, *found, next_unit(random));
+  taken.taken_pool = pick_pool(services, found->pools, next_unit(random));
   if (taken.taken_pool == nullptr) {
     return refusal{error_kind::no_endpoint, random_retry_after(max_retry_after, random)};
   }
--- a/Source/Gateway/operator_orders.cxx
+++ b/Source/Gateway/operator_orders.cxx
@@ -18,6 +18,7 @@
     return;
   }
   state.services = std::make_shared<const service_map>(std::move(map));
+  update_split_pools(state.streams, *state.services);
   effect.configuration_taken = true;
 }
 
--- a/Source/Gateway/service_map.cxx
+++ b/Source/Gateway/service_map.cxx
@@ -40,13 +40,20 @@
   return found == map.pools.end() ? nullptr : &found->second;
 }
 
-const pool* pick_pool(const service_map& map, const route& route, double unit) {
+std::vector<weighted_pool> pools_with_weight(const route& route) {
+  std::vector<weighted_pool> pools = route.pools;
+  std::erase_if(pools, [](const weighted_pool& share) { return share.weight <= 0.0; });
+  return pools;
+}
+
+const pool* pick_pool(const service_map& map, const std::vector<weighted_pool>& pools,
+                      double unit) {
   double total = 0.0;
-  for (const weighted_pool& share : route.pools) {
+  for (const weighted_pool& share : pools) {
     total += std::max(0.0, share.weight);
   }
   double left = unit * total;
-  for (const weighted_pool& share : route.pools) {
+  for (const weighted_pool& share : pools) {
     left -= std::max(0.0, share.weight);
     if (left < 0.0) {
       return find_pool(map, share.pool);
--- a/Source/Gateway/service_map.h
+++ b/Source/Gateway/service_map.h
@@ -131,8 +131,11 @@
 /// Returns the pool with that name, or nullptr.
 const pool* find_pool(const service_map& map, const pool_id& name);
 
+/// The pools that receive requests of the route.
+std::vector<weighted_pool> pools_with_weight(const route& route);
+
 /// Picks a pool by weight; `unit` is a random number in [0, 1). Returns nullptr if no pool has
 /// a weight.
-const pool* pick_pool(const service_map& map, const route& route, double unit);
+const pool* pick_pool(const service_map& map, const std::vector<weighted_pool>& pools, double unit);
 
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/stream_origins.cxx
+++ b/Source/Gateway/stream_origins.cxx
@@ -14,12 +14,15 @@
 constexpr milliseconds record_interval_per_gateway{10};
 
 void want_record(stream_origins& table, std::uint64_t request, const known_origin& row) {
-  if (!row.recorded && has_several_versions(table, row.pool)) {
+  const bool ambiguous =
+      has_several_versions(table, row.pool) || table.split_pools.contains(row.pool);
+  if (row.own && !row.recorded && ambiguous) {
     table.unrecorded.push_back(request);
   }
 }
 
-/// Queues the origins of a pool that has got a second version: those that began before.
+/// Queues the origins of streams that began in the pool before it became ambiguous where they
+/// had begun.
 void want_records_of(stream_origins& table, const pool_id& pool) {
   for (const auto& [request, row] : table.rows) {
     if (row.pool == pool) {
@@ -38,10 +41,23 @@
     drop_oldest(table);
   }
   table.by_age.push_back(origin.request);
-  return table.rows.emplace(origin.request, known_origin{origin.version, now, {}, false})
+  return table.rows.emplace(origin.request, known_origin{origin.version, now, origin.pool})
       .first->second;
 }
 
+std::set<pool_id> split_pools_of(const service_map& services) {
+  std::set<pool_id> pools;
+  for (const route& candidate : services.routes) {
+    const std::vector<weighted_pool> shares = pools_with_weight(candidate);
+    if (candidate.resumable && shares.size() > 1) {
+      for (const weighted_pool& share : shares) {
+        pools.insert(share.pool);
+      }
+    }
+  }
+  return pools;
+}
+
 }  // namespace
 
 milliseconds origin_record_interval(std::uint32_t gateways) {
@@ -52,7 +68,7 @@
                          steady_time now) {
   auto& versions = table.versions[pool];
   const bool is_new = versions.insert_or_assign(version, now).second;
-  if (is_new && versions.size() == 2) {
+  if (is_new && versions.size() == 2 && !table.split_pools.contains(pool)) {
     want_records_of(table, pool);
   }
   return is_new;
@@ -81,18 +97,26 @@
   }
 }
 
+void update_split_pools(stream_origins& table, const service_map& services) {
+  const std::set<pool_id> before = std::exchange(table.split_pools, split_pools_of(services));
+  for (const pool_id& pool : table.split_pools) {
+    if (!before.contains(pool) && !has_several_versions(table, pool)) {
+      want_records_of(table, pool);
+    }
+  }
+}
+
 bool has_several_versions(const stream_origins& table, const pool_id& pool) {
   const auto place = table.versions.find(pool);
   return place != table.versions.end() && place->second.size() > 1;
 }
 
-void note_stream(stream_origins& table, const pool_id& pool, const stream_origin& origin,
-                 steady_time now) {
+void note_stream(stream_origins& table, const stream_origin& origin, steady_time now) {
   if (table.rows.contains(origin.request)) {
     return;
   }
   known_origin& row = add_origin(table, origin, now);
-  row.pool = pool;
+  row.own = true;
   want_record(table, origin.request, row);
 }
 
@@ -109,7 +133,7 @@
   for (std::size_t index = 0; index < count; ++index) {
     const std::uint64_t request = table.unrecorded[index];
     if (const auto place = table.rows.find(request); place != table.rows.end()) {
-      origins.push_back({request, place->second.version});
+      origins.push_back({request, place->second.version, place->second.pool});
     }
   }
   table.unrecorded.erase(table.unrecorded.begin(),
@@ -138,12 +162,18 @@
   }
 }
 
+const known_origin* find_origin(const stream_origins& table, const resumption& wanted) {
+  if (!wanted.began_as) {
+    return nullptr;
+  }
+  const auto row = table.rows.find(*wanted.began_as);
+  return row == table.rows.end() ? nullptr : &row->second;
+}
+
 std::optional<std::string> version_of_stream(const stream_origins& table, const pool_id& pool,
                                              const resumption& wanted) {
-  if (wanted.began_as) {
-    if (const auto row = table.rows.find(*wanted.began_as); row != table.rows.end()) {
-      return row->second.version;
-    }
+  if (const known_origin* origin = find_origin(table, wanted)) {
+    return origin->version;
   }
   const auto versions = table.versions.find(pool);
   const bool is_confirmed = table.endpoints_as_of >= wanted.arrived_at && table.records_as_of &&
--- a/Source/Gateway/stream_origins.h
+++ b/Source/Gateway/stream_origins.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -14,10 +15,11 @@
 #include "chestnuthead/ids.h"
 
 #include "Gateway/endpoint_table.h"
+#include "Gateway/service_map.h"
 
-/// Tracks at which software version each stream began. What two versions of an endpoint's
-/// software write does not fit together, so a stream may go on only at the version that began
-/// it, whichever gateway its caller takes it up at.
+/// Tracks in which pool and at which software version each stream began. What two versions of an
+/// endpoint's software write does not fit together, so a stream may go on only at the version
+/// that began it, whichever gateway its caller takes it up at.
 namespace chestnuthead::gateway {
 
 /// The version that began a stream, by the request that began it.
@@ -25,12 +27,16 @@
   /// Hash of the ID of the request that brought the stream's first event.
   std::uint64_t request = 0;
   std::string version;
+  /// The pool that began the stream; empty in records of builds that did not write it.
+  pool_id pool;
 };
 
 struct known_origin {
   std::string version;
   steady_time noted_at{};
   pool_id pool;
+  /// This gateway forwarded the stream, and records its origin.
+  bool own = false;
   /// The store holds the origin.
   bool recorded = false;
 };
@@ -45,6 +51,8 @@
   /// The versions of each pool whose streams may still be taken up, with the time at which an
   /// endpoint of the version was last listed.
   std::map<pool_id, std::map<std::string, steady_time>> versions;
+  /// Pools that share a route of resumable streams with other pools.
+  std::set<pool_id> split_pools;
   /// Time that the list of endpoints reflects.
   steady_time endpoints_as_of{};
   /// Time that the origins and versions read from the store reflect; nothing before the first
@@ -82,12 +90,15 @@
 void update_stream_versions(stream_origins& table, const endpoint_table& endpoints,
                             steady_time now);
 
+/// Updates `split_pools` to a configuration that has come into force. Streams that began before
+/// in a pool that shares its route now are recorded, too.
+void update_split_pools(stream_origins& table, const service_map& services);
+
 /// True if streams of the pool may have begun at different versions.
 bool has_several_versions(const stream_origins& table, const pool_id& pool);
 
 /// Records that this gateway forwards the first event of a stream, or continues one.
-void note_stream(stream_origins& table, const pool_id& pool, const stream_origin& origin,
-                 steady_time now);
+void note_stream(stream_origins& table, const stream_origin& origin, steady_time now);
 
 /// Adds an origin that was read from the store.
 void add_recorded_origin(stream_origins& table, const stream_origin& origin, steady_time now);
@@ -109,8 +120,11 @@
   steady_time arrived_at{};
 };
 
-/// The version that began the stream: the recorded one, or the only one that the pool has had.
-/// The latter must be confirmed by what the store held after the request arrived, since other
+/// Where the stream began, or nullptr if this gateway does not know it.
+const known_origin* find_origin(const stream_origins& table, const resumption& wanted);
+
+/// The version that began a stream of the pool: the recorded one, or the only one that the pool has
+/// had. The latter must be confirmed by what the store held after the request arrived, since other
 /// gateways may know of a version that this one has not seen.
 std::optional<std::string> version_of_stream(const stream_origins& table, const pool_id& pool,
                                              const resumption& wanted);
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Base/hashing.h"
+#include "Gateway/resumption.h"
 #include "Traffic/crashing_part_review.h"
 #include "Traffic/endpoint_notices.h"
 #include "Traffic/rollout_results.h"
@@ -88,15 +89,19 @@
     this->answer_error(error_kind::request_refused_after_crashes, gateway::suspicion_lifetime);
     return;
   }
-  count_request(this->context.state.resend_budgets[this->admitted->taken_pool->name],
-                this->context.state.resends, this->arrived_at);
   if (this->is_resumption()) {
     this->resume_stream(this->arrived_at);
   } else {
-    this->send_to_endpoint();
+    this->send_first_time();
   }
 }
 
+void exchange::send_first_time() {
+  count_request(this->context.state.resend_budgets[this->admitted->taken_pool->name],
+                this->context.state.resends, this->arrived_at);
+  this->send_to_endpoint();
+}
+
 bool exchange::is_resumption() const {
   return this->request.last_event && this->admitted->taken_route->resumable;
 }
@@ -112,25 +117,22 @@
 
 void exchange::resume_stream(steady_time now) {
   gateway::gateway_state& state = this->context.state;
-  const pool_id& pool = this->admitted->taken_pool->name;
-  const gateway::resumption wanted = this->resumption();
-  this->stream_version = version_of_stream(state.streams, pool, wanted);
-  if (this->stream_version) {
-    this->awaits_origin = false;
-    if (is_listed(state.endpoints, pool, *this->stream_version)) {
-      this->send_to_endpoint();
-    } else {
+  const gateway::resumption_choice choice = choose_resumption(
+      state, *this->admitted, this->resumption(), next_unit(this->context.random), now);
+  this->stream_version = choice.version;
+  this->awaits_origin = choice.step == gateway::resumption_step::wait;
+  switch (choice.step) {
+    case gateway::resumption_step::send:
+      this->admitted->taken_pool = choice.taken_pool;
+      this->send_first_time();
+      return;
+    case gateway::resumption_step::wait:
+      state.streams.records_wanted = true;
+      state.streams.endpoints_wanted = state.streams.endpoints_as_of < this->arrived_at;
+      return;
+    case gateway::resumption_step::refuse:
       this->answer_error(error_kind::stream_not_resumable, {});
-    }
-    return;
-  }
-  this->awaits_origin = now < this->admitted->answer_by &&
-                        may_become_known(state.streams, wanted, state.fleet.gateways, now);
-  if (this->awaits_origin) {
-    state.streams.records_wanted = true;
-    state.streams.endpoints_wanted = state.streams.endpoints_as_of < this->arrived_at;
-  } else {
-    this->answer_error(error_kind::stream_not_resumable, {});
+      return;
   }
 }
 
@@ -139,8 +141,9 @@
   const std::string& began_as =
       this->request.last_event ? this->request.resumed_id : this->request.id;
   if (this->admitted->taken_route->resumable && !began_as.empty()) {
-    note_stream(this->context.state.streams, this->admitted->taken_pool->name,
-                {hash_text(began_as), *this->stream_version}, now);
+    note_stream(this->context.state.streams,
+                {hash_text(began_as), *this->stream_version, this->admitted->taken_pool->name},
+                now);
   }
 }
 
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -90,15 +90,17 @@
     std::string buffered;
   };
 
+  /// Counts the request in its pool's resend budget and sends it.
+  void send_first_time();
   void send_to_endpoint();
   /// True if the request goes on with a stream that has begun.
   [[nodiscard]] bool is_resumption() const;
   [[nodiscard]] gateway::resumption resumption() const;
-  /// Sends a request that goes on with a stream to an endpoint of the version that began it.
-  /// Until that version is known the request waits; if it stays unknown, or no endpoint has
-  /// it, the request is refused.
+  /// Sends a request that goes on with a stream to an endpoint of the pool and version that
+  /// began it. Until these are known the request waits; if they stay unknown, or no endpoint
+  /// has that version, the request is refused.
   void resume_stream(steady_time now);
-  /// Records at which version the stream began.
+  /// Records in which pool and at which version the stream began.
   void note_stream_origin(steady_time now);
   /// Finds the endpoints that hold shorter prefixes of the request, from which the chosen
   /// endpoint could copy one. Most endpoints hold the shortest prefix, so this is done only if
--- a/Source/Traffic/stream_origins_codec.cxx
+++ b/Source/Traffic/stream_origins_codec.cxx
@@ -23,15 +23,43 @@
   std::uint32_t version = 0;
 };
 
-std::uint32_t index_of(std::vector<std::string>& versions, const std::string& version) {
-  const auto place = std::find(versions.begin(), versions.end(), version);
-  const auto index = static_cast<std::uint32_t>(place - versions.begin());
-  if (place == versions.end()) {
-    versions.push_back(version);
+/// The place of `text` in `list`, to which it is added if it is missing.
+std::uint32_t index_of(std::vector<std::string>& list, const std::string& text) {
+  const auto place = std::find(list.begin(), list.end(), text);
+  const auto index = static_cast<std::uint32_t>(place - list.begin());
+  if (place == list.end()) {
+    list.push_back(text);
   }
   return index;
 }
 
+std::vector<std::string> read_texts(field_reader list) {
+  std::vector<std::string> texts;
+  while (!list.at_end()) {
+    list.get(texts.emplace_back());
+  }
+  return texts;
+}
+
+void write_texts(field_writer& out, const std::vector<std::string>& texts) {
+  out.array(texts.size());
+  for (const std::string& text : texts) {
+    out.put(text);
+  }
+}
+
+/// Reads the pools of the origins, which follow the fields that earlier builds write and read:
+/// a list of names, and for each origin the place of its pool in that list.
+void read_pools(field_reader& in, std::vector<gateway::stream_origin>& origins) {
+  const std::vector<std::string> pools = read_texts(in.array());
+  field_reader places = in.array();
+  for (gateway::stream_origin& origin : origins) {
+    std::uint32_t place = 0;
+    places.get(place);
+    origin.pool.value = pools.at(place);
+  }
+}
+
 /// Reads the format of a row; throws if it is another one.
 void check_format(field_reader& in) {
   std::uint32_t format = 0;
@@ -44,14 +72,14 @@
 origins_record read_origins(field_reader& in) {
   origins_record record;
   in.get(record.written_at);
-  std::vector<std::string> versions;
-  for (field_reader list = in.array(); !list.at_end();) {
-    list.get(versions.emplace_back());
-  }
+  const std::vector<std::string> versions = read_texts(in.array());
   std::vector<indexed_origin> origins;
   read_pairs(in.object(), origins, &indexed_origin::request, &indexed_origin::version);
   for (const indexed_origin& origin : origins) {
-    record.origins.push_back({origin.request, versions.at(origin.version)});
+    record.origins.push_back({origin.request, versions.at(origin.version), {}});
+  }
+  if (!in.at_end()) {
+    read_pools(in, record.origins);
   }
   return record;
 }
@@ -73,21 +101,26 @@
 }  // namespace
 
 std::string encode_origins(const origins_record& record) {
-  constexpr std::size_t fields = 4;
+  constexpr std::size_t fields = 6;
   std::vector<std::string> versions;
+  std::vector<std::string> pools;
   std::vector<indexed_origin> origins;
+  std::vector<std::uint32_t> pools_of_origins;
   for (const gateway::stream_origin& origin : record.origins) {
     origins.push_back({origin.request, index_of(versions, origin.version)});
+    pools_of_origins.push_back(index_of(pools, origin.pool.value));
   }
   field_writer out;
   out.array(fields);
   out.put(row_format);
   out.put(record.written_at);
-  out.array(versions.size());
-  for (const std::string& version : versions) {
-    out.put(version);
-  }
+  write_texts(out, versions);
   write_pairs(out, origins, &indexed_origin::request, &indexed_origin::version);
+  write_texts(out, pools);
+  out.array(pools_of_origins.size());
+  for (const std::uint32_t place : pools_of_origins) {
+    out.put(place);
+  }
   return out.text();
 }
 
--- a/Source/Traffic/stream_origins_codec.h
+++ b/Source/Traffic/stream_origins_codec.h
@@ -14,7 +14,7 @@
 /// Encodes the origins of streams for the store, where they survive restarts of the gateways.
 namespace chestnuthead::traffic {
 
-/// Most origins in one record: about 11 KB.
+/// Most origins in one record: about 12 KB.
 inline constexpr std::size_t max_recorded_origins = 1'000;
 
 struct origins_record {
--- a/Tests/Fuzz/store_fuzz.cxx
+++ b/Tests/Fuzz/store_fuzz.cxx
@@ -20,7 +20,7 @@
   for (const gateway::route& route : map->routes) {
     const gateway::route* found = find_route(*map, route.host, route.prefix + "x");
     require(found != nullptr, "a route is found under its own prefix");
-    const gateway::pool* pool = pick_pool(*map, *found, 0.5);
+    const gateway::pool* pool = pick_pool(*map, found->pools, 0.5);
     require(pool == nullptr || find_pool(*map, pool->name) == pool,
             "a picked pool is listed in the configuration");
   }
--- a/Tests/Gateway/service_map_test.cxx
+++ b/Tests/Gateway/service_map_test.cxx
@@ -47,9 +47,9 @@
     map.pools["other"].name = {"other"};
     route split = named("split", "a.example", "/");
     split.pools = {{{"one"}, 90.0}, {{"other"}, 10.0}};
-    CPPUNIT_ASSERT_EQUAL(std::string("one"), pick_pool(map, split, 0.0)->name.value);
-    CPPUNIT_ASSERT_EQUAL(std::string("one"), pick_pool(map, split, 0.899)->name.value);
-    CPPUNIT_ASSERT_EQUAL(std::string("other"), pick_pool(map, split, 0.901)->name.value);
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), pick_pool(map, split.pools, 0.0)->name.value);
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), pick_pool(map, split.pools, 0.899)->name.value);
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), pick_pool(map, split.pools, 0.901)->name.value);
   }
 
   void a_route_whose_pools_have_no_weight_has_no_pool() {
@@ -57,7 +57,7 @@
     map.pools["one"].name = {"one"};
     route split = named("split", "a.example", "/");
     split.pools = {{{"one"}, 0.0}};
-    CPPUNIT_ASSERT(pick_pool(map, split, 0.5) == nullptr);
+    CPPUNIT_ASSERT(pick_pool(map, split.pools, 0.5) == nullptr);
   }
 
  private:
--- a/Tests/Gateway/stream_origins_test.cxx
+++ b/Tests/Gateway/stream_origins_test.cxx
@@ -65,7 +65,7 @@
       note_stream_version(gateway, engine_pool, version, this->now);
     }
     for (const auto& [request, version] : this->store.origins) {
-      add_recorded_origin(gateway, {request, version}, this->now);
+      add_recorded_origin(gateway, {request, version, engine_pool}, this->now);
     }
     gateway.records_as_of = this->now;
   }
@@ -93,7 +93,7 @@
     const auto version =
         std::next(versions.begin(), static_cast<std::ptrdiff_t>(choice % versions.size()))->first;
     this->streams.push_back({this->streams.size() + 1, version, this->now});
-    note_stream(gateway, engine_pool, {this->streams.back().request, version}, this->now);
+    note_stream(gateway, {this->streams.back().request, version, engine_pool}, this->now);
   }
 
   /// A new version replaces the others, all at once or beside them.
@@ -144,6 +144,13 @@
   return table;
 }
 
+/// The chats are split over the engine pool and another one with this weight.
+service_map split_services(double weight) {
+  service_map map = test_services();
+  map.routes[0].pools.push_back({{"other-engines"}, weight});
+  return map;
+}
+
 }  // namespace
 
 class stream_origins_test : public CppUnit::TestFixture {
@@ -155,6 +162,10 @@
   CPPUNIT_TEST(version_that_left_long_ago_does_not_prevent_resumptions);
   CPPUNIT_TEST(stream_begun_before_a_second_version_is_recorded);
   CPPUNIT_TEST(no_stream_is_recorded_while_there_is_one_version);
+  CPPUNIT_TEST(streams_of_a_split_route_are_recorded);
+  CPPUNIT_TEST(stream_begun_before_its_route_was_split_is_recorded);
+  CPPUNIT_TEST(streams_of_other_split_routes_are_not_recorded);
+  CPPUNIT_TEST(records_of_other_gateways_are_not_written_again);
   CPPUNIT_TEST(failed_record_is_written_again);
   CPPUNIT_TEST(records_are_written_again_in_a_new_era);
   CPPUNIT_TEST(wait_for_an_unknown_stream_ends);
@@ -217,7 +228,7 @@
 
   void stream_begun_before_a_second_version_is_recorded() {
     stream_origins table = fresh_gateway({"v1"}, test_start);
-    note_stream(table, engine_pool, {7, "v1"}, test_start);
+    note_stream(table, {7, "v1", engine_pool}, test_start);
     note_stream_version(table, engine_pool, "v2", test_start);
     const auto due = take_unrecorded(table, 10);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, due.size());
@@ -226,20 +237,61 @@
 
   void no_stream_is_recorded_while_there_is_one_version() {
     stream_origins table = fresh_gateway({"v1"}, test_start);
-    note_stream(table, engine_pool, {7, "v1"}, test_start);
+    note_stream(table, {7, "v1", engine_pool}, test_start);
+    CPPUNIT_ASSERT(take_unrecorded(table, 10).empty());
+  }
+
+  /// Guards against streams of which no other gateway knows in which pool they began.
+  void streams_of_a_split_route_are_recorded() {
+    stream_origins table = fresh_gateway({"v1"}, test_start);
+    update_split_pools(table, split_services(1.0));
+    note_stream(table, {7, "v1", engine_pool}, test_start);
+    const auto due = take_unrecorded(table, 10);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, due.size());
+    CPPUNIT_ASSERT_EQUAL(engine_pool.value, due[0].pool.value);
+  }
+
+  void stream_begun_before_its_route_was_split_is_recorded() {
+    stream_origins table = fresh_gateway({"v1"}, test_start);
+    update_split_pools(table, test_services());
+    note_stream(table, {7, "v1", engine_pool}, test_start);
+    CPPUNIT_ASSERT(take_unrecorded(table, 10).empty());
+    update_split_pools(table, split_services(1.0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, take_unrecorded(table, 10).size());
+    // A second version changes nothing about them.
+    note_stream_version(table, engine_pool, "v2", test_start);
+    CPPUNIT_ASSERT(take_unrecorded(table, 10).empty());
+  }
+
+  void streams_of_other_split_routes_are_not_recorded() {
+    stream_origins table = fresh_gateway({"v1"}, test_start);
+    service_map unused = split_services(0.0);
+    service_map not_resumable = split_services(1.0);
+    not_resumable.routes[0].resumable = false;
+    for (const service_map& map : {unused, not_resumable}) {
+      update_split_pools(table, map);
+      note_stream(table, {map.version, "v1", engine_pool}, test_start);
+      CPPUNIT_ASSERT(take_unrecorded(table, 10).empty());
+    }
+  }
+
+  void records_of_other_gateways_are_not_written_again() {
+    stream_origins table = fresh_gateway({"v1", "v2"}, test_start);
+    add_recorded_origin(table, {7, "v1", engine_pool}, test_start);
+    begin_origin_era(table);
     CPPUNIT_ASSERT(take_unrecorded(table, 10).empty());
   }
 
   void failed_record_is_written_again() {
     stream_origins table = fresh_gateway({"v1", "v2"}, test_start);
-    note_stream(table, engine_pool, {7, "v1"}, test_start);
+    note_stream(table, {7, "v1", engine_pool}, test_start);
     mark_recorded(table, take_unrecorded(table, 10), /*recorded=*/false);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, take_unrecorded(table, 10).size());
   }
 
   void records_are_written_again_in_a_new_era() {
     stream_origins table = fresh_gateway({"v1", "v2"}, test_start);
-    note_stream(table, engine_pool, {7, "v1"}, test_start);
+    note_stream(table, {7, "v1", engine_pool}, test_start);
     mark_recorded(table, take_unrecorded(table, 10), /*recorded=*/true);
     begin_origin_era(table);
     CPPUNIT_ASSERT(!table.records_as_of);
@@ -260,7 +312,7 @@
   void number_of_origins_is_bounded() {
     stream_origins table = fresh_gateway({"v1"}, test_start);
     for (std::uint64_t request = 0; request < max_origins + 10; ++request) {
-      note_stream(table, engine_pool, {request, "v1"}, test_start);
+      note_stream(table, {request, "v1", engine_pool}, test_start);
     }
     CPPUNIT_ASSERT_EQUAL(max_origins, table.rows.size());
     CPPUNIT_ASSERT_EQUAL(max_origins, table.by_age.size());
--- a/Tests/Platform/stream_record_test.cxx
+++ b/Tests/Platform/stream_record_test.cxx
@@ -174,7 +174,7 @@
   }
 
   void begin_stream(std::uint64_t request, const std::string& version) {
-    note_stream(this->state.streams, gateway::engine_pool, {request, version}, this->time.now());
+    note_stream(this->state.streams, {request, version, gateway::engine_pool}, this->time.now());
   }
 
   [[nodiscard]] bool knows(std::uint64_t request, const std::string& version) const {
@@ -285,7 +285,7 @@
 
 /// A record of one stream, written at `written_at` of the store's clock.
 std::string record_of(milliseconds written_at, std::uint64_t request) {
-  return traffic::encode_origins({written_at, {{request, "v1"}}});
+  return traffic::encode_origins({written_at, {{request, "v1", gateway::engine_pool}}});
 }
 
 }  // namespace
--- a/Tests/Traffic/stream_origins_codec_test.cxx
+++ b/Tests/Traffic/stream_origins_codec_test.cxx
@@ -19,9 +19,12 @@
 constexpr std::uint32_t present_format = 1;
 constexpr std::uint32_t next_format = 2;
 
-/// The bytes of `sample_record()` and of `sample_version()`, as builds in use write them.
-constexpr std::string_view record_in_hex =
+/// The bytes of `sample_record()` and of `sample_version()`, as builds in use write them; the
+/// first ones do not write pools.
+constexpr std::string_view record_without_pools_in_hex =
     "9401ce00013c6892a27631a2763296cfffffffffffffffff0003010700";
+constexpr std::string_view record_in_hex =
+    "9601ce00013c6892a27631a2763296cfffffffffffffffff000301070092a36f6e65a374776f93000100";
 constexpr std::string_view version_in_hex = "9301a7656e67696e6573a27632";
 
 std::string to_hex(std::string_view bytes) {
@@ -46,7 +49,10 @@
 }
 
 origins_record sample_record() {
-  return {milliseconds{81'000}, {{0xFFFF'FFFF'FFFF'FFFF, "v1"}, {3, "v2"}, {7, "v1"}}};
+  return {milliseconds{81'000},
+          {{0xFFFF'FFFF'FFFF'FFFF, "v1", pool_id{"one"}},
+           {3, "v2", pool_id{"two"}},
+           {7, "v1", pool_id{"one"}}}};
 }
 
 pool_version sample_version() {
@@ -60,6 +66,7 @@
   for (std::size_t index = 0; index < expected.origins.size(); ++index) {
     CPPUNIT_ASSERT_EQUAL(expected.origins[index].request, actual->origins[index].request);
     CPPUNIT_ASSERT_EQUAL(expected.origins[index].version, actual->origins[index].version);
+    CPPUNIT_ASSERT_EQUAL(expected.origins[index].pool.value, actual->origins[index].pool.value);
   }
 }
 
@@ -106,6 +113,7 @@
   CPPUNIT_TEST(pool_version_survives_a_round_trip);
   CPPUNIT_TEST(row_of_another_format_is_not_misread);
   CPPUNIT_TEST(origin_without_a_listed_version_is_not_misread);
+  CPPUNIT_TEST(origin_without_a_listed_pool_is_not_misread);
   CPPUNIT_TEST(corrupt_bytes_are_handled);
   CPPUNIT_TEST(huge_declared_sizes_are_refused);
   CPPUNIT_TEST(rows_of_other_builds_stay_readable);
@@ -125,7 +133,8 @@
   void largest_record_is_not_refused_by_the_limits_of_the_reader() {
     origins_record record{milliseconds{81'000}, {}};
     for (std::uint64_t index = 0; index < max_recorded_origins; ++index) {
-      record.origins.push_back({~index, "v" + std::to_string(index)});
+      record.origins.push_back(
+          {~index, "v" + std::to_string(index), pool_id{"pool-" + std::to_string(index)}});
     }
     assert_same(record, decode_origins(encode_origins(record)));
   }
@@ -172,10 +181,27 @@
     CPPUNIT_ASSERT(!decode_pool_version(from_hex("9301dbffffffff")).has_value());
   }
 
+  /// The pools name a place that the list does not have, or fewer places than origins.
+  void origin_without_a_listed_pool_is_not_misread() {
+    const std::string head = "96010591a2763192070091a36f6e65";
+    CPPUNIT_ASSERT(decode_origins(from_hex(head + "9100")).has_value());
+    CPPUNIT_ASSERT(!decode_origins(from_hex(head + "9101")).has_value());
+    CPPUNIT_ASSERT(!decode_origins(from_hex(head + "90")).has_value());
+  }
+
   /// While a release of the gateways is under way, each build reads the rows of the other.
   void rows_of_other_builds_stay_readable() {
     CPPUNIT_ASSERT_EQUAL(std::string(record_in_hex), to_hex(encode_origins(sample_record())));
     assert_same(sample_record(), decode_origins(from_hex(record_in_hex)));
+    origins_record without_pools = sample_record();
+    for (gateway::stream_origin& origin : without_pools.origins) {
+      origin.pool = {};
+    }
+    assert_same(without_pools, decode_origins(from_hex(record_without_pools_in_hex)));
+    // Builds that do not know of pools read the fields before them, behind the count of fields.
+    constexpr std::size_t count_digits = 2;
+    CPPUNIT_ASSERT(record_in_hex.substr(count_digits)
+                       .starts_with(record_without_pools_in_hex.substr(count_digits)));
     CPPUNIT_ASSERT_EQUAL(std::string(version_in_hex),
                          to_hex(encode_pool_version(sample_version())));
     const auto version = decode_pool_version(from_hex(version_in_hex));
