Leave answers that an endpoint broke off out of the soak's check of silences

Such a request is left out if the endpoint of its last run broke off and its route allows no further run. It is still checked if the request could have run once more, and check_unframed and check_planned_stop hold as before.

--- a/Tests/Soak/soak_checks.cxx
+++ b/Tests/Soak/soak_checks.cxx
@@ -250,6 +250,11 @@
       return;
     }
     const auto& runs = executions_of(this->executions, request.id);
+    // The endpoint itself broke the answer off, and the request may not run once more.
+    const std::size_t runs_allowed = may_repeat(request.kind) ? 2 : 1;
+    if (runs.size() >= runs_allowed && runs.back().broken_off) {
+      return;
+    }
     const execution* silent = nullptr;
     for (const execution& run : runs) {
       if (disturbed(this->history, run.endpoint, request.ended_at, request.ended_at) ||
