--- a/Tests/Soak/soak.cxx
+++ b/Tests/Soak/soak.cxx
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::array<option, 14> long_options{{
+constexpr std::array<option, 15> long_options{{
     {"seed", required_argument, nullptr, 's'},
     {"seeds", required_argument, nullptr, 'n'},
     {"length", required_argument, nullptr, 'l'},
@@ -29,6 +29,7 @@
     {"crashing-part", no_argument, nullptr, 'p'},
     {"unframed", no_argument, nullptr, 'u'},
     {"releases", required_argument, nullptr, 'v'},
+    {"split-writers", no_argument, nullptr, 'w'},
     {nullptr, 0, nullptr, 0},
 }};
 
@@ -138,6 +139,9 @@
     case 'v':
       options.releases = std::atoi(optarg);
       return true;
+    case 'w':
+      options.split_writers = true;
+      return true;
     case 'r':
       line.shrink_failures = true;
       return true;
@@ -159,7 +163,8 @@
       std::cerr << "usage: soak [--seed N] [--seeds COUNT] [--length SECONDS] "
                    "[--gateway PROGRAM] [--gateways COUNT] [--folder FOLDER] "
                    "[--leave-out NUMBERS] [--shrink] [--store-copies COUNT] "
-                   "[--silences COUNT] [--crashing-part] [--unframed] [--releases COUNT]\n";
+                   "[--silences COUNT] [--crashing-part] [--unframed] [--releases COUNT] "
+                   "[--split-writers]\n";
       return 2;
     }
   }
--- a/Tests/Soak/soak_endpoint.cxx
+++ b/Tests/Soak/soak_endpoint.cxx
@@ -141,7 +141,7 @@
   const bool writing = head.target.starts_with(writing_prefix);
   if (writing) {
     const std::string stream_name = head.target.substr(writing_prefix.size());
-    stream.data = stream_name + " " + this->version;
+    stream.data = stream_name + " " + this->software;
     stream.last = writing_event_count(stream_name);
     stream.gap = writing_gap;
   }
--- a/Tests/Soak/soak_endpoint.h
+++ b/Tests/Soak/soak_endpoint.h
@@ -56,8 +56,11 @@
   /// inside an event.
   bool unframed = false;
 
-  /// Version of the endpoint's software, in the events of writings and in its row.
+  /// Version of the endpoint's software, in its row.
   std::string version;
+  /// Name of the endpoint's software in the events of writings: two pools differ in software even
+  /// if its versions have the same name.
+  std::string software;
 
   /// The endpoint announces in its answers that it is leaving.
   bool leaving = false;
--- a/Tests/Soak/soak_releases.cxx
+++ b/Tests/Soak/soak_releases.cxx
@@ -55,17 +55,26 @@
   }
   this->release_random = seeded_random(this->options.seed ^ release_seeds);
   for (int version = 1; version <= this->options.releases + 1; ++version) {
-    for (int number = 0; number < writers_per_version; ++number) {
-      this->endpoints.push_back(std::make_unique<soak_endpoint>(
-          this->loop, this->tasks, this->time, this->executions,
-          "writer-" + version_name(version) + "-" + std::to_string(number),
-          this->release_random.next()));
-      this->endpoints.back()->version = version_name(version);
-      if (version == 1) {
-        this->write_endpoint(this->endpoints.back()->name, "ready");
-      }
+    const std::string name = version_name(version);
+    this->add_writers("writer", name, name);
+    if (this->options.split_writers) {
+      this->add_writers("other-writer", name, "other-" + name);
     }
   }
+  for (const soak_endpoint* writer : this->writers_of(version_name(1))) {
+    this->write_endpoint(writer->name, "ready");
+  }
+}
+
+void soak_run::add_writers(const std::string& name, const std::string& version,
+                           const std::string& software) {
+  for (int number = 0; number < writers_per_version; ++number) {
+    this->endpoints.push_back(std::make_unique<soak_endpoint>(
+        this->loop, this->tasks, this->time, this->executions,
+        name + "-" + version + "-" + std::to_string(number), this->release_random.next()));
+    this->endpoints.back()->version = version;
+    this->endpoints.back()->software = software;
+  }
 }
 
 void soak_run::schedule_releases() {
@@ -97,8 +106,9 @@
       this->write_endpoint(writer->name, "ready");
     }
   });
-  int later_writers = writers_per_version;
-  for (soak_endpoint* writer : this->writers_of(version_name(version))) {
+  const std::vector<soak_endpoint*> leaving = this->writers_of(version_name(version));
+  auto later_writers = static_cast<int>(leaving.size());
+  for (soak_endpoint* writer : leaving) {
     --later_writers;
     const milliseconds leaves_at =
         std::max(start + shortest_shared_service, last_end - notice - later_writers * between);
@@ -160,10 +170,11 @@
   if (stream.runs.empty()) {
     return false;
   }
-  const auto writers = this->writers_of(stream.runs.front().version);
-  return std::count_if(writers.begin(), writers.end(), [this](const soak_endpoint* writer) {
-           return this->is_serving(*writer);
-         }) >= 2;
+  const std::string& software = stream.runs.front().version;
+  return std::count_if(this->endpoints.begin(), this->endpoints.end(),
+                       [this, &software](const auto& endpoint) {
+                         return endpoint->software == software && this->is_serving(*endpoint);
+                       }) >= 2;
 }
 
 void soak_run::send_attempt(writing& stream) {
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -26,8 +26,12 @@
 const std::string chat_pool = "engines";
 const std::string plain_pool = "orders";
 const std::string writer_pool = "writers";
+const std::string other_writer_pool = "other-writers";
 
 const std::string& pool_of(const std::string& endpoint) {
+  if (endpoint.starts_with("other-writer")) {
+    return other_writer_pool;
+  }
   if (endpoint.starts_with("writer")) {
     return writer_pool;
   }
@@ -65,19 +69,30 @@
   for (const std::string& key : this->keys) {
     key_list += (key_list.empty() ? "\"" : ",\"") + key + "\"";
   }
-  const auto route = [](const std::string& prefix, const std::string& pool, const std::string& rest,
-                        milliseconds timeout = patience) {
+  const auto route_to = [](const std::string& prefix, const std::string& target,
+                           const std::string& rest, milliseconds timeout = patience) {
     return R"({"name":")" + prefix + R"(","host":"soak.example","prefix":"/)" + prefix +
            R"(/","timeout_ms":)" + std::to_string(timeout.count()) +
-           R"(,"target_latency_ms":300,"service":")" + pool + "\"," + rest + "}";
+           R"(,"target_latency_ms":300,)" + target + "," + rest + "}";
+  };
+  const auto route = [&route_to](const std::string& prefix, const std::string& pool,
+                                 const std::string& rest) {
+    return route_to(prefix, R"("service":")" + pool + "\"", rest);
+  };
+  const auto service = [](const std::string& pool) {
+    return R"({"name":")" + pool + R"(","health_check_path":"/healthz","max_connections":300})";
   };
   std::string write_route;
   std::string write_service;
   if (this->options.releases > 0) {
-    write_route =
-        "," + route("write", writer_pool,
-                    R"("type":"stream","stream_resume":true,"max_attempts":3)", writing_patience);
-    write_service = R"(,{"name":"writers","health_check_path":"/healthz","max_connections":300})";
+    const std::string halves = R"("backends":[{"service":")" + writer_pool +
+                               R"(","weight":50},{"service":")" + other_writer_pool +
+                               R"(","weight":50}])";
+    const std::string whole = R"("service":")" + writer_pool + "\"";
+    write_route = "," + route_to("write", this->options.split_writers ? halves : whole,
+                                 R"("type":"stream","stream_resume":true,"max_attempts":3)",
+                                 writing_patience);
+    write_service = "," + service(writer_pool) + "," + service(other_writer_pool);
   }
   this->configuration =
       R"({"version":)" + std::to_string(++this->configuration_version) + R"(,"routes":[)" +
@@ -86,11 +101,8 @@
       "," + route("guide", chat_pool, R"("type":"stream","max_attempts":1)") + "," +
       route("pay", plain_pool, R"("type":"unsafe","max_attempts":1)") + "," +
       route("look", plain_pool, R"("type":"safe","max_attempts":2)") + write_route +
-      R"(],"services":[{"name":"engines","health_check_path":"/healthz",)"
-      R"("max_connections":300},{"name":"orders","health_check_path":"/healthz",)"
-      R"("max_connections":300})" +
-      write_service + R"(],"limits":{},"tenants":[{"name":"schools","api_keys":[)" + key_list +
-      "]}]}";
+      R"(],"services":[)" + service(chat_pool) + "," + service(plain_pool) + write_service +
+      R"(],"limits":{},"tenants":[{"name":"schools","api_keys":[)" + key_list + "]}]}";
   this->write_to_store("op", "config", this->configuration);
 }
 
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -37,6 +37,8 @@
   bool unframed = false;
   /// Number of releases of the writers' software, in place of the scheduled faults.
   int releases = 0;
+  /// The writers' route is split over two pools.
+  bool split_writers = false;
   /// Numbers of the scheduled faults that are skipped.
   std::set<std::size_t> left_out;
 };
@@ -90,9 +92,12 @@
   void crash_writer(std::chrono::milliseconds absence);
   void kill_all_gateways();
   [[nodiscard]] bool is_serving(const soak_endpoint& endpoint) const;
-  /// True if two endpoints of the version that began the stream serve.
+  /// True if two endpoints of the software that began the stream serve.
   [[nodiscard]] bool two_serve(const writing& stream) const;
   [[nodiscard]] std::vector<soak_endpoint*> writers_of(const std::string& version) const;
+  /// Creates the writers of a version in one pool. Their names begin with `name`.
+  void add_writers(const std::string& name, const std::string& version,
+                   const std::string& software);
   /// Starts a stream of a writer and schedules the next one.
   void begin_writing();
   void send_attempt(writing& stream);
