--- a/Source/Gateway/resumption.cxx
+++ b/Source/Gateway/resumption.cxx
@@ -23,16 +23,16 @@
                                     const resumption& wanted, double unit, steady_time now) {
   std::vector<weighted_pool> pools = pools_with_weight(*admitted.taken_route);
   resumption_choice choice;
-  // Among several pools the stream may have begun in any of them.
-  const bool assumable = pools.size() == 1;
+  // An unknown stream of a split route may have begun in any of its pools.
+  const bool single_pool = pools.size() == 1;
   if (const known_origin* origin = find_origin(state.streams, wanted)) {
     choice.version = origin->version;
     keep_pool_of_origin(pools, *origin);
-  } else if (assumable) {
+  } else if (single_pool) {
     choice.version = version_of_stream(state.streams, pools.front().pool, wanted);
   }
   if (!choice.version) {
-    const bool waits = (assumable || wanted.began_as) && now < admitted.answer_by &&
+    const bool waits = (single_pool || wanted.began_as) && now < admitted.answer_by &&
                        may_become_known(state.streams, wanted, state.fleet.gateways, now);
     choice.step = waits ? resumption_step::wait : resumption_step::refuse;
     return choice;
--- a/Source/Gateway/stream_origins.h
+++ b/Source/Gateway/stream_origins.h
@@ -34,6 +34,7 @@
 struct known_origin {
   std::string version;
   steady_time noted_at{};
+  /// As in `stream_origin`.
   pool_id pool;
   /// This gateway forwarded the stream, and records its origin.
   bool own = false;
