--- a/Tests/Soak/soak_releases.cxx
+++ b/Tests/Soak/soak_releases.cxx
@@ -68,10 +68,11 @@
 
 void soak_run::add_writers(const std::string& name, const std::string& version,
                            const std::string& software) {
+  const std::string prefix = name + "-" + version + "-";
   for (int number = 0; number < writers_per_version; ++number) {
     this->endpoints.push_back(std::make_unique<soak_endpoint>(
-        this->loop, this->tasks, this->time, this->executions,
-        name + "-" + version + "-" + std::to_string(number), this->release_random.next()));
+        this->loop, this->tasks, this->time, this->executions, prefix + std::to_string(number),
+        this->release_random.next()));
     this->endpoints.back()->version = version;
     this->endpoints.back()->software = software;
   }
--- a/Tests/Traffic/versioned_pool.h
+++ b/Tests/Traffic/versioned_pool.h
@@ -99,10 +99,10 @@
 
   /// Lists `count` endpoints of the version in another pool.
   void add_to(const pool_id& other, const std::string& version, int count) {
+    const std::string prefix = other.value + "-" + version + "-";
     for (int place = 0; place < count; ++place) {
-      const std::string name = other.value + "-" + version + "-" + std::to_string(place);
-      this->endpoints.push_back(
-          std::make_unique<versioned_endpoint>(this->harness, name, version, other));
+      this->endpoints.push_back(std::make_unique<versioned_endpoint>(
+          this->harness, prefix + std::to_string(place), version, other));
     }
   }
 
