--- a/Source/Traffic/gateway_settings.cxx
+++ b/Source/Traffic/gateway_settings.cxx
@@ -1,5 +1,8 @@
 #include "Traffic/gateway_settings.h"
 
+#include <map>
+
+#include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 
 #include "Configuration/json_object_reader.h"
@@ -15,6 +18,25 @@
 constexpr real_range exposure_range{0.0, 1.0};
 constexpr real_range allowance_range{0.0, 1e9};
 constexpr real_range multiple_range{1.0, 1'000.0};
+constexpr integer_range megabytes_range{16, 1'048'576};
+constexpr integer_range descriptors_range{64, 1'048'576};
+constexpr real_range extra_try_range{0.0, 1.0};
+
+const std::map<std::string, overload_mode>& overload_modes() {
+  static const std::map<std::string, overload_mode> modes{{"off", overload_mode::off},
+                                                          {"reported", overload_mode::reported},
+                                                          {"on", overload_mode::on}};
+  return modes;
+}
+
+std::string name_of(overload_mode mode) {
+  for (const auto& [name, value] : overload_modes()) {
+    if (value == mode) {
+      return name;
+    }
+  }
+  return {};
+}
 
 void read_address(json_object_reader& reader, const std::string& key, std::string& value,
                   key_presence presence) {
@@ -52,6 +74,11 @@
   reader.read("exposure_share", settings.exposure_share, exposure_range);
   reader.read("exposure_allowance", settings.exposure_allowance, allowance_range);
   reader.read("load_multiple", settings.load_multiple, multiple_range);
+  reader.read_integer("memory_limit_mb", settings.memory_limit_mb, megabytes_range);
+  reader.read_integer("descriptor_limit", settings.descriptor_limit, descriptors_range);
+  settings.platform_terms = reader.read_names("platform_terms");
+  reader.read_enum("overload_control", settings.overload_control, overload_modes());
+  reader.read("extra_try_share", settings.extra_try_share, extra_try_range);
   reader.report_unknown_keys();
   if (!faults.empty()) {
     return faults;
@@ -78,6 +105,15 @@
   object.set("exposure_share", settings.exposure_share);
   object.set("exposure_allowance", settings.exposure_allowance);
   object.set("load_multiple", settings.load_multiple);
+  object.set("memory_limit_mb", settings.memory_limit_mb);
+  object.set("descriptor_limit", settings.descriptor_limit);
+  Poco::JSON::Array terms;
+  for (const std::string& term : settings.platform_terms) {
+    terms.add(term);
+  }
+  object.set("platform_terms", terms);
+  object.set("overload_control", name_of(settings.overload_control));
+  object.set("extra_try_share", settings.extra_try_share);
   return format_json(object);
 }
 
--- a/Source/Traffic/gateway_settings.h
+++ b/Source/Traffic/gateway_settings.h
@@ -3,12 +3,24 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "Net/daemon_settings.h"
 
 /// The settings file of the gateway daemon; docs/settings.md lists the keys.
 namespace chestnuthead::traffic {
 
+/// For which pools overload control is active.
+enum class overload_mode : std::uint8_t {
+  /// For none.
+  off,
+  /// For all pools if the platform's terms ask for it, and for each pool whose endpoints report
+  /// the speed of their VMs.
+  reported,
+  /// For all pools.
+  on,
+};
+
 struct gateway_settings {
   std::string node;
   std::string failure_domain;
@@ -40,6 +52,15 @@
   double exposure_allowance = 50.0;
   /// Highest load of one endpoint, as a multiple of its pool's mean load.
   double load_multiple = 2.0;
+  /// Memory of the VM in megabytes; the default is that of the smallest entry VM.
+  std::uint32_t memory_limit_mb = 160;
+  /// Open descriptors that the process may have.
+  std::uint32_t descriptor_limit = 4'096;
+  /// Parts of the platform's rules that are in force, by the platform's names.
+  std::vector<std::string> platform_terms;
+  overload_mode overload_control = overload_mode::reported;
+  /// Hedged requests as a share of the requests that may be repeated; 0 disables them.
+  double extra_try_share = 0.0;
 };
 
 settings_result<gateway_settings> parse_gateway_settings(const std::string& text);
--- a/Source/Traffic/settings_watch.cxx
+++ b/Source/Traffic/settings_watch.cxx
@@ -30,6 +30,9 @@
   visit("exposure_share", running.exposure_share, read.exposure_share);
   visit("exposure_allowance", running.exposure_allowance, read.exposure_allowance);
   visit("load_multiple", running.load_multiple, read.load_multiple);
+  visit("platform_terms", running.platform_terms, read.platform_terms);
+  visit("overload_control", running.overload_control, read.overload_control);
+  visit("extra_try_share", running.extra_try_share, read.extra_try_share);
 }
 
 }  // namespace
@@ -47,6 +50,9 @@
   add_if(running.metrics_address != read.metrics_address, "metrics_address", change.after_restart);
   add_if(running.peer_address != read.peer_address, "peer_address", change.after_restart);
   add_if(running.store_address != read.store_address, "store_address", change.after_restart);
+  add_if(running.memory_limit_mb != read.memory_limit_mb, "memory_limit_mb", change.after_restart);
+  add_if(running.descriptor_limit != read.descriptor_limit, "descriptor_limit",
+         change.after_restart);
   return change;
 }
 
--- a/Tests/Traffic/gateway_settings_test.cxx
+++ b/Tests/Traffic/gateway_settings_test.cxx
@@ -31,12 +31,16 @@
   void every_fault_names_its_key() {
     const auto faults = std::get<std::vector<settings_fault>>(parse_gateway_settings(
         R"({"node":"a","public_address":"here","store_address":"10.0.0.1:80",
-            "ready_address":"10.0.0.1:81","key_lag_ms":0,"colour":"red"})"));
+            "ready_address":"10.0.0.1:81","key_lag_ms":0,"colour":"red","memory_limit_mb":1,
+            "descriptor_limit":10,"platform_terms":"all","overload_control":"maybe",
+            "extra_try_share":2})"));
     std::string keys;
     for (const settings_fault& fault : faults) {
       keys += fault.key + " ";
     }
-    for (const char* key : {"failure_domain", "public_address", "key_lag_ms", "colour"}) {
+    for (const char* key :
+         {"failure_domain", "public_address", "key_lag_ms", "colour", "memory_limit_mb",
+          "descriptor_limit", "platform_terms", "overload_control", "extra_try_share"}) {
       CPPUNIT_ASSERT_MESSAGE(keys, keys.find(key) != std::string::npos);
     }
     CPPUNIT_ASSERT(
@@ -74,7 +78,12 @@
                                  std::chrono::seconds{1},
                                  0.7,
                                  3.0,
-                                 9.0};
+                                 9.0,
+                                 512,
+                                 1'024,
+                                 {"term"},
+                                 overload_mode::on,
+                                 0.5};
     const settings_change change = compare_settings(first, other);
     const auto keys = parse_json_object(format_settings(other))->getNames();
     CPPUNIT_ASSERT_EQUAL(keys.size(), change.reloadable.size() + change.after_restart.size());
@@ -105,7 +114,9 @@
  private:
   static std::string valid_settings() {
     return R"({"node":"a","failure_domain":"north","public_address":"10.0.0.1:80",
-               "ready_address":"10.0.0.1:81","store_address":"10.0.0.2:80","key_lag_ms":4000})";
+               "ready_address":"10.0.0.1:81","store_address":"10.0.0.2:80","key_lag_ms":4000,
+               "platform_terms":["base","pressure"],"overload_control":"off",
+               "extra_try_share":0.05})";
   }
 };
 
