Split the exchange into attempt, stream and answer to the caller

One attempt at one endpoint is now an object of its own (endpoint_attempt), of which there may be several; the stream that outlives attempts is answer_stream, the answer to the caller with its log line and metrics is caller_answer. They share request_record, which has one explicit state (request_phase). The choice of an endpoint and the standby connection are free functions over the record (endpoint_choice). Attempts are disposed of through the event loop, as a new one may begin in the callback of an earlier one. Behaviour, log events and fields do not change; no test was changed.

--- /dev/null
+++ b/Source/Traffic/endpoint_choice.cxx
@@ -0,0 +1,165 @@
+#include "Traffic/endpoint_choice.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+namespace chestnuthead::traffic {
+
+namespace {
+
+using gateway::attempt_result;
+
+/// Time between two searches for an endpoint that can take a request under way.
+constexpr std::chrono::milliseconds search_interval{100};
+/// Share of an endpoint's connection limit that all gateways together use.
+constexpr double connections_used = 0.9;
+
+/// How old the information about the requests that peers send can be.
+std::chrono::duration<double> load_staleness(const request_record& record) {
+  // The peers' loads are up to one message interval old, and the requests that they send until
+  // their next message are unknown too.
+  return gateway::peer_message_interval(record.context.state.fleet.gateways);
+}
+
+/// `gateway::placement_hints::expected_arrivals` for the request's pool.
+double expected_arrivals(const request_record& record, steady_time now) {
+  const gateway::gateway_state& state = record.context.state;
+  const auto budget = state.resend_budgets.find(record.admitted->taken_pool->name);
+  if (budget == state.resend_budgets.end()) {
+    return 0.0;
+  }
+  return request_rate(budget->second, state.resends, now) * state.fleet.gateways *
+         load_staleness(record).count();
+}
+
+/// Chooses the versions that the request may be sent to.
+void update_scope(request_record& record, steady_time now) {
+  const gateway::gateway_state& state = record.context.state;
+  const gateway::pool& pool = *record.admitted->taken_pool;
+  const gateway::scope_request wanted{endpoints_of(state.endpoints, pool.name), pool,
+                                      *record.admitted->taken_route, record.prefix,
+                                      state.fleet.gateways};
+  if (record.stream_version) {
+    record.version_choice = gateway::version_choice::settled;
+    record.hints.scope =
+        scope_of_stream(state.rollouts, wanted, state.rollout_limits, *record.stream_version, now);
+    return;
+  }
+  gateway::chosen_scope versions =
+      choose_scope(state.rollouts, wanted, state.rollout_limits, record.context.random, now);
+  record.version_choice = versions.choice;
+  record.hints.scope = std::move(versions.scope);
+}
+
+}  // namespace
+
+void update_hints(request_record& record, steady_time now) {
+  record.hints.expected_arrivals = expected_arrivals(record, now);
+  if (!record.request.prompt.empty()) {
+    const gateway::prefix_holders& holders = record.context.state.holders;
+    record.hints.holders = holders_of(holders, record.prefix, now);
+    record.hints.expected_with_prefix =
+        use_rate(holders, record.prefix, now) * load_staleness(record).count();
+  }
+}
+
+void find_shorter_holders(request_record& record, steady_time now) {
+  record.hints.shorter_holders.clear();
+  for (const std::uint64_t shorter : record.shorter_prefixes) {
+    record.hints.shorter_holders.push_back(holders_of(record.context.state.holders, shorter, now));
+  }
+}
+
+gateway::placement_choice choose(request_record& record, steady_time now) {
+  const gateway::gateway_state& state = record.context.state;
+  const gateway::pool& pool = *record.admitted->taken_pool;
+  const std::vector<gateway::endpoint*>& endpoints = endpoints_of(state.endpoints, pool.name);
+  update_scope(record, now);
+  gateway::placement_choice choice = choose_endpoint(endpoints, pool, record.request, record.hints,
+                                                     state.fleet, record.context.random, now);
+  if (record.version_choice != gateway::version_choice::settled &&
+      std::holds_alternative<gateway::no_choice>(choice)) {
+    record.version_choice = gateway::version_choice::settled;
+    record.hints.scope = settled_scope(state.rollouts, pool.name);
+    choice = choose_endpoint(endpoints, pool, record.request, record.hints, state.fleet,
+                             record.context.random, now);
+  }
+  return choice;
+}
+
+endpoint_link* connect_to(const request_record& record, const gateway::endpoint& row) {
+  const gateway::pool& pool = *record.admitted->taken_pool;
+  const double share = connections_used * pool.max_connections /
+                       std::max<std::uint32_t>(record.context.state.fleet.gateways, 1);
+  return record.context.links.acquire(row.listing.name, row.listing.address,
+                                      static_cast<std::size_t>(std::max(share, 1.0)));
+}
+
+void delay_search(request_record& record, steady_time now) {
+  record.next_search_at = now + search_interval;
+}
+
+void prepare_standby(request_record& record, steady_time now) {
+  delay_search(record, now);
+  update_hints(record, now);
+  const gateway::placement_choice choice = choose(record, now);
+  const auto* chosen = std::get_if<gateway::placement>(&choice);
+  if (chosen == nullptr) {
+    return;
+  }
+  endpoint_link* link = connect_to(record, *chosen->row);
+  if (link == nullptr) {
+    record.hints.tried.push_back(chosen->row->listing.name);
+    return;
+  }
+  record.standby = std::make_unique<standby_link>(*chosen, *link);
+}
+
+void drop_failed_standby(request_record& record) {
+  if (record.standby == nullptr || !record.standby->has_failed()) {
+    return;
+  }
+  if (record.standby->is_unreachable()) {
+    record.hints.tried.push_back(record.standby->endpoint);
+    if (gateway::endpoint* row =
+            find_endpoint(record.context.state.endpoints, record.standby->endpoint)) {
+      note_health(record, *row, attempt_result::unreachable);
+    }
+  }
+  record.standby.reset();
+}
+
+gateway::endpoint* standby_endpoint(request_record& record, steady_time now) {
+  gateway::endpoint* row = find_endpoint(record.context.state.endpoints, record.standby->endpoint);
+  if (row == nullptr || !record.standby->leads_to(*row)) {
+    return nullptr;
+  }
+  update_scope(record, now);
+  const bool room = has_room(*row, *record.admitted->taken_pool, record.hints.scope,
+                             record.context.state.fleet, now);
+  return room ? row : nullptr;
+}
+
+void note_health(const request_record& record, gateway::endpoint& row, attempt_result result) {
+  const traffic_context& context = record.context;
+  const steady_time now = context.time.now();
+  const double peers = failing_share(endpoints_of(context.state.endpoints, row.listing.pool));
+  const bool was_set_aside = is_ejected(row, now);
+  note_result(row, result, peers, now);
+  if (!is_ejected(row, now)) {
+    return;
+  }
+  if (!was_set_aside || result == attempt_result::silent || result == attempt_result::unreachable) {
+    context.links.drop_idle(row.listing.name);
+  }
+  if (!was_set_aside) {
+    context.log.write(log_level::warning, "endpoint_set_aside",
+                      {{"endpoint", row.listing.name.value},
+                       {"request", record.request.id},
+                       {"reason", std::string(name_of(result))}});
+  }
+}
+
+}  // namespace chestnuthead::traffic
