Put pools under overload control at the gateways

Cause: a gateway sends to an endpoint until its load is four times its slots, so requests wait in endpoints' queues until their deadlines, are resent, and overload is taken for endpoint failure.

Change: for pools under overload control (settings overload_control and platform_terms, or endpoints that report the speed of their VM in the fourth figure of Instance-Load) a request that has arrived is sent, waits for at most an eighth of its objective (request_phase::awaits_room) or is refused with a Retry-After and a request_refused log line. Endpoints are used up to the learnt ratio of their slots, less while their VM is slow, and within memory_tokens. While such a pool is short, rejected and slow requests are not resent, and slow answers neither eject an endpoint nor cause a health check, unless it is silent while the rest of its pool answers. Request-Priority goes to endpoints of these pools. Streams that have begun continue as before. Pools that are not under control take none of these paths.

--- a/Source/Gateway/attempt_rules.cxx
+++ b/Source/Gateway/attempt_rules.cxx
@@ -80,6 +80,8 @@
       return "no_budget";
     case resend_obstacle::no_endpoint:
       return "no_endpoint";
+    case resend_obstacle::pool_short:
+      return "pool_short";
   }
   return "unknown";
 }
--- a/Source/Gateway/attempt_rules.h
+++ b/Source/Gateway/attempt_rules.h
@@ -67,6 +67,8 @@
   no_budget,
   /// No other endpoint can take it.
   no_endpoint,
+  /// The pool has too little capacity for the requests that arrive.
+  pool_short,
 };
 
 std::string_view name_of(resend_obstacle obstacle);
--- a/Source/Gateway/endpoint_health.cxx
+++ b/Source/Gateway/endpoint_health.cxx
@@ -130,6 +130,23 @@
   return row.record.needs_check || now < row.record.ejected_until;
 }
 
+bool is_quieter_than_pool(const endpoint& row, const std::vector<endpoint*>& pool,
+                          steady_time now) {
+  constexpr double answering_share = 0.25;
+  if (now - row.heard_at < min_silence) {
+    return false;
+  }
+  double used = 0.0;
+  double answering = 0.0;
+  for (const endpoint* other : pool) {
+    if (other->in_flight > 0) {
+      used += 1.0;
+      answering += now - other->heard_at < min_silence ? 1.0 : 0.0;
+    }
+  }
+  return answering > 0.0 && answering >= answering_share * used;
+}
+
 double failing_share(const std::vector<endpoint*>& pool) {
   double failures = 0.0;
   double requests = 0.0;
--- a/Source/Gateway/endpoint_health.h
+++ b/Source/Gateway/endpoint_health.h
@@ -69,6 +69,11 @@
 /// True while the endpoint receives no requests because it was ejected or suspected.
 bool is_ejected(const endpoint& row, steady_time now);
 
+/// True if the endpoint has sent nothing for `min_silence` while a quarter of the endpoints that
+/// have requests in flight have answered. In an overloaded pool, only such an endpoint is assumed
+/// to be down rather than slow.
+bool is_quieter_than_pool(const endpoint& row, const std::vector<endpoint*>& pool, steady_time now);
+
 /// Share of failed requests over the pool's recent ones.
 double failing_share(const std::vector<endpoint*>& pool);
 
--- a/Source/Gateway/endpoint_reports.cxx
+++ b/Source/Gateway/endpoint_reports.cxx
@@ -23,6 +23,10 @@
   if (answer.load) {
     note_load(row, *answer.load);
   }
+  row.heard_at = now;
+  if (answer.vm_slowdown) {
+    row.vm = {*answer.vm_slowdown, now};
+  }
   if (answer.cold_for) {
     row.cold_until = std::max(row.cold_until, now + *answer.cold_for);
   }
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -13,6 +13,7 @@
 
 #include "Gateway/request.h"
 #include "Gateway/service_map.h"
+#include "Overload/pool_capacity.h"
 
 /// The endpoints that a gateway can send to, with their state as seen by this gateway.
 namespace chestnuthead::gateway {
@@ -85,6 +86,12 @@
   /// The endpoint has requested that this gateway send no requests before this time.
   steady_time paused_until{};
   endpoint_record record;
+  /// The endpoint's latest report about the speed of its VM.
+  overload::vm_report vm;
+  /// Tokens of this gateway's requests in flight, counted in pools under overload control.
+  double tokens_in_flight = 0.0;
+  /// When the endpoint last sent this gateway any part of an answer.
+  steady_time heard_at{};
 };
 
 /// The last entry of an endpoint that the platform no longer lists.
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -21,6 +21,7 @@
 #include "Gateway/service_map.h"
 #include "Gateway/store_era.h"
 #include "Gateway/stream_origins.h"
+#include "Overload/pool_control.h"
 
 /// All state of one gateway. A single thread owns it.
 namespace chestnuthead::gateway {
@@ -46,6 +47,7 @@
   std::vector<table_update> table_updates;
   resend_terms resends;
   std::map<pool_id, resend_budget> resend_budgets;
+  overload::control_state overload;
   /// Version of the configuration in the store; 0 if it was not read.
   std::uint64_t stored_configuration = 0;
   /// Time that this gateway's copy of the operators' orders reflects.
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -28,24 +28,29 @@
          std::find(hints.tried.begin(), hints.tried.end(), row.listing.name) == hints.tried.end();
 }
 
-/// Load from which the endpoint is not chosen; unlimited if its slots are not known.
-double full_load(const endpoint& row) {
-  return row.listing.slots == 0 ? 1e9 : waiting_allowance * row.listing.slots;
-}
+constexpr double unlimited_load = 1e9;
 
 bool cold_rate_spent(const endpoint& row, const pool& pool, steady_time now) {
   return pool.cold_rate > 0.0 && is_cold(row, now) && now < row.next_cold_request;
 }
 
-bool is_open(const endpoint& row, const pool& pool, steady_time now) {
-  return load_of(row) < full_load(row) && !cold_rate_spent(row, pool, now);
+bool fits_tokens(const endpoint& row, const pool& pool, const endpoint_limit& limit) {
+  return limit.capacity == nullptr ||
+         fits_memory(*limit.capacity, {row.tokens_in_flight, row.peers_in_flight}, limit.tokens,
+                     pool.memory_tokens);
+}
+
+bool is_open(const endpoint& row, const pool& pool, const endpoint_limit& limit, steady_time now) {
+  return load_of(row) < full_load(row, pool, limit, now) && fits_tokens(row, pool, limit) &&
+         !cold_rate_spent(row, pool, now);
 }
 
 std::vector<endpoint*> endpoints_with_room(const std::vector<endpoint*>& endpoints,
-                                           const pool& pool, steady_time now) {
+                                           const pool& pool, const endpoint_limit& limit,
+                                           steady_time now) {
   std::vector<endpoint*> open;
   for (endpoint* row : endpoints) {
-    if (is_open(*row, pool, now)) {
+    if (is_open(*row, pool, limit, now)) {
       open.push_back(row);
     }
   }
@@ -286,9 +291,20 @@
   return is_usable(row, fleet, now) && !is_paused(row, now);
 }
 
+double full_load(const endpoint& row, const pool& pool, const endpoint_limit& limit,
+                 steady_time now) {
+  if (limit.capacity == nullptr) {
+    return row.listing.slots == 0 ? unlimited_load : waiting_allowance * row.listing.slots;
+  }
+  const std::uint32_t slots = row.listing.slots == 0 ? pool.slots : row.listing.slots;
+  return slots == 0 ? unlimited_load
+                    : overload::load_bound(ratio_for(*limit.capacity, limit.reserve), slots,
+                                           slowdown_of(row.vm, now));
+}
+
 bool has_room(const endpoint& row, const pool& pool, const version_scope& scope,
-              const fleet_view& fleet, steady_time now) {
-  return in_service(row, fleet, now) && in_scope(row, scope) && is_open(row, pool, now);
+              const fleet_view& fleet, steady_time now, const endpoint_limit& limit) {
+  return in_service(row, fleet, now) && in_scope(row, scope) && is_open(row, pool, limit, now);
 }
 
 std::chrono::milliseconds shortest_pause(const std::vector<endpoint*>& endpoints,
@@ -316,7 +332,7 @@
     const bool paused = shortest_pause(endpoints, fleet, now).count() > 0;
     return paused ? no_choice::all_paused : no_choice::none_in_service;
   }
-  const std::vector<endpoint*> open = endpoints_with_room(candidates, pool, now);
+  const std::vector<endpoint*> open = endpoints_with_room(candidates, pool, hints.limit, now);
   if (open.empty()) {
     return no_choice::all_full;
   }
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -76,10 +76,24 @@
 /// True if new requests may be sent to the endpoint.
 bool in_service(const endpoint& row, const fleet_view& fleet, steady_time now);
 
+/// How far the endpoints of a pool under overload control are used for one request.
+struct endpoint_limit {
+  /// nullptr if the pool is not under control.
+  const overload::pool_capacity* capacity = nullptr;
+  /// Share of the load bounds that is left to more urgent requests.
+  double reserve = 0.0;
+  /// Tokens of the prompt and the answer.
+  std::uint32_t tokens = 0;
+};
+
+/// Load from which the endpoint is not chosen; unlimited if its slots are not known.
+double full_load(const endpoint& row, const pool& pool, const endpoint_limit& limit,
+                 steady_time now);
+
 /// True if the endpoint can take one more request of its pool: it is in service, of a version
 /// that the request may be sent to, not full, and its cold rate is not used up.
 bool has_room(const endpoint& row, const pool& pool, const version_scope& scope,
-              const fleet_view& fleet, steady_time now);
+              const fleet_view& fleet, steady_time now, const endpoint_limit& limit = {});
 
 /// Time until the first pause of an endpoint that is otherwise in service ends; zero if none
 /// is paused.
@@ -101,6 +115,7 @@
   double expected_with_prefix = 0.0;
   /// The endpoints that the request may be sent to by their versions.
   version_scope scope;
+  endpoint_limit limit;
 };
 
 /// Chooses an endpoint that was not tried: one that holds the prefix, else the first in
--- a/Source/Gateway/request.h
+++ b/Source/Gateway/request.h
@@ -70,6 +70,10 @@
   std::optional<std::chrono::seconds> keep_alive;
   /// Requests from all senders that the endpoint executes or queues.
   std::optional<std::uint32_t> load;
+  /// How long work takes on the endpoint's VM, where 1 means as usual.
+  std::optional<double> vm_slowdown;
+  /// The report of the load or of the VM's speed could not be read.
+  bool has_unreadable_load = false;
   /// How long the endpoint stays cold; sent in answers to health checks.
   std::optional<std::chrono::milliseconds> cold_for;
   /// The endpoint takes no new work from now on.
--- a/Source/Overload/demand.cxx
+++ b/Source/Overload/demand.cxx
@@ -25,7 +25,7 @@
 constexpr double starved_customer = 0.25;
 /// Share of the limit and of the load bounds that is left to more urgent requests, and to those of
 /// others by a customer that sends far too much.
-constexpr double reserve_of_less_urgent = 0.1;
+constexpr double reserve_of_less_urgent = 0.07;
 constexpr double reserve_of_surging = 0.12;
 /// Fewest recent requests for which a share of served ones is meaningful.
 constexpr double min_offered = 3.0;
--- a/Source/Overload/pool_capacity.cxx
+++ b/Source/Overload/pool_capacity.cxx
@@ -147,7 +147,7 @@
   // Slightly more than the share, so that callers may move between gateways. With twice the share,
   // the first wave of a surge of 48 times the usual traffic kept an eighth of the answers late.
   constexpr double multiple = 1.2;
-  constexpr double min_addition = 3.0;
+  constexpr double min_addition = 5.0;
   const double bound = room.room + room.load;
   capacity.even_load = room.load / std::max<std::uint32_t>(room.gateways, 1);
   capacity.idle_share = bound > 0.0 ? room.room / bound : 0.0;
--- a/Source/Overload/wait_queue.h
+++ b/Source/Overload/wait_queue.h
@@ -20,6 +20,8 @@
   customer_id customer;
   request_group group;
   std::size_t bytes = 0;
+  /// Tokens of the prompt and the answer.
+  std::uint32_t tokens = 0;
   steady_time arrived_at{};
   /// Latest time at which the request may still be sent.
   steady_time wait_until{};
--- a/Source/Traffic/endpoint_attempt.cxx
+++ b/Source/Traffic/endpoint_attempt.cxx
@@ -1,10 +1,12 @@
 #include "Traffic/endpoint_attempt.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <utility>
 
 #include "Base/hashing.h"
+#include "Traffic/caller_answer.h"
 #include "Traffic/crashing_part_review.h"
 #include "Traffic/endpoint_choice.h"
 #include "Traffic/endpoint_notices.h"
@@ -44,6 +46,7 @@
   this->call.version = row.listing.version;
   this->call.progress_at = now;
   begin_request(row, pool, state.fleet, now);
+  this->count_start(row, now);
   count_send(state.rollouts, row, *this->record.admitted->taken_route, now);
   if (this->record.history.sends > 0) {
     this->record.context.metrics.count("chestnuthead_resends_total", pool_label(this->record));
@@ -76,7 +79,8 @@
   std::string bytes = this->record.context.dialect.encode_request(
       {request, row.listing.name, this->record.admitted->holder, left,
        this->stream.events().last_event,
-       source == nullptr ? std::string() : source->listing.address});
+       source == nullptr ? std::string() : source->listing.address,
+       this->call.is_counted ? std::optional(this->record.admitted->priority) : std::nullopt});
   if (!body.empty() || request.method == "POST" || request.method == "PUT") {
     bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   }
@@ -100,6 +104,7 @@
 void endpoint_attempt::close(attempt_result result) {
   this->call.link = nullptr;
   this->end(name_of(result));
+  this->count_end();
   gateway::endpoint* row = this->find_row();
   if (row == nullptr) {
     return;
@@ -122,6 +127,7 @@
   this->call.link->abandon();
   this->call.link = nullptr;
   this->end(result);
+  this->count_end();
   if (gateway::endpoint* row = this->find_row()) {
     end_request(*row);
   }
@@ -136,7 +142,8 @@
 
 void endpoint_attempt::report_long_wait(steady_time now) {
   gateway::endpoint* row = this->find_row();
-  if (this->call.long_wait_reported || row == nullptr || is_ejected(*row, now)) {
+  if (this->call.long_wait_reported || row == nullptr || is_ejected(*row, now) ||
+      (is_pool_short(this->record, now) && !this->is_endpoint_quiet(now))) {
     return;
   }
   this->call.long_wait_reported = true;
@@ -148,6 +155,66 @@
        {"waited_ms", milliseconds_between(this->call.progress_at, now)}});
 }
 
+void endpoint_attempt::count_start(gateway::endpoint& row, steady_time now) {
+  overload::control_state& overload = this->record.context.state.overload;
+  const gateway::pool& pool = *this->record.admitted->taken_pool;
+  overload::pool_control* control = obtain_control(overload, pool.name, pool.engine);
+  if (control == nullptr) {
+    return;
+  }
+  const gateway::caller_request& request = this->record.request;
+  this->call.is_counted = true;
+  this->call.tokens = request.prompt_tokens + request.answer_tokens;
+  row.tokens_in_flight += this->call.tokens;
+  overload::note_start(control->capacity, this->call.tokens);
+  if (this->record.history.sends == 0) {
+    note_served(control->senders, this->record.admitted->holder, this->record.group, now);
+  }
+}
+
+void endpoint_attempt::count_end() {
+  if (!std::exchange(this->call.is_counted, false)) {
+    return;
+  }
+  const steady_time now = this->record.context.time.now();
+  if (gateway::endpoint* row = this->find_row()) {
+    row->tokens_in_flight = std::max(0.0, row->tokens_in_flight - this->call.tokens);
+  }
+  overload::pool_control& control =
+      this->record.context.state.overload.pools[this->record.admitted->taken_pool->name];
+  overload::note_end(control.capacity, now - this->entry().began_at, now);
+}
+
+void endpoint_attempt::note_sign(overload::capacity_sign sign, steady_time now) {
+  const gateway::endpoint* row = this->find_row();
+  if (this->call.is_counted && row != nullptr) {
+    overload::pool_control& control = this->record.context.state.overload.pools[row->listing.pool];
+    overload::note_sign(control.capacity, row->hash, sign, now);
+  }
+}
+
+void endpoint_attempt::note_first_answer(steady_time now) {
+  const milliseconds objective = this->record.admitted->taken_route->latency_objective;
+  const bool late =
+      objective.count() > 0 && now - this->entry().began_at >
+                                   overload::late_share * std::chrono::duration<double>(objective);
+  this->note_sign(late ? overload::capacity_sign::late : overload::capacity_sign::in_time, now);
+}
+
+void endpoint_attempt::note_rejected() {
+  const gateway::endpoint_answer& answer = this->call.answer;
+  if (answer.not_executed && !answer.wrong_endpoint && !answer.leaving) {
+    this->note_sign(overload::capacity_sign::rejected, this->record.context.time.now());
+  }
+}
+
+bool endpoint_attempt::is_endpoint_quiet(steady_time now) const {
+  const gateway::endpoint* row = this->find_row();
+  return row != nullptr &&
+         is_quieter_than_pool(
+             *row, endpoints_of(this->record.context.state.endpoints, row->listing.pool), now);
+}
+
 void endpoint_attempt::suspect_crash() {
   const gateway::endpoint* row = this->find_row();
   // A retired version's endpoints are stopped with requests in flight.
@@ -183,6 +250,12 @@
 void endpoint_attempt::note_forwarding(steady_time now) {
   this->call.progress_at = now;
   attempt_record& row = this->entry();
+  if (!row.first_bytes_at && this->record.admitted->taken_route->streams) {
+    this->note_first_answer(now);
+  }
+  if (gateway::endpoint* endpoint = this->call.is_counted ? this->find_row() : nullptr) {
+    endpoint->heard_at = now;
+  }
   row.first_bytes_at = row.first_bytes_at.value_or(now);
   row.last_bytes_at = now;
 }
@@ -203,6 +276,9 @@
   if (gateway::endpoint* row = this->find_row()) {
     handle_endpoint_notices(this->record.context, *row, this->call.answer, this->record.request.id);
   }
+  if (is_success(this->call.answer.status) && !this->record.admitted->taken_route->streams) {
+    this->note_first_answer(this->call.progress_at);
+  }
   this->listener.on_answer(*this, head);
 }
 
--- a/Source/Traffic/endpoint_attempt.h
+++ b/Source/Traffic/endpoint_attempt.h
@@ -77,6 +77,10 @@
   }
   /// Records that bytes of the answer are forwarded to the caller.
   void note_forwarding(steady_time now);
+  /// Records that the endpoint rejected the request because it was full.
+  void note_rejected();
+  /// True if the endpoint is silent while the others of its pool answer.
+  [[nodiscard]] bool is_endpoint_quiet(steady_time now) const;
   void start_forwarding() {
     this->call.forwarding = true;
   }
@@ -123,6 +127,9 @@
     bool answered = false;
     /// The call has waited so long that this was counted against its endpoint.
     bool long_wait_reported = false;
+    /// The call is counted in the state of its pool's overload control, with these tokens.
+    bool is_counted = false;
+    std::uint32_t tokens = 0;
     gateway::endpoint_answer answer;
     /// The answer is forwarded to the caller while it is received.
     bool forwarding = false;
@@ -137,6 +144,13 @@
   /// The endpoint's row, or nullptr if the endpoint is no longer known.
   [[nodiscard]] gateway::endpoint* find_row() const;
   [[nodiscard]] std::string encode_call(const gateway::endpoint& row, steady_time now) const;
+  /// Counts the call in its pool's overload control, and no longer counts it.
+  void count_start(gateway::endpoint& row, steady_time now);
+  void count_end();
+  /// Applies what the result shows about the capacity of the pool.
+  void note_sign(overload::capacity_sign sign, steady_time now);
+  /// Applies whether the first event or the plain answer came in time.
+  void note_first_answer(steady_time now);
   /// Records that one of the prompt's parts may have crashed the endpoint.
   void suspect_parts(const gateway::endpoint& row);
 
--- a/Source/Traffic/endpoint_choice.cxx
+++ b/Source/Traffic/endpoint_choice.cxx
@@ -56,6 +56,11 @@
 }  // namespace
 
 void update_hints(request_record& record, steady_time now) {
+  if (record.history.answer_begun || record.history.sends > 0 ||
+      find_control(record.context.state.overload, record.admitted->taken_pool->name) == nullptr) {
+    // Streams that have begun go on, and resends are bounded by their budget.
+    record.hints.limit = {};
+  }
   record.hints.expected_arrivals = expected_arrivals(record, now);
   if (!record.request.prompt.empty()) {
     const gateway::prefix_holders& holders = record.context.state.holders;
@@ -138,14 +143,22 @@
   }
   update_scope(record, now);
   const bool room = has_room(*row, *record.admitted->taken_pool, record.hints.scope,
-                             record.context.state.fleet, now);
+                             record.context.state.fleet, now, record.hints.limit);
   return room ? row : nullptr;
 }
 
 void note_health(const request_record& record, gateway::endpoint& row, attempt_result result) {
   const traffic_context& context = record.context;
   const steady_time now = context.time.now();
-  const double peers = failing_share(endpoints_of(context.state.endpoints, row.listing.pool));
+  const std::vector<gateway::endpoint*>& pool =
+      endpoints_of(context.state.endpoints, row.listing.pool);
+  const bool is_slow = result == attempt_result::slow || result == attempt_result::silent;
+  if (is_slow && is_short(context.state.overload, row.listing.pool, now) &&
+      !is_quieter_than_pool(row, pool, now)) {
+    // Answers are slow because of the load.
+    return;
+  }
+  const double peers = failing_share(pool);
   const bool was_set_aside = is_ejected(row, now);
   note_result(row, result, peers, now);
   if (!is_ejected(row, now)) {
--- a/Source/Traffic/endpoint_notices.cxx
+++ b/Source/Traffic/endpoint_notices.cxx
@@ -4,6 +4,26 @@
 
 namespace chestnuthead::traffic {
 
+namespace {
+
+/// Records that the pool's endpoints report the speed of their VMs. Unreadable reports are logged
+/// at most once in a while, as a faulty endpoint sends one with each answer.
+void note_load_report(traffic_context& context, const gateway::endpoint& row,
+                      const gateway::endpoint_answer& answer, steady_time now) {
+  constexpr std::chrono::seconds log_interval{10};
+  overload::control_state& overload = context.state.overload;
+  if (answer.vm_slowdown) {
+    overload.reporting.insert(row.listing.pool);
+  }
+  if (answer.has_unreadable_load && now >= overload.next_report_log_at) {
+    overload.next_report_log_at = now + log_interval;
+    context.log.write(log_level::warning, "load_report_unreadable",
+                      {{"endpoint", row.listing.name.value}, {"pool", row.listing.pool.value}});
+  }
+}
+
+}  // namespace
+
 void handle_endpoint_notices(traffic_context& context, gateway::endpoint& row,
                              const gateway::endpoint_answer& answer, const std::string& request) {
   const steady_time now = context.time.now();
@@ -11,6 +31,7 @@
     context.log.write(log_level::info, "endpoint_leaving",
                       {{"endpoint", row.listing.name.value}, {"request", request}});
   }
+  note_load_report(context, row, answer, now);
   if (answer.pause) {
     const std::string label = "pool=\"" + row.listing.pool.value + "\"";
     context.metrics.count("chestnuthead_endpoint_pauses_total", label);
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -27,6 +27,7 @@
 }
 
 exchange::~exchange() {
+  leave_queue(this->record);
   --this->record.context.state.requests_in_flight;
 }
 
@@ -59,9 +60,34 @@
   gateway::gateway_state& state = this->record.context.state;
   count_request(state.resend_budgets[this->record.admitted->taken_pool->name], state.resends,
                 this->record.arrived_at);
+  if (this->stream.is_resumption()) {
+    // A stream that has begun goes on also while the pool is short of capacity.
+    this->send_to_endpoint();
+    return;
+  }
+  const steady_time now = this->record.context.time.now();
+  const room_choice choice = find_room(this->record, *this, now);
+  switch (choice.step) {
+    case room_step::send:
+      this->send_to_endpoint();
+      return;
+    case room_step::wait:
+      this->record.phase = request_phase::awaits_room;
+      return;
+    case room_step::refuse:
+      this->answer.refuse(refuse_overloaded(this->record, choice.reason, now));
+      return;
+  }
+}
+
+void exchange::on_room() {
   this->send_to_endpoint();
 }
 
+void exchange::on_no_room(overload_reason reason) {
+  this->answer.refuse(refuse_overloaded(this->record, reason, this->record.context.time.now()));
+}
+
 void exchange::resume_stream(steady_time now) {
   switch (this->stream.find_origin(now)) {
     case gateway::resumption_step::send:
@@ -162,7 +188,8 @@
 
 bool exchange::move_to_another(attempt_result result, steady_time now) {
   std::unique_ptr<standby_link>& standby = this->record.standby;
-  if (find_obstacle(this->record, now) != gateway::resend_obstacle::none) {
+  const bool from_load = !this->present->is_endpoint_quiet(now);
+  if (find_obstacle(this->record, from_load, now) != gateway::resend_obstacle::none) {
     standby.reset();
     return false;
   }
@@ -191,7 +218,7 @@
   if (now < this->record.next_search_at) {
     return;
   }
-  this->record.not_resent = find_obstacle(this->record, now);
+  this->record.not_resent = find_obstacle(this->record, false, now);
   if (this->record.not_resent == gateway::resend_obstacle::none) {
     this->send_to_endpoint();
   } else {
@@ -199,12 +226,12 @@
   }
 }
 
-void exchange::continue_after(const endpoint_attempt& last, attempt_end end) {
+void exchange::continue_after(const endpoint_attempt& last, attempt_end end, bool from_load) {
   if (end == attempt_end::not_executed) {
     --this->record.history.executions;
   }
   const steady_time now = this->record.context.time.now();
-  this->record.not_resent = find_obstacle(this->record, now);
+  this->record.not_resent = find_obstacle(this->record, from_load, now);
   switch (after_attempt(this->record.not_resent, this->record.history, end)) {
     case next_step::try_another:
       this->send_to_endpoint();
@@ -268,6 +295,7 @@
       this->check_attempt(now);
       return;
     case request_phase::arrived:
+    case request_phase::awaits_room:
     case request_phase::ended:
       return;
   }
@@ -321,6 +349,7 @@
   if (this->record.phase == request_phase::ended || this->record.history.answer_begun) {
     return;
   }
+  leave_queue(this->record);
   if (this->is_at_endpoint()) {
     this->present->withdraw("stopped");
   }
@@ -335,6 +364,7 @@
   if (this->record.phase == request_phase::ended) {
     return;
   }
+  leave_queue(this->record);
   if (this->is_at_endpoint()) {
     this->present->cancel(this->present->is_answered() ? "answering" : "waiting");
   }
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -14,6 +14,7 @@
 #include "Traffic/caller_answer.h"
 #include "Traffic/endpoint_attempt.h"
 #include "Traffic/event_loop.h"
+#include "Traffic/pool_room.h"
 #include "Traffic/request_record.h"
 #include "Traffic/traffic_context.h"
 
@@ -23,7 +24,7 @@
 /// endpoint, attempts, retries and the forwarding of the answer. It decides what happens next;
 /// an attempt at an endpoint (`endpoint_attempt`), the stream that outlives attempts
 /// (`answer_stream`) and the answer to the caller (`caller_answer`) are modules of their own.
-class exchange : public disposable, public attempt_listener {
+class exchange : public disposable, public attempt_listener, public room_waiter {
  public:
   exchange(traffic_context& context, answer_sink& sink, gateway::caller_request request,
            std::string body);
@@ -46,8 +47,11 @@
   void on_answer_end(endpoint_attempt& from) override;
   void on_attempt_failed(endpoint_attempt& from, call_failure failure) override;
 
+  void on_room() override;
+  void on_no_room(overload_reason reason) override;
+
  private:
-  /// Counts the request in its pool's resend budget and sends it.
+  /// Counts the request in its pool's resend budget and sends it, if its pool has room.
   void send_first_time();
   void send_to_endpoint();
   /// Answers a request that no endpoint can take, or lets its stream wait for one.
@@ -76,7 +80,8 @@
   /// Searches for an endpoint again while the request waits for one.
   void end_wait(steady_time now);
   /// Takes the next step after an attempt: a retry, or an answer to the caller.
-  void continue_after(const endpoint_attempt& last, gateway::attempt_end end);
+  void continue_after(const endpoint_attempt& last, gateway::attempt_end end,
+                      bool from_load = false);
   void start_forwarding(endpoint_attempt& from);
   void forward_bytes(endpoint_attempt& from, std::string_view bytes);
   /// Cancels the call at its endpoint and decides on the next step.
--- a/Source/Traffic/exchange_answers.cxx
+++ b/Source/Traffic/exchange_answers.cxx
@@ -118,14 +118,17 @@
     from.note_misplaced();
   }
   if (received.not_executed || received.wrong_endpoint) {
+    from.note_rejected();
     from.close(attempt_result::answered);
-    this->continue_after(from, attempt_end::not_executed);
+    this->continue_after(from, attempt_end::not_executed, !received.wrong_endpoint);
     return;
   }
   const bool failed =
       received.status >= first_server_error || promises_no_execution(received.status);
+  const bool is_overload = promises_no_execution(received.status) &&
+                           is_pool_short(this->record, this->record.context.time.now());
   // An endpoint that asks for a pause is healthy.
-  const bool is_fault = failed && !received.pause;
+  const bool is_fault = failed && !received.pause && !is_overload;
   from.close(is_fault ? attempt_result::error_answer : attempt_result::answered);
   if (promises_no_execution(received.status)) {
     this->continue_after(from, attempt_end::unknown);
--- a/Source/Traffic/gateway_server.cxx
+++ b/Source/Traffic/gateway_server.cxx
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "Traffic/crashing_part_review.h"
+#include "Traffic/pool_room.h"
 
 namespace chestnuthead::traffic {
 
@@ -21,6 +22,8 @@
 constexpr std::chrono::milliseconds last_answers_margin{100};
 /// Most connections accepted in one round, so that accepting does not delay the open ones.
 constexpr int accepts_per_round = 16;
+/// Interval at which outdated limits and counts of overload control are dropped.
+constexpr std::chrono::seconds drop_interval{1};
 
 }  // namespace
 
@@ -84,6 +87,11 @@
     }
   }
   this->requests_ended = is_ending;
+  serve_waiting(this->context, now);
+  if (now >= this->next_drop_at) {
+    this->next_drop_at = now + drop_interval;
+    drop_outdated(this->context.state.overload, now);
+  }
   this->context.links.tick();
   this->checks.tick(now);
 }
--- a/Source/Traffic/gateway_server.h
+++ b/Source/Traffic/gateway_server.h
@@ -39,6 +39,7 @@
   int descriptor;
   health_checks checks;
   std::map<caller_link*, std::unique_ptr<caller_link>> links;
+  steady_time next_drop_at{};
   bool stopping = false;
   steady_time close_idle_at{};
   /// From when on requests without an answer are ended with an error.
--- a/Source/Traffic/request_record.cxx
+++ b/Source/Traffic/request_record.cxx
@@ -18,7 +18,15 @@
   return "pool=\"" + (record.admitted ? record.admitted->taken_pool->name.value : "none") + "\"";
 }
 
-gateway::resend_obstacle find_obstacle(const request_record& record, steady_time now) {
+bool is_pool_short(const request_record& record, steady_time now) {
+  return is_short(record.context.state.overload, record.admitted->taken_pool->name, now);
+}
+
+gateway::resend_obstacle find_obstacle(const request_record& record, bool from_load,
+                                       steady_time now) {
+  if (from_load && !record.history.answer_begun && is_pool_short(record, now)) {
+    return gateway::resend_obstacle::pool_short;
+  }
   const gateway::gateway_state& state = record.context.state;
   const auto budget = state.resend_budgets.find(record.admitted->taken_pool->name);
   const bool budget_left = budget != state.resend_budgets.end() &&
--- a/Source/Traffic/request_record.h
+++ b/Source/Traffic/request_record.h
@@ -24,6 +24,8 @@
   arrived,
   /// It waits until it is known which version began its stream.
   awaits_origin,
+  /// It waits until its pool, which is under overload control, has room.
+  awaits_room,
   /// It is being sent to an endpoint, or an attempt is in progress.
   at_endpoint,
   /// Its stream has begun and waits for an endpoint that can resume it.
@@ -49,6 +51,10 @@
   /// `gateway::shorter_prefixes` of the request.
   std::vector<std::uint64_t> shorter_prefixes;
 
+  /// How the request is treated while its pool is short of capacity, and its place in the queue.
+  overload::request_group group;
+  std::uint64_t ticket = 0;
+
   gateway::attempt_history history;
   /// The attempts so far, in order.
   std::vector<attempt_record> attempts;
@@ -71,8 +77,13 @@
 /// The pool as a metric label.
 [[nodiscard]] std::string pool_label(const request_record& record);
 
-/// `gateway::obstacle_to_resend` now.
-[[nodiscard]] gateway::resend_obstacle find_obstacle(const request_record& record, steady_time now);
+/// True while the request's pool is under overload control and short of capacity.
+[[nodiscard]] bool is_pool_short(const request_record& record, steady_time now);
+
+/// `gateway::obstacle_to_resend` now. `from_load` tells that the attempt ended by a rejection or a
+/// slow answer, after which a request is not resent while the pool is short of capacity.
+[[nodiscard]] gateway::resend_obstacle find_obstacle(const request_record& record, bool from_load,
+                                                     steady_time now);
 
 /// Records that the parts of the prompt did not crash the endpoint.
 void clear_parts(const request_record& record);
--- a/Source/Traffic/traffic_context.h
+++ b/Source/Traffic/traffic_context.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstdint>
+#include <map>
+
 #include "chestnuthead/clock.h"
 #include "chestnuthead/random_source.h"
 
@@ -12,6 +15,8 @@
 
 namespace chestnuthead::traffic {
 
+class room_waiter;
+
 /// The objects that all connections and requests of one gateway share. They must outlive the
 /// connections and requests.
 struct traffic_context {
@@ -23,6 +28,8 @@
   metrics_registry& metrics;
   gateway::gateway_state& state;
   endpoint_links& links;
+  /// The requests that wait for room in their pools, by their tickets.
+  std::map<std::uint64_t, room_waiter*> waiting{};
 };
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/wire_dialect.h
+++ b/Source/Traffic/wire_dialect.h
@@ -27,6 +27,8 @@
   /// IP number and port of an endpoint from which the prompt's cached prefix can be copied;
   /// empty if the prefix is to be computed.
   std::string copy_prefix_from;
+  /// 0 is the most urgent; not sent to pools without overload control.
+  std::optional<int> priority;
 };
 
 struct wire_dialect {
--- a/Tests/Overload/surge_simulation.cxx
+++ b/Tests/Overload/surge_simulation.cxx
@@ -222,6 +222,7 @@
                                   this->customer_of(request),
                                   request.group,
                                   0,
+                                  0,
                                   this->now,
                                   this->now + wait,
                                   this->now + this->options.objective};
--- a/Tests/Overload/wait_queue_test.cxx
+++ b/Tests/Overload/wait_queue_test.cxx
@@ -13,13 +13,8 @@
 constexpr steady_time start{std::chrono::hours{1}};
 
 waiting_request waiting(std::uint64_t ticket, int priority, const std::string& customer = "a") {
-  return {ticket,
-          {customer},
-          {false, priority},
-          10,
-          start,
-          start + milliseconds{50},
-          start + milliseconds{400}};
+  return {ticket, {customer}, {false, priority},        10,
+          0,      start,      start + milliseconds{50}, start + milliseconds{400}};
 }
 
 /// Counts requests of a customer, `served` of which were sent to an endpoint.
