--- a/Source/Traffic/gateway_metrics.cxx
+++ b/Source/Traffic/gateway_metrics.cxx
@@ -36,6 +36,26 @@
   }
 }
 
+/// Sets the state of the pools under overload control.
+void set_overload(metrics_registry& metrics, const overload::control_state& state) {
+  for (const char* name :
+       {"chestnuthead_pool_limit", "chestnuthead_pool_queued", "chestnuthead_pool_load_ratio"}) {
+    metrics.clear(name);
+  }
+  for (const auto& [pool, control] : state.pools) {
+    if (!is_controlled(state, pool)) {
+      continue;
+    }
+    const std::string label = label_of("pool", pool.value);
+    if (control.capacity.limit) {
+      metrics.set("chestnuthead_pool_limit", label, *control.capacity.limit);
+    }
+    metrics.set("chestnuthead_pool_queued", label,
+                static_cast<double>(control.queue.waiting.size()));
+    metrics.set("chestnuthead_pool_load_ratio", label, control.capacity.ratio);
+  }
+}
+
 /// Sets one series for each known endpoint and drops those of removed endpoints.
 void set_endpoints(metrics_registry& metrics, const gateway::gateway_state& state,
                    steady_time now) {
@@ -73,6 +93,7 @@
   metrics.set("chestnuthead_endpoint_connections_opened_total", {},
               static_cast<double>(links.opened()));
   set_pools(metrics, state, now);
+  set_overload(metrics, state.overload);
   set_endpoints(metrics, state, now);
 }
 
--- a/Tests/Platform/wire_headers_test.cxx
+++ b/Tests/Platform/wire_headers_test.cxx
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(a_request_without_host_is_malformed);
   CPPUNIT_TEST(a_request_with_an_absolute_target_is_malformed);
   CPPUNIT_TEST(malformed_numbers_are_treated_as_absent);
+  CPPUNIT_TEST(load_reports_of_all_lengths_are_read);
   CPPUNIT_TEST(an_answer_is_decoded);
   CPPUNIT_TEST(a_leaving_endpoint_is_detected);
   CPPUNIT_TEST(pauses_are_decoded_and_clamped);
@@ -54,6 +55,25 @@
     CPPUNIT_ASSERT(request.prompt.empty());
   }
 
+  /// Guards against a report that is dropped as a whole because one of its figures is unreadable.
+  void load_reports_of_all_lengths_are_read() {
+    const auto decode = [](const std::string& report) {
+      traffic::http_head head;
+      head.status = 200;
+      head.fields = {{"Instance-Load", report}};
+      return platform_dialect().decode_answer(head);
+    };
+    CPPUNIT_ASSERT(decode("3,1").load == 4U && !decode("3,1").vm_slowdown);
+    CPPUNIT_ASSERT(decode("3,1,8,250").load == 4U && decode("3,1,8,250").vm_slowdown == 2.5);
+    CPPUNIT_ASSERT(decode("3,1,8,100,9").vm_slowdown == 1.0);
+    CPPUNIT_ASSERT(!decode("x,1,8,150").load && decode("x,1,8,150").vm_slowdown == 1.5);
+    for (const char* unreadable : {"3,1,8,fast", "3,1,8,-5", "3,1,8,nan", "3,1,8,0", ",,,", ""}) {
+      CPPUNIT_ASSERT(!decode(unreadable).vm_slowdown);
+      CPPUNIT_ASSERT(decode(unreadable).has_unreadable_load);
+    }
+    CPPUNIT_ASSERT(!decode("3,1,8").has_unreadable_load);
+  }
+
   void an_answer_is_decoded() {
     traffic::http_head head;
     head.status = 421;
