Decide when a request is hedged, and count hedged requests

Cause: a request whose endpoint is slow waits until the endpoint is assumed to be down, although another endpoint could answer it sooner.

Change: Source/Gateway/extra_tries learns the time to the first event or the answer of each kind (route and pool), says when a hedged request is due and whether it is allowed, or which reason forbids it. Nothing uses it yet, and with the default share of 0 nothing is learned or counted. resends_granted tells what resends_left is measured against; within_load_bound tells whether an endpoint can take one more request.

--- a/Source/Gateway/attempt_rules.cxx
+++ b/Source/Gateway/attempt_rules.cxx
@@ -126,11 +126,15 @@
   return requests / static_cast<double>(terms.window.count());
 }
 
+double resends_granted(const resend_budget& budget, const resend_terms& terms,
+                       std::uint32_t gateways, steady_time now) {
+  const double part = terms.allowance / std::max<std::uint32_t>(gateways, 1);
+  return budget_used * (terms.share * sum_of_window(budget, terms, now).requests + part);
+}
+
 double resends_left(const resend_budget& budget, const resend_terms& terms, std::uint32_t gateways,
                     steady_time now) {
-  const resend_budget::second_count sum = sum_of_window(budget, terms, now);
-  const double part = terms.allowance / std::max<std::uint32_t>(gateways, 1);
-  return budget_used * (terms.share * sum.requests + part) - sum.resends;
+  return resends_granted(budget, terms, gateways, now) - sum_of_window(budget, terms, now).resends;
 }
 
 bool resend_allowed(const resend_budget& budget, const resend_terms& terms, std::uint32_t gateways,
--- a/Source/Gateway/attempt_rules.h
+++ b/Source/Gateway/attempt_rules.h
@@ -115,6 +115,10 @@
 /// Requests per second for the pool at this gateway, averaged over the window.
 double request_rate(const resend_budget& budget, const resend_terms& terms, steady_time now);
 
+/// Resends that this gateway may make within the window, those already made included.
+double resends_granted(const resend_budget& budget, const resend_terms& terms,
+                       std::uint32_t gateways, steady_time now);
+
 /// Resends that this gateway may still make within the window.
 double resends_left(const resend_budget& budget, const resend_terms& terms, std::uint32_t gateways,
                     steady_time now);
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "Gateway/crash_suspects.h"
 #include "Gateway/crashing_parts.h"
 #include "Gateway/endpoint_table.h"
+#include "Gateway/extra_tries.h"
 #include "Gateway/fleet_keys.h"
 #include "Gateway/peer_table.h"
 #include "Gateway/placement.h"
@@ -46,6 +47,8 @@
   std::vector<table_update> table_updates;
   resend_terms resends;
   std::map<pool_id, resend_budget> resend_budgets;
+  /// Hedged requests; disabled by default.
+  extra_tries tries;
   /// Version of the configuration in the store; 0 if it was not read.
   std::uint64_t stored_configuration = 0;
   /// Time that this gateway's copy of the operators' orders reflects.
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -336,6 +336,12 @@
                    load.bound};
 }
 
+bool within_load_bound(const endpoint& row, const std::vector<endpoint*>& endpoints,
+                       const placement_hints& hints, const fleet_view& fleet, steady_time now) {
+  const pool_load load = load_of_pool(endpoints, hints, fleet, now);
+  return expected_load(row, load, now) + 1.0 <= load.bound;
+}
+
 const endpoint* prefix_source(const std::vector<endpoint*>& endpoints, const endpoint& chosen,
                               const placement_hints& hints, steady_time now) {
   if (is_holder(chosen, hints.holders)) {
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -111,6 +111,11 @@
                                  const caller_request& request, const placement_hints& hints,
                                  const fleet_view& fleet, random_source& random, steady_time now);
 
+/// True if one more request keeps the endpoint within the load bound of its pool, whether or not
+/// its requests have prompts.
+bool within_load_bound(const endpoint& row, const std::vector<endpoint*>& endpoints,
+                       const placement_hints& hints, const fleet_view& fleet, steady_time now);
+
 /// Returns the endpoint from which the chosen one can copy the longest part of the prefix
 /// that it doesn't hold itself, or nullptr if no reachable endpoint holds more.
 const endpoint* prefix_source(const std::vector<endpoint*>& endpoints, const endpoint& chosen,
