Send slow requests to a second endpoint as well

Cause: extra_try_share was read and unused; a request at a slow endpoint waited for the silence limit.

Change: an exchange may have a second attempt in progress until the first bytes of one answer can be forwarded. Each attempt keeps its bytes until they show a whole event; then the other one is reset with the result "lost", without effect on health, crash suspicions or roll-out evidence. An attempt that fails beside a running one ends only itself. request_attempt has "hedged", and there are counters of hedged requests started, won, lost and not allowed by reason. request_ended takes its fields on one attempt from the one that decided, which is the latest as before unless a request was hedged. With a share of 0 nothing is sent, learned, counted or logged differently.

--- a/Source/Traffic/answer_stream.cxx
+++ b/Source/Traffic/answer_stream.cxx
@@ -77,6 +77,20 @@
   return whole;
 }
 
+answer_part answer_stream::first_part(std::string_view bytes) const {
+  if (!this->record.admitted->taken_route->streams) {
+    return bytes.empty() ? answer_part::incomplete : answer_part::whole;
+  }
+  gateway::event_splitter probe;
+  probe.last_event = this->record.request.last_event;
+  std::string whole;
+  split_events(probe, bytes, whole);
+  if (!probe.sound) {
+    return answer_part::invalid;
+  }
+  return whole.empty() ? answer_part::incomplete : answer_part::whole;
+}
+
 void answer_stream::drop_partial() {
   this->splitter.partial.clear();
 }
--- a/Source/Traffic/answer_stream.h
+++ b/Source/Traffic/answer_stream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,6 +14,16 @@
 
 namespace chestnuthead::traffic {
 
+/// What the first bytes of an answer contain.
+enum class answer_part : std::uint8_t {
+  /// Nothing that can be forwarded yet.
+  incomplete,
+  /// A whole event of a stream, or bytes of another answer.
+  whole,
+  /// Events that are out of order or too long.
+  invalid,
+};
+
 /// The answer that is forwarded to the caller while it is received. It outlives the attempts:
 /// a stream whose endpoint fails continues with the answer of another one.
 class answer_stream {
@@ -36,6 +47,8 @@
   [[nodiscard]] bool is_sound() const {
     return this->splitter.sound;
   }
+  /// What the first bytes of an answer contain of which none was forwarded.
+  [[nodiscard]] answer_part first_part(std::string_view bytes) const;
   /// The bytes received so far end inside an event.
   [[nodiscard]] bool ends_inside_event() const {
     return !this->splitter.partial.empty();
--- a/Source/Traffic/attempt_log.h
+++ b/Source/Traffic/attempt_log.h
@@ -40,6 +40,8 @@
   /// When the first and the latest bytes of the answer were forwarded.
   std::optional<steady_time> first_bytes_at;
   std::optional<steady_time> last_bytes_at;
+  /// It was sent while another attempt was in progress.
+  bool hedged = false;
   /// Tokens of the prompt that the endpoint probably had to read.
   std::uint32_t tokens_to_read = 0;
   /// Why the endpoint's version was chosen.
--- a/Source/Traffic/caller_answer.cxx
+++ b/Source/Traffic/caller_answer.cxx
@@ -134,7 +134,7 @@
     fields.push_back({"executions", std::int64_t{this->record.history.executions}});
   }
   if (!this->record.attempts.empty()) {
-    const attempt_record& last = this->record.attempts.back();
+    const attempt_record& last = this->record.attempts.at(this->record.deciding_attempt);
     fields.push_back({"chosen_by", std::string(name_of(last.reason))});
     fields.push_back({"endpoint_load", last.load});
     fields.push_back({"load_bound", last.load_bound});
--- a/Source/Traffic/endpoint_attempt.cxx
+++ b/Source/Traffic/endpoint_attempt.cxx
@@ -32,6 +32,7 @@
       tokens_to_read(this->record.request, chosen.reason == gateway::choice_reason::holds_prefix);
   entry.began_at = now;
   this->record.attempts.push_back(std::move(entry));
+  this->record.deciding_attempt = this->number;
 }
 
 void endpoint_attempt::start(const gateway::placement& chosen, endpoint_link& link,
@@ -42,6 +43,8 @@
   this->call.link = &link;
   this->call.endpoint = row.listing.name;
   this->call.version = row.listing.version;
+  this->call.sent_at = now;
+  this->call.first = this->record.history.sends == 0;
   this->call.progress_at = now;
   begin_request(row, pool, state.fleet, now);
   count_send(state.rollouts, row, *this->record.admitted->taken_route, now);
--- a/Source/Traffic/endpoint_attempt.h
+++ b/Source/Traffic/endpoint_attempt.h
@@ -80,6 +80,10 @@
   void start_forwarding() {
     this->call.forwarding = true;
   }
+  /// Records that the request was sent here while another attempt was in progress.
+  void mark_hedged() {
+    this->entry().hedged = true;
+  }
   /// Adds bytes to the buffered body of the answer and returns its size.
   std::size_t buffer(std::string_view bytes);
   [[nodiscard]] std::string take_buffered();
@@ -97,6 +101,21 @@
   [[nodiscard]] steady_time progress_at() const {
     return this->call.progress_at;
   }
+  /// When the request was sent.
+  [[nodiscard]] steady_time sent_at() const {
+    return this->call.sent_at;
+  }
+  /// No other attempt of the request was sent before it.
+  [[nodiscard]] bool was_first() const {
+    return this->call.first;
+  }
+  [[nodiscard]] bool was_hedged() const {
+    return this->record.attempts[this->number].hedged;
+  }
+  /// Index in `request_record::attempts`.
+  [[nodiscard]] std::size_t index() const {
+    return this->number;
+  }
   [[nodiscard]] bool is_answered() const {
     return this->call.answered;
   }
@@ -116,6 +135,9 @@
     endpoint_id endpoint;
     /// Software version of the endpoint when the request was sent.
     std::string version;
+    steady_time sent_at{};
+    /// No other attempt of the request was sent before.
+    bool first = false;
     /// When the endpoint last made progress: it sent the answer's head, bytes of its body or,
     /// in a stream, a whole event.
     steady_time progress_at{};
--- a/Source/Traffic/endpoint_choice.cxx
+++ b/Source/Traffic/endpoint_choice.cxx
@@ -89,6 +89,19 @@
   return choice;
 }
 
+std::optional<gateway::placement> choose_for_hedge(request_record& record, steady_time now) {
+  const gateway::gateway_state& state = record.context.state;
+  update_hints(record, now);
+  const gateway::placement_choice choice = choose(record, now);
+  const auto* chosen = std::get_if<gateway::placement>(&choice);
+  if (chosen == nullptr || chosen->row->cold_until > now) {
+    return std::nullopt;
+  }
+  const auto& endpoints = endpoints_of(state.endpoints, record.admitted->taken_pool->name);
+  const bool bounded = within_load_bound(*chosen->row, endpoints, record.hints, state.fleet, now);
+  return bounded ? std::optional(*chosen) : std::nullopt;
+}
+
 endpoint_link* connect_to(const request_record& record, const gateway::endpoint& row) {
   const gateway::pool& pool = *record.admitted->taken_pool;
   const double share = connections_used * pool.max_connections /
--- a/Source/Traffic/endpoint_choice.h
+++ b/Source/Traffic/endpoint_choice.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "chestnuthead/clock.h"
 
 #include "Gateway/endpoint_health.h"
@@ -21,6 +23,10 @@
 /// Chooses an endpoint among those whose versions the request may be sent to.
 [[nodiscard]] gateway::placement_choice choose(request_record& record, steady_time now);
 
+/// Chooses an endpoint for a hedged request: a warm one within the load bound of its pool.
+[[nodiscard]] std::optional<gateway::placement> choose_for_hedge(request_record& record,
+                                                                 steady_time now);
+
 /// A connection to the endpoint within this gateway's share of its connections, or nullptr.
 [[nodiscard]] endpoint_link* connect_to(const request_record& record, const gateway::endpoint& row);
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -59,6 +59,9 @@
   gateway::gateway_state& state = this->record.context.state;
   count_request(state.resend_budgets[this->record.admitted->taken_pool->name], state.resends,
                 this->record.arrived_at);
+  if (may_be_hedged(*this->record.admitted->taken_route)) {
+    count_repeatable(state.tries, this->record.admitted->taken_pool->name);
+  }
   this->send_to_endpoint();
 }
 
@@ -85,6 +88,7 @@
     // The earlier attempt may be in the callback that led here.
     this->record.context.loop.dispose(std::move(this->present));
   }
+  this->hedging.due_known = false;
   this->present =
       std::make_unique<endpoint_attempt>(this->record, this->stream, *this, chosen, now);
   return *this->present;
@@ -203,6 +207,9 @@
   if (end == attempt_end::not_executed) {
     --this->record.history.executions;
   }
+  if (this->leave_to_other(last)) {
+    return;
+  }
   const steady_time now = this->record.context.time.now();
   this->record.not_resent = find_obstacle(this->record, now);
   switch (after_attempt(this->record.not_resent, this->record.history, end)) {
@@ -248,10 +255,23 @@
 }
 
 bool exchange::withdraw_with_refused_part(steady_time now) {
-  if (this->present->is_answered() ||
+  const bool all_answered =
+      this->present->is_answered() && (this->hedge == nullptr || this->hedge->is_answered());
+  if (all_answered ||
       !gateway::refused_part(this->record.context.state.parts, this->record.request.prompt, now)) {
     return false;
   }
+  if (this->hedge != nullptr && this->present->is_answered()) {
+    this->drop_hedge("withdrawn");
+    return false;
+  }
+  if (this->hedge != nullptr && this->hedge->is_answered()) {
+    std::swap(this->present, this->hedge);
+    this->drop_hedge("withdrawn");
+    this->record.deciding_attempt = this->present->index();
+    return false;
+  }
+  this->drop_hedge("withdrawn");
   this->present->withdraw("withdrawn");
   return this->end_with_refused_part(now);
 }
@@ -290,11 +310,21 @@
     // Nothing is read from the endpoint until the caller has caught up.
     attempt.note_progress(now);
   }
+  if (this->hedge != nullptr) {
+    if (this->hedge->is_open()) {
+      this->hedge->pause(caller_lags);
+    }
+    if (caller_lags) {
+      this->hedge->note_progress(now);
+    }
+  } else if (!caller_lags) {
+    this->hedge_if_due(now);
+  }
   const milliseconds limit =
       silence_limit(*this->record.admitted->taken_route, !this->record.request.prompt.empty(),
                     this->record.history.answer_begun);
   const steady_time silent_since = attempt.progress_at();
-  if (now - silent_since <= limit) {
+  if (now - silent_since <= limit || !this->are_both_silent(limit, now)) {
     this->record.standby.reset();
     return;
   }
@@ -308,6 +338,15 @@
 }
 
 void exchange::time_out() {
+  if (this->hedge != nullptr) {
+    const steady_time now = this->record.context.time.now();
+    if (!this->hedge->is_answered() && now - this->hedge->sent_at() >= gateway::min_silence) {
+      this->hedge->abandon(attempt_result::silent);
+      this->record.context.loop.dispose(std::move(this->hedge));
+    } else {
+      this->drop_hedge(this->hedge->is_answered() ? "answering" : "waiting");
+    }
+  }
   const bool silent = !this->present->is_answered();
   this->present->abandon(silent ? attempt_result::silent : attempt_result::answered);
   if (this->record.history.answer_begun) {
@@ -322,6 +361,7 @@
     return;
   }
   if (this->is_at_endpoint()) {
+    this->drop_hedge("stopped");
     this->present->withdraw("stopped");
   }
   if (this->record.history.executions > 0) {
@@ -336,6 +376,9 @@
     return;
   }
   if (this->is_at_endpoint()) {
+    if (this->hedge != nullptr) {
+      this->drop_hedge(this->hedge->is_answered() ? "answering" : "waiting");
+    }
     this->present->cancel(this->present->is_answered() ? "answering" : "waiting");
   }
   this->answer.drop();
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -90,11 +92,55 @@
   void check_attempt(steady_time now);
   void time_out();
 
+  // Hedged requests, see docs/design/hedged-requests.md.
+
+  /// Records how long the request has waited for its first endpoint, if `from` is that attempt.
+  void learn_wait(const endpoint_attempt& from, steady_time now);
+  [[nodiscard]] bool is_hedge_due(steady_time now);
+  /// Sends the request to a second endpoint as well if that is due and allowed.
+  void hedge_if_due(steady_time now);
+  void begin_hedge(const gateway::placement& chosen, endpoint_link& link, steady_time now);
+  /// Cancels the other attempt, if there is one, because the answer of `winner` is passed on.
+  void settle_on(const endpoint_attempt& winner);
+  /// Cancels the second attempt, if there is one. Its endpoint is not at fault.
+  void drop_hedge(std::string_view result);
+  /// Leaves the request to the other attempt, which is in progress; false if there is none.
+  [[nodiscard]] bool leave_to_other(const endpoint_attempt& ended);
+  /// Makes the head of the answer of the remaining attempt that of the stream: the other attempt
+  /// may have replaced it.
+  void keep_head();
+  /// Forwards bytes of an answer, or keeps them until they show which of two attempts answers.
+  void receive_bytes(endpoint_attempt& from, std::string_view bytes);
+  /// Counts a long wait against the endpoint of one of two attempts.
+  static void report_silence(endpoint_attempt& attempt, std::chrono::milliseconds limit,
+                             steady_time now);
+  /// Checks the silence of two attempts; false if one of them is not silent.
+  [[nodiscard]] bool are_both_silent(std::chrono::milliseconds limit, steady_time now);
+  /// Returns the token of a hedged request of which nothing was sent.
+  void return_token();
+
+  /// Whether and when the request may be hedged.
+  struct hedging_state {
+    /// It was hedged. That is done once at most.
+    bool used = false;
+    /// `due_at` was determined for the present attempt.
+    bool due_known = false;
+    std::optional<steady_time> due_at;
+    /// Earliest time of the next check whether one that is due is allowed.
+    steady_time next_check_at{};
+    /// An obstacle was counted in the metrics.
+    bool obstacle_counted = false;
+  };
+
   request_record record;
   answer_stream stream;
   caller_answer answer;
   /// The latest attempt; nullptr before the first one.
   std::unique_ptr<endpoint_attempt> present;
+  /// A second attempt beside the present one. While it is set, both are in progress and no byte
+  /// was forwarded to the caller.
+  std::unique_ptr<endpoint_attempt> hedge;
+  hedging_state hedging;
 };
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/exchange_answers.cxx
+++ b/Source/Traffic/exchange_answers.cxx
@@ -51,7 +51,7 @@
 
 void exchange::on_answer_body(endpoint_attempt& from, std::string_view bytes) {
   if (from.is_forwarding()) {
-    this->forward_bytes(from, bytes);
+    this->receive_bytes(from, bytes);
     return;
   }
   if (from.buffer(bytes) <= buffered_answer_limit) {
@@ -59,7 +59,7 @@
   }
   if (is_success(from.answer().status)) {
     this->start_forwarding(from);
-    this->forward_bytes(from, from.take_buffered());
+    this->receive_bytes(from, from.take_buffered());
   } else {
     this->abandon_answer(from);
   }
@@ -67,6 +67,9 @@
 
 void exchange::abandon_call(endpoint_attempt& given_up, attempt_result result, attempt_end end) {
   this->stream.drop_partial();
+  if (result == attempt_result::slow || result == attempt_result::silent) {
+    this->learn_wait(given_up, this->record.context.time.now());
+  }
   given_up.abandon(result);
   this->continue_after(given_up, end);
 }
@@ -98,6 +101,7 @@
   const steady_time now = this->record.context.time.now();
   from.note_forwarding(now);
   if (!answer_begun) {
+    this->learn_wait(from, now);
     this->stream.note_origin(from.version(), now);
     this->answer.begin_stream(this->stream.status(), this->stream.headers(), whole, now);
   } else {
@@ -134,6 +138,7 @@
   } else if (this->record.history.answer_begun) {
     this->answer.cut("cut");
   } else {
+    this->settle_on(from);
     this->answer.pass_on("answered", received, from.buffered());
   }
 }
@@ -143,18 +148,21 @@
     this->finish_stream(from);
     return;
   }
+  this->settle_on(from);
+  this->learn_wait(from, this->record.context.time.now());
   from.close(attempt_result::answered);
   this->answer.pass_on("answered", from.answer(), from.buffered());
 }
 
 void exchange::finish_stream(endpoint_attempt& from) {
   // A stream ends after an event, however its end is framed.
-  if (this->stream.ends_inside_event()) {
+  if (this->stream.ends_inside_event() || !from.buffered().empty()) {
     from.close(attempt_result::broken);
     this->stream.drop_partial();
     this->continue_after(from, attempt_end::unknown);
     return;
   }
+  this->settle_on(from);
   from.close(attempt_result::answered);
   if (!this->record.history.answer_begun) {
     this->answer.send_whole("answered", this->stream.status(), this->stream.headers(), {});
@@ -169,6 +177,9 @@
     from.suspect_crash();
   }
   const bool sent = failure != call_failure::not_sent;
+  if (!sent && from.was_hedged()) {
+    this->return_token();
+  }
   from.close(sent ? attempt_result::broken : attempt_result::unreachable);
   this->continue_after(from, sent ? attempt_end::unknown : attempt_end::not_executed);
 }
--- a/Source/Traffic/request_record.h
+++ b/Source/Traffic/request_record.h
@@ -52,6 +52,9 @@
   gateway::attempt_history history;
   /// The attempts so far, in order.
   std::vector<attempt_record> attempts;
+  /// Index of the attempt that the request depends on, or has ended with: the latest one, unless
+  /// another one outlived it.
+  std::size_t deciding_attempt = 0;
   /// Why the request was not sent to another endpoint after its latest attempt.
   gateway::resend_obstacle not_resent = gateway::resend_obstacle::none;
 
