Test the end of two concurrent attempts, and what is learned from them

Cause: trials with faults put into exchange_hedging showed that no test noticed when the half event that a first endpoint had sent before the second attempt began was dropped; the end of a stop, a refused part and two silent endpoints were not tested with two attempts.

--- a/Tests/Traffic/hedged_requests_test.cxx
+++ b/Tests/Traffic/hedged_requests_test.cxx
@@ -162,6 +162,7 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(name.value, 0U, row.in_flight);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(name.value, 0U, row.record.failures_in_row);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(name.value, 0.0, row.record.recent_failures);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name.value, 0U, row.record.ejections_in_row);
       CPPUNIT_ASSERT_MESSAGE(name.value, !row.record.needs_check);
     }
   }
@@ -199,6 +200,7 @@
   CPPUNIT_TEST(first_answer_wins);
   CPPUNIT_TEST(plain_call_is_hedged);
   CPPUNIT_TEST(events_of_the_loser_are_not_forwarded);
+  CPPUNIT_TEST(event_begun_before_the_second_attempt_is_kept);
   CPPUNIT_TEST(head_of_a_failed_attempt_is_not_forwarded);
   CPPUNIT_TEST(unsent_request_does_not_count_as_an_execution);
   CPPUNIT_TEST(both_attempts_fail);
@@ -211,6 +213,10 @@
   CPPUNIT_TEST(caller_that_leaves_cancels_both);
   CPPUNIT_TEST(deadline_ends_both);
   CPPUNIT_TEST(stop_begins_no_hedged_requests);
+  CPPUNIT_TEST(end_of_a_stop_ends_both);
+  CPPUNIT_TEST(refused_part_withdraws_both);
+  CPPUNIT_TEST(third_endpoint_is_asked_if_both_are_silent);
+  CPPUNIT_TEST(waits_of_first_attempts_are_learned);
   CPPUNIT_TEST(resumed_stream_is_not_hedged);
   CPPUNIT_TEST(nothing_is_hedged_without_a_share);
   CPPUNIT_TEST(route_that_runs_at_most_once_is_not_hedged);
@@ -288,6 +294,20 @@
     setup.check_no_blame();
   }
 
+  void event_begun_before_the_second_attempt_is_kept() {
+    hedging_setup setup;
+    setup.set_share(0.0);
+    const auto caller = setup.ask(1);
+    setup.asked[0].link->send(traffic_harness::stream_head("c1") + "9\r\nid: 1\ndat\r\n");
+    setup.harness.run_for(milliseconds{30});
+    setup.set_share(1.0);
+    CPPUNIT_ASSERT(setup.harness.run_until([&] { return setup.asked.size() == 2; }));
+    setup.asked[0].link->send("b\r\na: tokens\n\n\r\n" + traffic_harness::event_chunk(2, 3) +
+                              last_chunk);
+    setup.check_stream(*caller);
+    setup.check_counter("lost", "", 1);
+  }
+
   /// Guards against the status of one endpoint with the events of the other.
   void head_of_a_failed_attempt_is_not_forwarded() {
     hedging_setup setup;
@@ -460,6 +480,60 @@
     setup.check_stream(*caller);
   }
 
+  void end_of_a_stop_ends_both() {
+    hedging_setup setup;
+    const auto caller = setup.ask(2);
+    constexpr std::chrono::seconds grace{8};
+    setup.harness.server->begin_stop(grace, setup.harness.time.now() - grace);
+    setup.await_answer(*caller);
+    setup.await_close(0);
+    setup.await_close(1);
+    setup.check_no_blame();
+  }
+
+  /// Guards against a prompt that crashes the second endpoint too after it was refused.
+  void refused_part_withdraws_both() {
+    hedging_setup setup;
+    const auto caller = setup.ask(2);
+    adopt_refusal(setup.harness.state.parts, hash_text("5c1e"), setup.harness.time.now());
+    setup.await_answer(*caller);
+    setup.await_close(0);
+    setup.await_close(1);
+    setup.check_no_blame();
+  }
+
+  /// Guards against a request that waits for two endpoints until its deadline.
+  void third_endpoint_is_asked_if_both_are_silent() {
+    hedging_setup setup(3);
+    gateway::route way = gateway::chat_route();
+    way.max_attempts = 3;
+    setup.configure(way);
+    setup.scripts[2] = [](connection& caller) { caller.send(whole_stream); };
+    const auto caller = setup.ask(2);
+    setup.check_stream(*caller);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, setup.asked.size());
+    // The first one was silent for over a second, which ejects it as without a second attempt.
+    CPPUNIT_ASSERT_EQUAL(1U, setup.row(0).record.ejections_in_row);
+  }
+
+  /// A first attempt that lost counts with the time until it was cancelled.
+  void waits_of_first_attempts_are_learned() {
+    hedging_setup setup;
+    const auto& waits = setup.harness.state.tries.waits;
+    const auto learned = [&waits] { return waits.at({"chats", gateway::engine_pool}).total; };
+    const float before = learned();
+    setup.scripts[1] = [](connection& caller) { caller.send(whole_stream); };
+    const auto caller = setup.ask(2);
+    setup.check_stream(*caller);
+    CPPUNIT_ASSERT_EQUAL(before + 1.0F, learned());
+    const auto slowest = wait_quantile(waits.at({"chats", gateway::engine_pool}), 1.0);
+    CPPUNIT_ASSERT(*slowest >= gateway::min_hedge_wait);
+    setup.scripts[2] = setup.scripts[1];
+    const auto next = setup.ask(3);
+    setup.check_stream(*next);
+    CPPUNIT_ASSERT_EQUAL(before + 2.0F, learned());
+  }
+
   void resumed_stream_is_not_hedged() {
     hedging_setup setup;
     const auto caller = setup.harness.connect();
