Explain where a gateway would send a request

Operators could see why a request went to an endpoint only after it had been sent and logged. They could not ask where a request would go now, or why it would be refused.

GET /where on the metrics address answers this as JSON, and chestnutctl where prints it: route, customer, priority, deadlines, the pools with their weights, for each endpoint its load and the first obstacle to using it, the share with which it would be chosen, or the refusal with the range of Retry-After. The explanation calls admit, choose_resumption, update_hints and weigh, and changes no state; it has a random source of its own. Customers are given by name, and keys are not shown.

For this, choose_endpoint is split into weigh_endpoints and draw_endpoint, and the checks of has_room go through find_obstacle, which names the reason. The order of the checks and the random numbers used up by a choice stay the same. The refusal of a request without an endpoint is a function that the exchange and the explanation share. Answers of the monitoring server have a content type and status 400.

Not tested: shares while a roll-out is in progress.

--- a/Source/Control/chestnutctl.cxx
+++ b/Source/Control/chestnutctl.cxx
@@ -5,12 +5,13 @@
 #include "Control/configuration_commands.h"
 #include "Control/inspection_commands.h"
 #include "Control/service_commands.h"
+#include "Control/where_command.h"
 
 namespace {
 
 using chestnuthead::command;
 
-constexpr std::array<command, 12> commands{{
+constexpr std::array<command, 13> commands{{
     {"questionnaire", "write the empty form", chestnuthead::run_questionnaire},
     {"generate", "make a configuration from an answer file", chestnuthead::run_generate},
     {"check", "check an answer file or a configuration", chestnuthead::run_check},
@@ -23,6 +24,7 @@
     {"status", "show all nodes", chestnuthead::run_status},
     {"timeline", "merge the events of all nodes", chestnuthead::run_timeline},
     {"explain", "say why a request or chat landed where it did", chestnuthead::run_explain},
+    {"where", "say where a gateway would send a request now", chestnuthead::run_where},
 }};
 
 void print_help(std::ostream& out) {
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -1,6 +1,7 @@
 #include "Gateway/placement.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 #include "Base/hashing.h"
@@ -16,10 +17,28 @@
 /// delay, and an endpoint that is really full rejects the request without executing it.
 constexpr double waiting_allowance = 4.0;
 
+/// The first obstacle to sending new requests to the endpoint, requested pauses aside.
+endpoint_obstacle find_service_obstacle(const endpoint& row, const fleet_view& fleet,
+                                        steady_time now) {
+  if (!row.listed) {
+    return endpoint_obstacle::not_listed;
+  }
+  if (is_leaving(row, now)) {
+    return endpoint_obstacle::leaving;
+  }
+  if (row.misplaced) {
+    return endpoint_obstacle::misplaced;
+  }
+  if (is_ejected(row, now)) {
+    return endpoint_obstacle::ejected;
+  }
+  return fleet.domains_out.contains(row.listing.failure_domain) ? endpoint_obstacle::domain_out
+                                                                : endpoint_obstacle::none;
+}
+
 /// True if new requests may be sent to the endpoint, requested pauses aside.
 bool is_usable(const endpoint& row, const fleet_view& fleet, steady_time now) {
-  return row.listed && !is_leaving(row, now) && !row.misplaced && !is_ejected(row, now) &&
-         !fleet.domains_out.contains(row.listing.failure_domain);
+  return find_service_obstacle(row, fleet, now) == endpoint_obstacle::none;
 }
 
 bool may_choose(const endpoint& row, const placement_hints& hints, const fleet_view& fleet,
@@ -37,8 +56,16 @@
   return pool.cold_rate > 0.0 && is_cold(row, now) && now < row.next_cold_request;
 }
 
+endpoint_obstacle find_load_obstacle(const endpoint& row, const pool& pool, steady_time now) {
+  if (load_of(row) >= full_load(row)) {
+    return endpoint_obstacle::full;
+  }
+  return cold_rate_spent(row, pool, now) ? endpoint_obstacle::cold_rate_used_up
+                                         : endpoint_obstacle::none;
+}
+
 bool is_open(const endpoint& row, const pool& pool, steady_time now) {
-  return load_of(row) < full_load(row) && !cold_rate_spent(row, pool, now);
+  return find_load_obstacle(row, pool, now) == endpoint_obstacle::none;
 }
 
 std::vector<endpoint*> endpoints_with_room(const std::vector<endpoint*>& endpoints,
@@ -82,18 +109,11 @@
   return known + pool.turnover * std::max(0.0, part * pool.load - known);
 }
 
-/// A candidate of a weighted random choice.
-struct endpoint_room {
-  endpoint* row = nullptr;
-  /// Requests that it can take before it reaches the target load; its weight.
-  double room = 0.0;
-};
-
 /// Moves endpoints from `others` to `spread`, in rendezvous order, until they provide the
 /// lacking room. One is usually enough, so `others` is not sorted.
-void widen_spread(std::vector<endpoint_room>& spread, std::vector<endpoint_room>& others,
+void widen_spread(std::vector<candidate>& spread, std::vector<candidate>& others,
                   std::uint64_t affinity, double lacking) {
-  const auto weight_of = [affinity](const endpoint_room& one) {
+  const auto weight_of = [affinity](const candidate& one) {
     return rendezvous_weight(affinity, one.row->hash);
   };
   while (lacking > 0.0 && !others.empty()) {
@@ -116,18 +136,19 @@
 /// Endpoints within the load bound to which a request with the prefix may be sent: those that
 /// hold the prefix, and as many others in rendezvous order as are needed for the requests
 /// that all gateways send before they next exchange their loads.
-std::vector<endpoint_room> spread_of_prefix(const std::vector<endpoint*>& open,
-                                            const placement_hints& hints, std::uint64_t affinity,
-                                            const pool_load& pool, steady_time now) {
-  std::vector<endpoint_room> spread;
-  std::vector<endpoint_room> others;
+std::vector<candidate> spread_of_prefix(const std::vector<endpoint*>& open,
+                                        const placement_hints& hints, std::uint64_t affinity,
+                                        const pool_load& pool, steady_time now) {
+  std::vector<candidate> spread;
+  std::vector<candidate> others;
   double room = 0.0;
   for (endpoint* row : open) {
-    const endpoint_room one{row, pool.bound - expected_load(*row, pool, now)};
+    candidate one{row, pool.bound - expected_load(*row, pool, now), choice_reason::home_of_prefix};
     if (one.room < 1.0) {
       continue;
     }
     if (is_holder(*row, hints.holders)) {
+      one.reason = choice_reason::holds_prefix;
       spread.push_back(one);
       room += one.room;
     } else {
@@ -138,26 +159,24 @@
   return spread;
 }
 
-/// Draws an endpoint with a probability proportional to its room, so that gateways with the
+/// Draws a candidate with a probability proportional to its room, so that gateways with the
 /// same load data don't all choose the same one.
-endpoint* draw_by_room(const std::vector<endpoint_room>& spread, random_source& random) {
+const candidate& draw_by_room(const std::vector<candidate>& spread, random_source& random) {
   double total = 0.0;
-  for (const endpoint_room& one : spread) {
+  for (const candidate& one : spread) {
     total += one.room;
   }
   double left = next_unit(random) * total;
-  for (const endpoint_room& one : spread) {
+  for (const candidate& one : spread) {
     left -= one.room;
     if (left < 0.0) {
-      return one.row;
+      return one;
     }
   }
   // Reached only through rounding errors.
-  return std::max_element(spread.begin(), spread.end(),
-                          [](const endpoint_room& one, const endpoint_room& other) {
-                            return one.room < other.room;
-                          })
-      ->row;
+  return *std::max_element(
+      spread.begin(), spread.end(),
+      [](const candidate& one, const candidate& other) { return one.room < other.room; });
 }
 
 /// Load up to which endpoints are chosen by prefix: the multiple of the pool's mean, minus a
@@ -205,24 +224,23 @@
   return level;
 }
 
-/// Draws an endpoint with a probability proportional to its distance from the level that all
-/// reach with the requests expected before the next load update. With fresh load data this is
-/// the least loaded endpoint. With old data it is nearly any endpoint, as otherwise all
-/// gateways would choose the same one until the update.
-endpoint* draw_levelled(const std::vector<endpoint*>& open, double arrivals,
-                        random_source& random) {
+/// Weighs each endpoint by its distance from the level that all reach with the requests
+/// expected before the next load update. With fresh load data the least loaded endpoint is
+/// drawn. With old data it is nearly any endpoint, as otherwise all gateways would choose the
+/// same one until the update.
+std::vector<candidate> weigh_by_level(const std::vector<endpoint*>& open, double arrivals) {
   std::vector<double> loads;
   loads.reserve(open.size());
   for (const endpoint* row : open) {
     loads.push_back(load_of(*row));
   }
   const double level = level_after(loads, std::max(arrivals, 1.0));
-  std::vector<endpoint_room> lacking;
+  std::vector<candidate> lacking;
   lacking.reserve(open.size());
   for (endpoint* row : open) {
-    lacking.push_back({row, std::max(0.0, level - load_of(*row))});
+    lacking.push_back({row, std::max(0.0, level - load_of(*row)), choice_reason::levelled});
   }
-  return draw_by_room(lacking, random);
+  return lacking;
 }
 
 /// Hashes of the prompt's shared prefixes, the shortest first. The last part of a prompt is
@@ -268,6 +286,13 @@
   return "least_loaded";
 }
 
+std::string_view name_of(endpoint_obstacle obstacle) {
+  constexpr std::array<std::string_view, 10> names{
+      "none",   "not_listed",          "leaving", "misplaced",        "ejected", "domain_out",
+      "paused", "version_not_allowed", "full",    "cold_rate_used_up"};
+  return names.at(static_cast<std::size_t>(obstacle));
+}
+
 std::uint64_t affinity_of(const caller_request& request) {
   const std::vector<std::uint64_t> prefixes = prefixes_of(request);
   return prefixes.empty() ? 0 : prefixes.back();
@@ -286,9 +311,22 @@
   return is_usable(row, fleet, now) && !is_paused(row, now);
 }
 
+endpoint_obstacle find_obstacle(const endpoint& row, const pool& pool, const version_scope& scope,
+                                const fleet_view& fleet, steady_time now) {
+  const endpoint_obstacle found = find_service_obstacle(row, fleet, now);
+  if (found != endpoint_obstacle::none) {
+    return found;
+  }
+  if (is_paused(row, now)) {
+    return endpoint_obstacle::paused;
+  }
+  return in_scope(row, scope) ? find_load_obstacle(row, pool, now)
+                              : endpoint_obstacle::version_not_allowed;
+}
+
 bool has_room(const endpoint& row, const pool& pool, const version_scope& scope,
               const fleet_view& fleet, steady_time now) {
-  return in_service(row, fleet, now) && in_scope(row, scope) && is_open(row, pool, now);
+  return find_obstacle(row, pool, scope, fleet, now) == endpoint_obstacle::none;
 }
 
 std::chrono::milliseconds shortest_pause(const std::vector<endpoint*>& endpoints,
@@ -303,9 +341,9 @@
   return shortest;
 }
 
-placement_choice choose_endpoint(const std::vector<endpoint*>& endpoints, const pool& pool,
-                                 const caller_request& request, const placement_hints& hints,
-                                 const fleet_view& fleet, random_source& random, steady_time now) {
+weighing weigh_endpoints(const std::vector<endpoint*>& endpoints, const pool& pool,
+                         const caller_request& request, const placement_hints& hints,
+                         const fleet_view& fleet, steady_time now) {
   std::vector<endpoint*> candidates;
   for (endpoint* row : endpoints) {
     if (may_choose(*row, hints, fleet, now)) {
@@ -321,19 +359,32 @@
     return no_choice::all_full;
   }
   if (request.prompt.empty()) {
-    return placement{draw_levelled(open, hints.expected_arrivals, random), choice_reason::levelled,
-                     0.0};
+    return weighed_candidates{weigh_by_level(open, hints.expected_arrivals), 0.0};
   }
   const pool_load load = load_of_pool(endpoints, hints, fleet, now);
-  const std::vector<endpoint_room> spread =
-      spread_of_prefix(open, hints, affinity_of(request), load, now);
+  std::vector<candidate> spread = spread_of_prefix(open, hints, affinity_of(request), load, now);
   if (spread.empty()) {
-    return placement{least_loaded(open), choice_reason::least_loaded, load.bound};
+    spread.push_back({least_loaded(open), 1.0, choice_reason::least_loaded});
+  }
+  return weighed_candidates{std::move(spread), load.bound};
+}
+
+placement_choice draw_endpoint(const weighing& weighed, random_source& random) {
+  if (const auto* none = std::get_if<no_choice>(&weighed)) {
+    return *none;
   }
-  endpoint* chosen = draw_by_room(spread, random);
-  const bool holder = is_holder(*chosen, hints.holders);
-  return placement{chosen, holder ? choice_reason::holds_prefix : choice_reason::home_of_prefix,
-                   load.bound};
+  const auto& [candidates, load_bound] = std::get<weighed_candidates>(weighed);
+  // The least loaded endpoint is the only candidate and uses up no random number.
+  const candidate& drawn = candidates.front().reason == choice_reason::least_loaded
+                               ? candidates.front()
+                               : draw_by_room(candidates, random);
+  return placement{drawn.row, drawn.reason, load_bound};
+}
+
+placement_choice choose_endpoint(const std::vector<endpoint*>& endpoints, const pool& pool,
+                                 const caller_request& request, const placement_hints& hints,
+                                 const fleet_view& fleet, random_source& random, steady_time now) {
+  return draw_endpoint(weigh_endpoints(endpoints, pool, request, hints, fleet, now), random);
 }
 
 const endpoint* prefix_source(const std::vector<endpoint*>& endpoints, const endpoint& chosen,
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -73,6 +73,32 @@
 /// chats begin with the same parts.
 std::vector<std::uint64_t> shorter_prefixes(const caller_request& request);
 
+/// Why an endpoint can't take a request, in the order in which the reasons are checked.
+enum class endpoint_obstacle : std::uint8_t {
+  none,
+  /// The platform no longer lists it.
+  not_listed,
+  leaving,
+  /// Another endpoint answers at its address.
+  misplaced,
+  ejected,
+  /// Operators have taken its failure domain out of service.
+  domain_out,
+  /// It has requested a pause.
+  paused,
+  /// The request may not be sent to its version.
+  version_not_allowed,
+  full,
+  /// It is cold, and this gateway has used up its share of the cold rate.
+  cold_rate_used_up,
+};
+
+std::string_view name_of(endpoint_obstacle obstacle);
+
+/// The first obstacle to sending one more request of its pool to the endpoint.
+endpoint_obstacle find_obstacle(const endpoint& row, const pool& pool, const version_scope& scope,
+                                const fleet_view& fleet, steady_time now);
+
 /// True if new requests may be sent to the endpoint.
 bool in_service(const endpoint& row, const fleet_view& fleet, steady_time now);
 
@@ -103,6 +129,32 @@
   version_scope scope;
 };
 
+/// An endpoint that may be chosen.
+struct candidate {
+  endpoint* row = nullptr;
+  /// Requests that it can take before it reaches the target load. The probability that it is
+  /// drawn is proportional to it.
+  double room = 0.0;
+  choice_reason reason = choice_reason::least_loaded;
+};
+
+/// The endpoints among which a request's endpoint is drawn; at least one.
+struct weighed_candidates {
+  std::vector<candidate> candidates;
+  /// As in `placement`.
+  double load_bound = 0.0;
+};
+
+using weighing = std::variant<weighed_candidates, no_choice>;
+
+/// Finds the endpoints between which `choose_endpoint` draws. Does not modify any state.
+weighing weigh_endpoints(const std::vector<endpoint*>& endpoints, const pool& pool,
+                         const caller_request& request, const placement_hints& hints,
+                         const fleet_view& fleet, steady_time now);
+
+/// Draws one of the candidates.
+placement_choice draw_endpoint(const weighing& weighed, random_source& random);
+
 /// Chooses an endpoint that was not tried: one that holds the prefix, else the first in
 /// rendezvous order, each within the load bound; else the least loaded. If more requests with
 /// the prefix are expected before the next load update than its holders have room for, they
--- a/Source/Traffic/answer_stream.h
+++ b/Source/Traffic/answer_stream.h
@@ -21,6 +21,8 @@
 
   /// True if the request goes on with a stream that has begun.
   [[nodiscard]] bool is_resumption() const;
+  /// The stream that the request goes on with.
+  [[nodiscard]] gateway::resumption resumption() const;
   /// Chooses the pool and the version that the request is sent to, which are those that began its
   /// stream. If they are not known yet, asks for what is missing.
   [[nodiscard]] gateway::resumption_step find_origin(steady_time now);
@@ -60,8 +62,6 @@
   }
 
  private:
-  [[nodiscard]] gateway::resumption resumption() const;
-
   request_record& record;
   gateway::event_splitter splitter;
   /// Headers and status of the answer that is being forwarded.
--- a/Source/Traffic/endpoint_choice.cxx
+++ b/Source/Traffic/endpoint_choice.cxx
@@ -72,21 +72,37 @@
   }
 }
 
-gateway::placement_choice choose(request_record& record, steady_time now) {
+gateway::weighing weigh(request_record& record, steady_time now) {
   const gateway::gateway_state& state = record.context.state;
   const gateway::pool& pool = *record.admitted->taken_pool;
   const std::vector<gateway::endpoint*>& endpoints = endpoints_of(state.endpoints, pool.name);
   update_scope(record, now);
-  gateway::placement_choice choice = choose_endpoint(endpoints, pool, record.request, record.hints,
-                                                     state.fleet, record.context.random, now);
+  gateway::weighing weighed =
+      weigh_endpoints(endpoints, pool, record.request, record.hints, state.fleet, now);
   if (record.version_choice != gateway::version_choice::settled &&
-      std::holds_alternative<gateway::no_choice>(choice)) {
+      std::holds_alternative<gateway::no_choice>(weighed)) {
     record.version_choice = gateway::version_choice::settled;
     record.hints.scope = settled_scope(state.rollouts, pool.name);
-    choice = choose_endpoint(endpoints, pool, record.request, record.hints, state.fleet,
-                             record.context.random, now);
+    weighed = weigh_endpoints(endpoints, pool, record.request, record.hints, state.fleet, now);
+  }
+  return weighed;
+}
+
+gateway::placement_choice choose(request_record& record, steady_time now) {
+  return draw_endpoint(weigh(record, now), record.context.random);
+}
+
+gateway::refusal refuse_without_endpoint(const request_record& record, gateway::no_choice why,
+                                         random_source& random, steady_time now) {
+  if (why == gateway::no_choice::all_paused) {
+    const gateway::gateway_state& state = record.context.state;
+    const gateway::pool& pool = *record.admitted->taken_pool;
+    const auto pause = shortest_pause(endpoints_of(state.endpoints, pool.name), state.fleet, now);
+    return gateway::refuse_until_pause_ends(pause, random);
   }
-  return choice;
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(record.admitted->deadline - now);
+  return gateway::refuse_without_endpoint(why, left, random);
 }
 
 endpoint_link* connect_to(const request_record& record, const gateway::endpoint& row) {
--- a/Source/Traffic/endpoint_choice.h
+++ b/Source/Traffic/endpoint_choice.h
@@ -18,9 +18,18 @@
 /// the endpoint was not chosen for holding the prefix itself.
 void find_shorter_holders(request_record& record, steady_time now);
 
+/// Finds the endpoints that the request may be sent to by its version, and weighs them. Changes
+/// the record only.
+[[nodiscard]] gateway::weighing weigh(request_record& record, steady_time now);
+
 /// Chooses an endpoint among those whose versions the request may be sent to.
 [[nodiscard]] gateway::placement_choice choose(request_record& record, steady_time now);
 
+/// The refusal of a request that was not executed and for which no endpoint can be chosen.
+[[nodiscard]] gateway::refusal refuse_without_endpoint(const request_record& record,
+                                                       gateway::no_choice why,
+                                                       random_source& random, steady_time now);
+
 /// A connection to the endpoint within this gateway's share of its connections, or nullptr.
 [[nodiscard]] endpoint_link* connect_to(const request_record& record, const gateway::endpoint& row);
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -132,15 +132,8 @@
     this->wait_or_cut(now);
   } else if (this->record.history.executions > 0) {
     this->answer.answer_error(error_kind::retries_exhausted, {});
-  } else if (why == gateway::no_choice::all_paused) {
-    const gateway::pool& pool = *this->record.admitted->taken_pool;
-    const auto pause =
-        shortest_pause(endpoints_of(context.state.endpoints, pool.name), context.state.fleet, now);
-    this->answer.refuse(gateway::refuse_until_pause_ends(pause, context.random));
   } else {
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(this->record.admitted->deadline - now);
-    this->answer.refuse(refuse_without_endpoint(why, left, context.random));
+    this->answer.refuse(refuse_without_endpoint(this->record, why, context.random, now));
   }
 }
 
--- a/Source/Traffic/monitoring_server.cxx
+++ b/Source/Traffic/monitoring_server.cxx
@@ -7,6 +7,22 @@
 
 namespace chestnuthead::traffic {
 
+namespace {
+
+/// The reason phrase of the statuses that handlers return.
+std::string phrase_of(int status) {
+  switch (status) {
+    case 200:
+      return " OK";
+    case 400:
+      return " Bad Request";
+    default:
+      return " Service Unavailable";
+  }
+}
+
+}  // namespace
+
 /// One client connection. It carries any number of requests, one after the other.
 class monitoring_server::connection : public disposable,
                                       public link_listener,
@@ -34,17 +50,16 @@
   }
 
   bool on_head(http_head& head) override {
-    this->path = head.target;
+    this->target = head.target;
     return true;
   }
 
   void on_body(std::string_view /*bytes*/) override {}
 
   void on_message_end() override {
-    const monitoring_response answer = this->owner.handler(this->path);
-    this->link.send("HTTP/1.1 " + std::to_string(answer.status) +
-                    (answer.status == 200 ? " OK" : " Service Unavailable") +
-                    "\r\nContent-Type: text/plain\r\nContent-Length: " +
+    const monitoring_response answer = this->owner.handler(this->target);
+    this->link.send("HTTP/1.1 " + std::to_string(answer.status) + phrase_of(answer.status) +
+                    "\r\nContent-Type: " + answer.content_type + "\r\nContent-Length: " +
                     std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body);
   }
 
@@ -52,7 +67,7 @@
   monitoring_server& owner;
   http_reader reader;
   tcp_link link;
-  std::string path;
+  std::string target;
 };
 
 monitoring_server::monitoring_server(event_loop& io, int listening_descriptor,
--- a/Source/Traffic/monitoring_server.h
+++ b/Source/Traffic/monitoring_server.h
@@ -18,10 +18,11 @@
 struct monitoring_response {
   int status = 200;
   std::string body;
+  std::string content_type = "text/plain";
 };
 
-/// Returns the response to a request for `path`.
-using monitoring_handler = std::function<monitoring_response(std::string_view path)>;
+/// Returns the response to a request for `target`, which is the path and the query.
+using monitoring_handler = std::function<monitoring_response(std::string_view target)>;
 
 class monitoring_server : public io_watcher {
  public:
--- a/Tests/Control/command_line.sh
+++ b/Tests/Control/command_line.sh
@@ -48,6 +48,10 @@
 expect 1 "router-1 .*no answer" "$control" status --fleet "$folder/fleet.json"
 expect 2 "failure-domain or endpoint was expected" "$control" take-out zone north
 expect 2 "One of the options --request and --chat" "$control" explain
+expect 2 "The options --gateway, --host and --path were expected" \
+  "$control" where --gateway 127.0.0.1:1 --host h
+expect 5 "The gateway 127.0.0.1:1 does not answer" \
+  "$control" where --gateway 127.0.0.1:1 --host h --path /
 
 # Events from log files instead of a fleet.
 cat >"$folder/g-1.log" <<'LINES'
