Test the explained shares while a version is rolled out

The explanation of where a request would go draws the versions of a roll-out 32 times, and no test compared its shares with real choices. The new test does, for each second of an order, and requires times at which both versions have a share.

--- a/Tests/Traffic/where_report_test.cxx
+++ b/Tests/Traffic/where_report_test.cxx
@@ -11,6 +11,7 @@
 #include "Gateway/endpoint_health.h"
 #include "Gateway/gateway_fixture.h"
 #include "Gateway/resumption.h"
+#include "Gateway/rollout_fixture.h"
 #include "Net/json_text.h"
 #include "Traffic/endpoint_choice.h"
 #include "wire_headers.h"
@@ -51,12 +52,12 @@
                 this->log,  this->metrics, this->state,  this->links} {}
 
   /// The choice for a request that arrives, as the exchange makes it.
-  gateway::placement choose(const gateway::caller_request& request) {
+  gateway::placement choose(const gateway::caller_request& request, steady_time at = now) {
     traffic::request_record record(this->context, request, {});
-    record.admitted = std::get<gateway::admission>(admit(this->state, request, this->random, now));
+    record.admitted = std::get<gateway::admission>(admit(this->state, request, this->random, at));
     record.prefix = affinity_of(request);
-    update_hints(record, now);
-    return std::get<gateway::placement>(traffic::choose(record, now));
+    update_hints(record, at);
+    return std::get<gateway::placement>(traffic::choose(record, at));
   }
 
   gateway::endpoint& engine(int number) {
@@ -108,6 +109,7 @@
   CPPUNIT_TEST_SUITE(where_report_test);
   CPPUNIT_TEST(names_the_holder_that_is_chosen);
   CPPUNIT_TEST(shares_are_those_of_real_choices);
+  CPPUNIT_TEST(shares_during_a_rollout_are_those_of_real_choices);
   CPPUNIT_TEST(gives_an_obstacle_for_each_endpoint_out_of_service);
   CPPUNIT_TEST(a_full_pool_refuses_with_the_range_of_real_refusals);
   CPPUNIT_TEST(a_paused_pool_refuses_until_a_pause_ends);
@@ -160,6 +162,42 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, total_share(report.pools.front()), 1e-9);
   }
 
+  /// Guards against an explanation that leaves out the trial of a version.
+  void shares_during_a_rollout_are_those_of_real_choices() {
+    idle_gateway node(0);
+    node.state = gateway::rollout_state(8);
+    gateway::caller_request request = gateway::chat_request(1);
+    request.prompt.clear();
+    described_request described = describe(1);
+    described.prompt.clear();
+    int times_with_both = 0;
+    for (seconds age{1}; age < seconds{20}; ++age) {
+      const steady_time at = now + age;
+      node.state.confirmed_at = at;
+      // A trial's size follows from the recent requests.
+      for (int sent = 0; sent < 200; ++sent) {
+        count_send(node.state.rollouts, *node.choose(request, at).row, gateway::chat_route(), at);
+      }
+      const where_report report = explain_where(node.context, described, at);
+      double to_new = 0.0;
+      for (const endpoint_report& endpoint : report.pools.front().endpoints) {
+        to_new += endpoint.version == "v2" ? endpoint.share : 0.0;
+      }
+      constexpr int draws = 2'000;
+      int chosen_new = 0;
+      for (int draw = 0; draw < draws; ++draw) {
+        chosen_new += node.choose(request, at).row->listing.version == "v2" ? 1 : 0;
+      }
+      // The estimate from 32 draws errs by up to a 32nd, and four standard deviations of the
+      // share of 2,000 draws are at most 0.045.
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(static_cast<double>(chosen_new) / draws, to_new,
+                                   1.0 / 32.0 + 0.045);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, total_share(report.pools.front()), 1e-9);
+      times_with_both += to_new > 0.0 && to_new < 1.0 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(times_with_both > 0);
+  }
+
   void gives_an_obstacle_for_each_endpoint_out_of_service() {
     idle_gateway node(8);
     list_endpoint(node.state.endpoints,
