Send at-most-once requests on connections without unidentified answers

Endpoints may send a copy of an earlier answer late. Rejections may come without the ID of their request, and endpoint_link accepted an answer without an ID on a reused connection. So the late copy of a rejection was taken as proof that the next payment had not run: it was sent to a second endpoint, or answered 503, while the first one ran it.

Each connection now records whether it has carried an answer without the ID of its request. A request that may run only once uses a connection without such an answer, or a new one, which at the connection limit replaces an idle one. A request without an ID needs a connection that has carried no answer. Requests that may be repeated use any connection as before, and so may still take a late copy without an ID for their answer.

--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -16,6 +16,18 @@
 /// request is sent on a connection that is being closed.
 constexpr std::chrono::milliseconds idle_margin{700};
 
+bool has_history(link_history wanted, bool has_answered, bool has_unidentified_answer) {
+  switch (wanted) {
+    case link_history::any:
+      return true;
+    case link_history::identified:
+      return !has_unidentified_answer;
+    case link_history::none:
+      return !has_answered;
+  }
+  return false;
+}
+
 }  // namespace
 
 endpoint_link::endpoint_link(endpoint_links& links, endpoint_id endpoint,
@@ -98,6 +110,9 @@
     return true;
   }
   this->answer_started = true;
+  this->has_answered = true;
+  this->has_unidentified_answer = this->has_unidentified_answer || answer.request_id.empty() ||
+                                  answer.request_id != this->request_id;
   this->reusable = this->reusable && head.keeps_open;
   const auto kept = answer.keep_alive.value_or(default_idle);
   this->idle_until = this->owner.time.now() + kept - idle_margin;
@@ -157,18 +172,14 @@
     : loop(io), time(source), dialect(adapter) {}
 
 endpoint_link* endpoint_links::acquire(const endpoint_id& endpoint, const std::string& address,
-                                       std::size_t most) {
-  auto& idle_links = this->idle[endpoint];
-  while (!idle_links.empty()) {
-    endpoint_link* link = idle_links.back();
-    idle_links.pop_back();
-    if (this->is_fresh(*link, address)) {
-      link->was_idle_long = this->time.now() - link->idle_since >= reduced_idle_limit;
-      return link;
-    }
-    this->remove(*link);
+                                       std::size_t most, link_history wanted) {
+  if (endpoint_link* link = this->take_idle(endpoint, address, wanted)) {
+    return link;
   }
   auto& links = this->all[endpoint];
+  if (links.size() >= most && !this->idle[endpoint].empty()) {
+    this->remove(*this->idle[endpoint].front());
+  }
   if (links.size() >= most) {
     return nullptr;
   }
@@ -183,6 +194,22 @@
   return links.back().get();
 }
 
+endpoint_link* endpoint_links::take_idle(const endpoint_id& endpoint, const std::string& address,
+                                         link_history wanted) {
+  auto& idle_links = this->idle[endpoint];
+  for (std::size_t end = idle_links.size(); end > 0; --end) {
+    endpoint_link* link = idle_links[end - 1];
+    if (!this->is_fresh(*link, address)) {
+      this->remove(*link);
+    } else if (has_history(wanted, link->has_answered, link->has_unidentified_answer)) {
+      std::erase(idle_links, link);
+      link->was_idle_long = this->time.now() - link->idle_since >= reduced_idle_limit;
+      return link;
+    }
+  }
+  return nullptr;
+}
+
 bool endpoint_links::is_fresh(const endpoint_link& link, const std::string& address) const {
   const steady_time now = this->time.now();
   return link.address == address && now < link.idle_until &&
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -65,6 +65,16 @@
   virtual void on_call_failed(call_failure failure) = 0;
 };
 
+/// Which connections may carry a call. An endpoint may send a copy of an earlier answer where the
+/// next one is expected, and an answer without an ID does not tell which request it belongs to.
+enum class link_history : std::uint8_t {
+  any,
+  /// All earlier answers bore the ID of their request, so a late copy of one is skipped.
+  identified,
+  /// No earlier answer.
+  none,
+};
+
 class endpoint_links;
 
 /// One connection to an endpoint. It carries one call at a time.
@@ -117,6 +127,10 @@
   /// Reserved by `hold`, without a call.
   bool held = false;
   bool reusable = true;
+  /// The connection has carried an answer to a call.
+  bool has_answered = false;
+  /// It has carried one that did not bear the ID of its request.
+  bool has_unidentified_answer = false;
   /// The message being read is an interim answer or belongs to another request, and is
   /// dropped.
   bool skipping = false;
@@ -136,9 +150,10 @@
  public:
   endpoint_links(event_loop& loop, const clock& time, const wire_dialect& dialect);
 
-  /// Returns an idle link to the endpoint, or opens a new one if fewer than `most` are open.
-  /// Null if neither is possible.
-  endpoint_link* acquire(const endpoint_id& endpoint, const std::string& address, std::size_t most);
+  /// Returns an idle link to the endpoint with the wanted history, or opens a new one. If `most`
+  /// are open, the new one replaces an idle link. Null if none of this is possible.
+  endpoint_link* acquire(const endpoint_id& endpoint, const std::string& address, std::size_t most,
+                         link_history wanted);
 
   /// Closes idle links whose time has expired and fails those that could not connect in time.
   /// Call it every few tens of milliseconds.
@@ -157,6 +172,9 @@
   /// Reduces the idle limit of the endpoint after it reset an idle connection.
   void reduce_idle_time(const endpoint_id& endpoint);
   [[nodiscard]] bool is_idle_time_reduced(const endpoint_id& endpoint) const;
+  /// Removes and returns the link that became idle last, of those with the wanted history.
+  endpoint_link* take_idle(const endpoint_id& endpoint, const std::string& address,
+                           link_history wanted);
   [[nodiscard]] bool is_fresh(const endpoint_link& link, const std::string& address) const;
   void remove(endpoint_link& link);
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -162,12 +162,20 @@
   return bytes;
 }
 
+link_history exchange::wanted_history() const {
+  if (this->admitted->taken_route->executions == gateway::execution_limit::idempotent) {
+    return link_history::any;
+  }
+  return this->request.id.empty() ? link_history::none : link_history::identified;
+}
+
 endpoint_link* exchange::connect_to(const gateway::endpoint& row) {
   const gateway::pool& pool = *this->admitted->taken_pool;
   const double share = connections_used * pool.max_connections /
                        std::max<std::uint32_t>(this->context.state.fleet.gateways, 1);
   return this->context.links.acquire(row.listing.name, row.listing.address,
-                                     static_cast<std::size_t>(std::max(share, 1.0)));
+                                     static_cast<std::size_t>(std::max(share, 1.0)),
+                                     this->wanted_history());
 }
 
 void exchange::begin_attempt(const gateway::placement& chosen, steady_time now) {
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -116,6 +116,9 @@
   [[nodiscard]] gateway::placement_choice choose(steady_time now);
   /// Updates the placement inputs that change with time.
   void update_hints(steady_time now);
+  /// Which connections may carry the request. One that may run only once must not be taken for
+  /// rejected because of a late copy of an earlier answer: it would be sent again.
+  [[nodiscard]] link_history wanted_history() const;
   /// A connection to the endpoint within this gateway's share of its connections, or nullptr.
   [[nodiscard]] endpoint_link* connect_to(const gateway::endpoint& row);
   /// Adds an attempt at the endpoint, which becomes the present one.
--- a/Source/Traffic/health_checks.cxx
+++ b/Source/Traffic/health_checks.cxx
@@ -84,8 +84,8 @@
     return;
   }
   const gateway::pool* pool = find_pool(*this->context.state.services, row.listing.pool);
-  endpoint_link* link =
-      this->context.links.acquire(row.listing.name, row.listing.address, connection_limit);
+  endpoint_link* link = this->context.links.acquire(row.listing.name, row.listing.address,
+                                                    connection_limit, link_history::any);
   if (pool == nullptr || link == nullptr) {
     note_unhealthy(row, now);
     return;
