Refuse crashing prompt parts in pools of one and two endpoints

A part was refused only once it had crashed three different endpoints, so that a smaller pool never refused one.

In pools with fewer than three endpoints the crashes count instead: five of them, on at least three occasions, of which nothing else explains more than one in eight, and two more than of any part that is not shallower. As before, other requests must have been answered since the first crash. Endpoints that crashed recently count for the size of a pool even if their entries have expired. A later crash of an endpoint is reported to the peers at once, and parts that stand in two crashes of one endpoint are reported as cleared.

The model refuses no part in pools of one and two endpoints that flap, are lost together or break answers off. It refuses the crashing part with 1, 2 and 5 gateways at 1 and 2.5 such requests a second, and with 31 and 100 gateways at 1.

The tests of the parts were run in an optimised build.

--- a/Source/Gateway/crashing_parts.h
+++ b/Source/Gateway/crashing_parts.h
@@ -18,7 +18,8 @@
 /// part of a prompt is specific to its request and is not considered.
 namespace chestnuthead::gateway {
 
-/// Endpoints that a part may crash before requests with it are refused.
+/// Endpoints that a part may crash before requests with it are refused. In pools with fewer
+/// endpoints, repeated crashes of the same endpoint count.
 inline constexpr std::size_t part_crashes_allowed = 3;
 /// How long a crash counts against a part.
 inline constexpr std::chrono::seconds part_crash_lifetime{60};
--- a/Source/Gateway/part_reports.cxx
+++ b/Source/Gateway/part_reports.cxx
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <functional>
 #include <map>
-#include <set>
 
 #include "Gateway/crashing_parts.h"
 
@@ -29,22 +28,22 @@
   return crashes;
 }
 
-/// Parts that are refused or stand in the crashes of two or more endpoints, most crashes first.
+/// Parts that are refused or stand in two or more crashes, those with most crashes first.
 std::vector<std::uint64_t> disputed_parts(const crashing_parts& table) {
-  std::map<std::uint64_t, std::set<std::uint64_t>> endpoints;
+  std::map<std::uint64_t, std::size_t> crashes;
   for (const crash_event& event : table.events) {
     for (const auto& [part, suspect] : event.parts) {
-      endpoints[part].insert(event.where.endpoint);
+      ++crashes[part];
     }
   }
   std::vector<std::uint64_t> parts;
-  for (const auto& [part, crashed] : endpoints) {
-    if (crashed.size() > 1 || table.refused.contains(part)) {
+  for (const auto& [part, count] : crashes) {
+    if (count > 1 || table.refused.contains(part)) {
       parts.push_back(part);
     }
   }
   std::stable_sort(parts.begin(), parts.end(), [&](std::uint64_t left, std::uint64_t right) {
-    return endpoints.at(left).size() > endpoints.at(right).size();
+    return crashes.at(left) > crashes.at(right);
   });
   return parts;
 }
@@ -88,8 +87,9 @@
                           [&](const auto& other) { return is_same(entry, other); });
     });
   };
+  // A report of the same crash grows older; a younger one is of another crash.
   const auto same_crash = [](const part_crash& left, const part_crash& right) {
-    return left.part == right.part && left.endpoint == right.endpoint;
+    return left.part == right.part && left.endpoint == right.endpoint && left.age >= right.age;
   };
   const auto same_part = [](const part_clearance& left, const part_clearance& right) {
     return left.part == right.part;
--- a/Source/Gateway/part_verdicts.cxx
+++ b/Source/Gateway/part_verdicts.cxx
@@ -25,6 +25,12 @@
 constexpr milliseconds simultaneous{100};
 /// Crashes with the part for each other crash that is tolerated.
 constexpr std::size_t crashes_per_other = 4;
+/// The same in a small pool, where each crash hits a large share of all requests.
+constexpr std::size_t small_pool_crashes_per_other = 8;
+/// Crashes by which a part of a small pool must lead over all parts that are not shallower.
+constexpr std::size_t small_pool_lead = 2;
+/// Crashes of a small pool that are needed beyond the endpoints that a large pool needs.
+constexpr std::size_t additional_crashes = 2;
 /// Endpoints and time from which on one crash with the part for each other crash suffices.
 constexpr std::size_t persistent_crashes = 6;
 constexpr std::chrono::seconds persistent_time{3};
@@ -36,6 +42,8 @@
 struct tally {
   std::set<std::uint64_t> endpoints;
   std::vector<const crash_event*> events;
+  /// The pools have too few endpoints for a verdict by the number of different ones.
+  bool in_small_pools = false;
 };
 
 std::vector<std::uint64_t> list_of(const tally& counted) {
@@ -51,7 +59,26 @@
   });
 }
 
-tallies count_crashes(const crashing_parts& table, steady_time now) {
+/// True if the pool has fewer endpoints than a verdict by different ones needs. Endpoints that
+/// crashed recently count even if their entries have expired since: a large pool that was lost
+/// altogether is not small.
+bool is_small(const crashing_parts& table, const pool_sizes& listed, std::uint64_t pool) {
+  std::set<std::uint64_t> crashed;
+  for (const crash_event& event : table.events) {
+    if (event.where.pool == pool) {
+      crashed.insert(event.where.endpoint);
+    }
+  }
+  return std::max(crashed.size(), listed(pool)) < part_crashes_allowed;
+}
+
+tallies count_crashes(const crashing_parts& table, const pool_sizes& listed, steady_time now) {
+  std::map<std::uint64_t, bool> small;
+  for (const crash_event& event : table.events) {
+    if (!small.contains(event.where.pool)) {
+      small[event.where.pool] = is_small(table, listed, event.where.pool);
+    }
+  }
   tallies counts;
   for (const crash_event& event : table.events) {
     if (is_explained(table, event, now)) {
@@ -59,8 +86,11 @@
     }
     for (const auto& [part, suspect] : event.parts) {
       if (!is_cleared(table, part, event.at)) {
-        counts[part].endpoints.insert(event.where.endpoint);
-        counts[part].events.push_back(&event);
+        tally& counted = counts[part];
+        counted.in_small_pools =
+            small.at(event.where.pool) && (counted.events.empty() || counted.in_small_pools);
+        counted.endpoints.insert(event.where.endpoint);
+        counted.events.push_back(&event);
       }
     }
   }
@@ -76,6 +106,32 @@
   return times;
 }
 
+/// Number of crashes that are at least `simultaneous` apart: endpoints that are lost together
+/// show no more about a part than one of them.
+std::size_t count_occasions(const std::vector<steady_time>& times) {
+  std::size_t count = 0;
+  steady_time latest{};
+  for (const steady_time time : times) {
+    if (count == 0 || time - latest >= simultaneous) {
+      ++count;
+      latest = time;
+    }
+  }
+  return count;
+}
+
+/// The evidence against the part, as a number of different endpoints. In small pools repeated
+/// crashes of the same endpoint count too, but more of them are needed.
+std::size_t evidence_of(const tally& counted) {
+  if (!counted.in_small_pools) {
+    return counted.endpoints.size();
+  }
+  const std::size_t crashes = counted.events.size();
+  return crashes <= additional_crashes
+             ? std::min<std::size_t>(crashes, 1)
+             : std::min(crashes - additional_crashes, count_occasions(times_of(counted)));
+}
+
 /// Time in which the peers learn of a crash and report what they know about its parts.
 milliseconds report_delay(std::uint32_t gateways) {
   if (gateways <= 1) {
@@ -103,12 +159,14 @@
         return event.at >= times.front() - background_time && !is_explained(table, event, now);
       });
   const std::size_t others = static_cast<std::size_t>(all) - counted.events.size();
-  return others * (is_persistent ? 1 : crashes_per_other) <= counted.events.size();
+  const std::size_t per_other =
+      counted.in_small_pools ? small_pool_crashes_per_other : crashes_per_other;
+  return others * (is_persistent ? 1 : per_other) <= counted.events.size();
 }
 
 bool is_proven(const crashing_parts& table, const tally& counted, std::uint32_t gateways,
                steady_time now) {
-  if (counted.endpoints.size() < part_crashes_allowed) {
+  if (evidence_of(counted) < part_crashes_allowed) {
     return false;
   }
   const std::vector<steady_time> times = times_of(counted);
@@ -127,16 +185,27 @@
   });
 }
 
+/// True if the part stands in clearly more crashes than the others. If a small pool fails for
+/// another reason, several unrelated parts are in use each time.
+bool stands_out(const tallies& counts, std::uint64_t part) {
+  const std::size_t crashes = counts.at(part).events.size();
+  return std::none_of(counts.begin(), counts.end(), [&](const auto& entry) {
+    const auto& [other, counted] = entry;
+    return other != part && counted.events.size() + small_pool_lead > crashes &&
+           !is_shallower(counted, other, part);
+  });
+}
+
 /// The parts with the most crashes. Of those that share a prompt only the deepest, which is
 /// the most specific; empty while a tie may still be broken.
 std::vector<std::uint64_t> leading_parts(const tallies& counts, steady_time now) {
   std::size_t most = 0;
   for (const auto& [part, counted] : counts) {
-    most = std::max(most, counted.endpoints.size());
+    most = std::max(most, evidence_of(counted));
   }
   std::vector<std::uint64_t> leading;
   for (const auto& [part, counted] : counts) {
-    if (counted.endpoints.size() == most) {
+    if (evidence_of(counted) == most) {
       leading.push_back(part);
     }
   }
@@ -197,8 +266,7 @@
                    std::vector<part_verdict>& verdicts) {
   std::erase_if(table.suspected, [&](std::uint64_t part) { return !counts.contains(part); });
   for (const auto& [part, counted] : counts) {
-    if (counted.endpoints.size() + 1 >= part_crashes_allowed &&
-        table.suspected.insert(part).second) {
+    if (evidence_of(counted) + 1 >= part_crashes_allowed && table.suspected.insert(part).second) {
       verdicts.push_back({part, list_of(counted), false, false});
     }
   }
@@ -207,7 +275,7 @@
 }  // namespace
 
 std::vector<part_verdict> review_parts(crashing_parts& table, std::uint32_t gateways,
-                                       steady_time now) {
+                                       const pool_sizes& listed, steady_time now) {
   std::vector<part_verdict> verdicts;
   for (const std::uint64_t part : std::exchange(table.newly_adopted, {})) {
     verdicts.push_back({part, crashed_with(table, part), true, true});
@@ -224,11 +292,13 @@
   std::erase_if(table.refused, [&](const auto& entry) {
     return is_refused(entry.second, now) && is_other_to_blame(table, entry.first, now);
   });
-  const tallies counts = count_crashes(table, now);
+  const tallies counts = count_crashes(table, listed, now);
   add_suspected(table, counts, verdicts);
   std::vector<std::uint64_t> guilty = relapsed_parts(table, counts, now);
   for (const std::uint64_t part : leading_parts(counts, now)) {
-    if (is_proven(table, counts.at(part), gateways, now)) {
+    const tally& counted = counts.at(part);
+    if ((!counted.in_small_pools || stands_out(counts, part)) &&
+        is_proven(table, counted, gateways, now)) {
       guilty.push_back(part);
     }
   }
--- a/Source/Gateway/part_verdicts.h
+++ b/Source/Gateway/part_verdicts.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <vector>
 
 #include "chestnuthead/clock.h"
@@ -22,9 +23,12 @@
   bool from_peer = false;
 };
 
+/// Number of endpoints that are listed in a pool, which is given by its hash.
+using pool_sizes = std::function<std::size_t(std::uint64_t pool)>;
+
 /// Refuses the parts that the evidence shows to crash endpoints, and returns the new verdicts.
 /// `gateways` is the size of the fleet, on which the delay of the peers' reports depends.
 std::vector<part_verdict> review_parts(crashing_parts& table, std::uint32_t gateways,
-                                       steady_time now);
+                                       const pool_sizes& listed, steady_time now);
 
 }  // namespace chestnuthead::gateway
--- a/Source/Traffic/crashing_part_review.cxx
+++ b/Source/Traffic/crashing_part_review.cxx
@@ -1,10 +1,12 @@
 #include "Traffic/crashing_part_review.h"
 
+#include <algorithm>
 #include <array>
 #include <cinttypes>
 #include <cstdio>
 #include <vector>
 
+#include "Base/hashing.h"
 #include "Gateway/part_verdicts.h"
 
 namespace chestnuthead::traffic {
@@ -23,6 +25,16 @@
   return names;
 }
 
+std::size_t count_listed(const gateway::endpoint_table& endpoints, std::uint64_t pool) {
+  for (const auto& [name, rows] : endpoints.by_pool) {
+    if (hash_text(name.value) == pool) {
+      return static_cast<std::size_t>(std::count_if(
+          rows.begin(), rows.end(), [](const gateway::endpoint* row) { return row->listed; }));
+    }
+  }
+  return 0;
+}
+
 }  // namespace
 
 std::string part_text(std::uint64_t part) {
@@ -33,8 +45,9 @@
 
 void review_crashing_parts(traffic_context& context, const std::string& request, steady_time now) {
   gateway::gateway_state& state = context.state;
+  const auto listed = [&state](std::uint64_t pool) { return count_listed(state.endpoints, pool); };
   for (const gateway::part_verdict& verdict :
-       review_parts(state.parts, state.fleet.gateways, now)) {
+       review_parts(state.parts, state.fleet.gateways, listed, now)) {
     std::vector<log_field> fields{{"part", part_text(verdict.part)},
                                   {"endpoints", endpoint_names(state.endpoints, verdict.endpoints)},
                                   {"request", request}};
--- a/Tests/Gateway/crashing_parts_test.cxx
+++ b/Tests/Gateway/crashing_parts_test.cxx
@@ -37,6 +37,11 @@
   CPPUNIT_TEST(part_is_refused_after_three_crashes);
   CPPUNIT_TEST(last_part_is_never_refused);
   CPPUNIT_TEST(crashes_of_one_endpoint_are_not_added_up);
+  CPPUNIT_TEST(crashes_of_one_endpoint_are_added_up_in_a_small_pool);
+  CPPUNIT_TEST(small_pool_whose_endpoints_are_lost_together_refuses_no_part);
+  CPPUNIT_TEST(unrelated_parts_of_a_small_pool_are_not_refused);
+  CPPUNIT_TEST(large_pool_of_which_few_entries_are_left_is_not_small);
+  CPPUNIT_TEST(later_crash_of_the_same_endpoint_is_reported_at_once);
   CPPUNIT_TEST(part_with_completed_answers_is_not_refused);
   CPPUNIT_TEST(shared_first_part_is_not_refused_with_a_deeper_one);
   CPPUNIT_TEST(shallower_part_follows_if_crashes_go_on);
@@ -78,6 +83,69 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->review_at(9'000));
   }
 
+  /// Guards against pools that never have enough different endpoints for a verdict.
+  void crashes_of_one_endpoint_are_added_up_in_a_small_pool() {
+    for (const std::size_t size : {std::size_t{1}, std::size_t{2}}) {
+      this->table = {};
+      this->listed_endpoints = size;
+      std::size_t refused = 0;
+      for (int number = 0; number < 5; ++number) {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, refused);
+        this->answer_at(3'000 * number - 500, {shared, 70, 92});
+        this->crash_at(3'000 * number, static_cast<std::uint64_t>(number) % size,
+                       {shared, bad, 90});
+        refused = this->review_at(3'000 * number);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, refused);
+      CPPUNIT_ASSERT(bad == this->refused_at(12'000, {shared, bad, 94}));
+    }
+  }
+
+  /// A part that was in use both times when all endpoints were lost.
+  void small_pool_whose_endpoints_are_lost_together_refuses_no_part() {
+    this->listed_endpoints = 2;
+    for (const int time : {0, 3'000}) {
+      this->crash_at(time, 0, {shared, bad, 90});
+      this->crash_at(time + 20, 1, {shared, bad, 91});
+      this->answer_thrice(time + 2'500);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->review_at(9'000));
+  }
+
+  void unrelated_parts_of_a_small_pool_are_not_refused() {
+    this->listed_endpoints = 1;
+    for (int number = 0; number < 6; ++number) {
+      this->crash_at(3'000 * number, 0, {shared, bad, 90});
+      this->crash_at(3'000 * number, 0, {shared, sibling, 90});
+      this->answer_thrice(3'000 * number + 500);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->review_at(3'000 * number + 1'000));
+    }
+  }
+
+  void large_pool_of_which_few_entries_are_left_is_not_small() {
+    this->listed_endpoints = 1;
+    for (std::uint64_t endpoint = 1; endpoint < 4; ++endpoint) {
+      this->crash_at(0, endpoint, {40 + endpoint, 50 + endpoint, 90});
+    }
+    for (int number = 0; number < 6; ++number) {
+      this->crash_at(6'000 + 3'000 * number, 0, {shared, bad, 90});
+      this->answer_thrice(6'500 + 3'000 * number);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->review_at(7'000 + 3'000 * number));
+    }
+  }
+
+  /// Guards against reports that wait for the next regular message to the peers.
+  void later_crash_of_the_same_endpoint_is_reported_at_once() {
+    this->crash_at(0, 1, {shared, bad, 90});
+    const part_reports first = recent_part_reports(this->table, at(100));
+    CPPUNIT_ASSERT(!has_new_reports(recent_part_reports(this->table, at(2'000)), first));
+    this->crash_at(3'000, 1, {shared, bad, 91});
+    CPPUNIT_ASSERT(has_new_reports(recent_part_reports(this->table, at(3'050)), first));
+    // The answers of this gateway may clear a part that crashed one endpoint twice.
+    this->answer_at(3'100, {shared, bad, 92});
+    CPPUNIT_ASSERT(!recent_part_reports(this->table, at(3'200)).cleared.empty());
+  }
+
   void part_with_completed_answers_is_not_refused() {
     for (int number = 0; number < 8; ++number) {
       this->crash_at(1'000 * number, static_cast<std::uint64_t>(number), {shared, bad, 90});
@@ -225,7 +293,8 @@
 
   std::size_t review_at(int time) {
     std::size_t refused = 0;
-    for (const part_verdict& verdict : review_parts(this->table, 1, at(time))) {
+    const auto listed = [this](std::uint64_t /*pool*/) { return this->listed_endpoints; };
+    for (const part_verdict& verdict : review_parts(this->table, 1, listed, at(time))) {
       refused += verdict.refused ? 1 : 0;
     }
     return refused;
@@ -252,6 +321,7 @@
   }
 
   crashing_parts table;
+  std::size_t listed_endpoints = 12;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(crashing_parts_test);
--- a/Tests/Gateway/part_fleet.cxx
+++ b/Tests/Gateway/part_fleet.cxx
@@ -14,19 +14,11 @@
 
 constexpr milliseconds step{10};
 constexpr milliseconds shortest_restart{3'000};
-constexpr double restart_spread_ms = 2'000;
-constexpr milliseconds shortest_wait{100};
-constexpr double wait_spread_ms = 500;
-constexpr milliseconds shortest_answer{500};
-constexpr double answer_spread_ms = 2'500;
+constexpr milliseconds restart_spread{2'000};
 constexpr std::uint64_t model_pool = 7;
 constexpr std::uint64_t chats = 300;
 constexpr int max_sends = 2;
 
-milliseconds milliseconds_of(double count) {
-  return milliseconds(static_cast<std::int64_t>(count));
-}
-
 }  // namespace
 
 part_fleet::part_fleet(const part_fleet_settings& wanted)
@@ -39,6 +31,11 @@
   return std::uniform_real_distribution<double>(0.0, end)(this->random);
 }
 
+milliseconds part_fleet::draw_time(milliseconds shortest, milliseconds spread) {
+  const double extra = this->draw(static_cast<double>(spread.count()));
+  return shortest + milliseconds(static_cast<std::int64_t>(extra));
+}
+
 std::vector<prompt_part> part_fleet::sound_prompt() {
   const std::uint64_t group = 100 + this->random() % this->settings.groups;
   const std::uint64_t chat = 10'000 + this->random() % chats;
@@ -76,9 +73,10 @@
   request.over = false;
   ++request.sends;
   request.endpoint = up[this->random() % up.size()];
-  request.begins_at = this->now + shortest_wait + milliseconds_of(this->draw(wait_spread_ms));
-  request.ends_at =
-      request.begins_at + shortest_answer + milliseconds_of(this->draw(answer_spread_ms));
+  request.begins_at =
+      this->now + this->draw_time(this->settings.shortest_wait, this->settings.wait_spread);
+  request.ends_at = request.begins_at +
+                    this->draw_time(this->settings.shortest_answer, this->settings.answer_spread);
   request.breaks_at.reset();
   if (this->draw(1.0) < this->settings.broken_share) {
     const auto answer = static_cast<double>((request.ends_at - request.begins_at).count());
@@ -100,7 +98,7 @@
   } else {
     record_part_crash(table, {1'000 + request.endpoint, model_pool}, request.prompt, this->now);
   }
-  review_parts(table, this->settings.gateways, this->now);
+  this->review_table(table);
   this->send(request);
 }
 
@@ -150,8 +148,7 @@
     if (this->results.crashes == 5) {
       this->results.fifth_crash = this->now;
     }
-    this->crash(request.endpoint,
-                shortest_restart + milliseconds_of(this->draw(restart_spread_ms)));
+    this->crash(request.endpoint, this->draw_time(shortest_restart, restart_spread));
   } else if (request.breaks_at && this->now >= *request.breaks_at) {
     this->break_off(request);
   } else if (this->now >= request.ends_at) {
@@ -199,9 +196,14 @@
   }
 }
 
+void part_fleet::review_table(crashing_parts& table) const {
+  const auto listed = [this](std::uint64_t /*pool*/) { return this->settings.endpoints; };
+  review_parts(table, this->settings.gateways, listed, this->now);
+}
+
 void part_fleet::review() {
   for (model_gateway& gateway : this->gateways) {
-    review_parts(gateway.table, this->settings.gateways, this->now);
+    this->review_table(gateway.table);
   }
 }
 
--- a/Tests/Gateway/part_fleet.h
+++ b/Tests/Gateway/part_fleet.h
@@ -24,6 +24,11 @@
   std::ptrdiff_t crashing_depth = 1;
   /// Share of answers that break off at a random time, without a crash.
   double broken_share = 0.0;
+  /// Times of a request that is not broken off: until its answer begins, and until it ends.
+  std::chrono::milliseconds shortest_wait{100};
+  std::chrono::milliseconds wait_spread{500};
+  std::chrono::milliseconds shortest_answer{500};
+  std::chrono::milliseconds answer_spread{2'500};
   /// Share of the messages between gateways that are lost.
   double message_loss = 0.02;
   std::chrono::milliseconds message_delay{50};
@@ -103,9 +108,13 @@
   void crash(std::size_t endpoint, std::chrono::milliseconds down);
   void exchange_reports();
   void apply(model_gateway& gateway, const part_reports& reports);
+  void review_table(crashing_parts& table) const;
   void review();
   /// A number from 0 up to `end`.
   double draw(double end);
+  /// A time from `shortest` up to `shortest + spread`.
+  std::chrono::milliseconds draw_time(std::chrono::milliseconds shortest,
+                                      std::chrono::milliseconds spread);
 
   steady_time now{std::chrono::hours{1}};
   std::mt19937_64 random;
