Ignore store entries of earlier incarnations of an endpoint

After a restore the store's copy lists endpoints as they were before their latest start. is_outdated compared heartbeats only of entries with the same start, so such an entry replaced the newer one, and streams went on at another software version.

An entry with an earlier start than the known or removed one is outdated. Since the endpoint's clock may have been set back, it counts once a second entry of the same start has a later heartbeat, or has come 20 s after the first, with no entry of the known incarnation and no further restore between.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -30,7 +30,19 @@
 }
 
 void record_gone(endpoint_table& table, const endpoint& row, steady_time now) {
-  table.gone[row.listing.name] = {row.listing.started, row.listing.heartbeat, now};
+  table.gone[row.listing.name] = {row.listing.started, row.listing.heartbeat, now, false, {}};
+}
+
+/// Records an entry with an earlier start than the known one. Returns true if it shows that the
+/// endpoint is running: another entry of the same incarnation was seen before in the same copy of
+/// the list, and no entry of the known incarnation since.
+bool is_running(std::optional<earlier_entry>& earlier, const endpoint_listing& listing,
+                std::optional<steady_time> copied_at, steady_time now) {
+  if (!earlier || earlier->started != listing.started || earlier->copied_at != copied_at) {
+    earlier = {listing.started, listing.heartbeat, now, copied_at};
+    return false;
+  }
+  return listing.heartbeat > earlier->heartbeat || now - earlier->seen_at >= gone_retention;
 }
 
 bool is_same_incarnation(const endpoint_listing& before, const endpoint_listing& after) {
@@ -55,6 +67,7 @@
   row.hash = hash_text(listing.name.value);
   row.listed = true;
   row.missing_until.reset();
+  row.earlier.reset();
   row.cold_until = std::max(row.cold_until, now + listing.cold_for);
   if (is_new) {
     add_to_indexes(table, row);
@@ -71,14 +84,20 @@
   const auto known = table.rows.find(listing.name);
   if (known != table.rows.end() && known->second.listed) {
     const endpoint_listing& latest = known->second.listing;
+    if (has_starts && listing.started < latest.started) {
+      return !is_running(known->second.earlier, listing, copied_at, now);
+    }
     return (has_starts || may_be_copied) && latest.started == listing.started &&
            listing.heartbeat < latest.heartbeat;
   }
   const auto gone = table.gone.find(listing.name);
-  if (!may_be_copied || gone == table.gone.end() || gone->second.started != listing.started ||
+  if (!may_be_copied || gone == table.gone.end() || listing.started > gone->second.started ||
       now - gone->second.gone_at >= gone_retention) {
     return false;
   }
+  if (listing.started < gone->second.started) {
+    return has_starts && !is_running(gone->second.earlier, listing, copied_at, now);
+  }
   // The first copied entry may carry a later heartbeat than the one recorded, as this gateway
   // may have missed the last heartbeats before the removal.
   const bool lives = gone->second.in_copy && listing.heartbeat > gone->second.heartbeat;
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -57,6 +57,16 @@
   steady_time good_at{};
 };
 
+/// An entry of an incarnation that started earlier than the latest one known. It is either
+/// outdated, or the endpoint's clock was set back before its latest start.
+struct earlier_entry {
+  std::int64_t started = 0;
+  std::uint64_t heartbeat = 0;
+  steady_time seen_at{};
+  /// When the platform's list had last been restored from a copy.
+  std::optional<steady_time> copied_at;
+};
+
 struct endpoint {
   endpoint_listing listing;
   /// Hash of the endpoint's name, for rendezvous placement.
@@ -65,6 +75,8 @@
   bool listed = true;
   /// If set, the platform's entry is missing, but the endpoint counts as listed until this time.
   std::optional<steady_time> missing_until;
+  /// Seen since the latest entry of the known incarnation.
+  std::optional<earlier_entry> earlier;
   /// Another endpoint answered at this endpoint's address.
   bool misplaced = false;
   steady_time cold_until{};
@@ -94,6 +106,7 @@
   steady_time gone_at{};
   /// The entry has since appeared again, in an outdated copy of the platform's list.
   bool in_copy = false;
+  std::optional<earlier_entry> earlier;
 };
 
 struct endpoint_table {
@@ -115,10 +128,12 @@
 /// that sends no heartbeats.
 inline constexpr std::chrono::seconds gone_retention{20};
 
-/// True if the entry is older than the known state of the endpoint: a later heartbeat was
-/// seen, or the entry was removed. `copied_at` is when the platform's list was last restored
-/// from a copy, which may contain such entries. A removed entry counts again only once a
-/// heartbeat later than the one in the copy shows that the endpoint is running.
+/// True if the entry is older than the known state of the endpoint: a later start or a later
+/// heartbeat was seen, or the entry was removed. `copied_at` is when the platform's list was last
+/// restored from a copy, which may contain such entries. A removed entry counts again only once a
+/// heartbeat later than the one in the copy shows that the endpoint is running. The same holds for
+/// an entry with an earlier start, as the endpoint's clock may have been set back; entries whose
+/// heartbeats do not grow count after `gone_retention`, when no copy can contain them any more.
 bool is_outdated(endpoint_table& table, const endpoint_listing& listing,
                  std::optional<steady_time> copied_at, steady_time now);
 
--- a/Tests/Gateway/store_era_test.cxx
+++ b/Tests/Gateway/store_era_test.cxx
@@ -55,6 +55,8 @@
   std::uint64_t sequence = 0;
   /// Endpoints that this gateway has seen leaving or removed, with their start times.
   std::set<std::pair<endpoint_id, std::int64_t>> seen_gone;
+  /// Latest start time of each endpoint that this gateway has seen.
+  std::map<endpoint_id, std::int64_t> latest_starts;
   std::uint64_t newest_in_force = 0;
 };
 
@@ -91,6 +93,9 @@
   int late_keys = 0;
   int older_configurations = 0;
   int restored_endpoints = 0;
+  /// Endpoints in service with an entry from before a restart that the gateway has seen.
+  int earlier_incarnations = 0;
+  int restarts = 0;
   /// Number of checks that found keys trusted in a new era.
   int trusted_again = 0;
   std::uint64_t eras() const {
@@ -149,6 +154,14 @@
       if (one.gone) {
         continue;
       }
+      if (this->chance(0.05)) {
+        // The endpoint starts again under its name.
+        ++this->restarts;
+        one.entry.started = 1'000 + this->now.count();
+        one.entry.heartbeat = 0;
+        one.entry.leaving = false;
+        one.next_heartbeat = this->now;
+      }
       if (this->chance(0.03)) {
         one.entry.leaving = true;
       } else if (one.entry.leaving && this->chance(0.5)) {
@@ -316,6 +329,10 @@
     this->trusted_again += trusted && state.eras.era > 0 ? 1 : 0;
     for (const auto& [name, row] : state.endpoints.rows) {
       const bool seen = gateway.seen_gone.contains({name, row.listing.started});
+      std::int64_t& latest = gateway.latest_starts[name];
+      latest = std::max(latest, row.listing.started);
+      this->earlier_incarnations +=
+          row.listing.started < latest && in_service(row, state.fleet, this->local()) ? 1 : 0;
       this->restored_endpoints += seen && in_service(row, state.fleet, this->local()) ? 1 : 0;
     }
   }
@@ -346,6 +363,12 @@
   CPPUNIT_TEST(a_store_that_lost_writes_confirms_nothing);
   CPPUNIT_TEST(a_domain_stays_out_until_the_era_is_settled);
   CPPUNIT_TEST(a_copied_entry_does_not_restore_an_endpoint);
+  CPPUNIT_TEST(a_copied_entry_does_not_restore_an_earlier_incarnation);
+  CPPUNIT_TEST(a_copied_entry_does_not_restore_what_came_before_a_removed_endpoint);
+  CPPUNIT_TEST(an_endpoint_whose_clock_was_set_back_returns);
+  CPPUNIT_TEST(an_endpoint_without_growing_heartbeats_returns_in_the_end);
+  CPPUNIT_TEST(two_incarnations_that_both_write_do_not_alternate);
+  CPPUNIT_TEST(a_second_copy_is_no_heartbeat);
   CPPUNIT_TEST(a_missed_heartbeat_does_not_restore_an_endpoint);
   CPPUNIT_TEST(an_endpoint_whose_entry_was_lost_stays);
   CPPUNIT_TEST(removed_state_is_never_restored);
@@ -444,6 +467,82 @@
     CPPUNIT_ASSERT(!is_outdated(state.endpoints, lives, test_start, test_start + seconds{1}));
   }
 
+  /// Guards against streams that go on at an endpoint whose version is taken for an older one.
+  void a_copied_entry_does_not_restore_an_earlier_incarnation() {
+    gateway_state state = test_state(1);
+    const endpoint_listing newer = this->restarted(state);
+    CPPUNIT_ASSERT(take(state, newer, std::nullopt, test_start));
+    for (const std::optional<steady_time>& copied : {std::optional(test_start), no_copy}) {
+      CPPUNIT_ASSERT(!take(state, this->before, copied, test_start));
+      CPPUNIT_ASSERT(!take(state, this->before, copied, test_start + seconds{1}));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("v2"), this->version_of(state));
+    // The endpoint writes its own entry again.
+    endpoint_listing next = newer;
+    ++next.heartbeat;
+    CPPUNIT_ASSERT(take(state, next, test_start, test_start + seconds{1}));
+  }
+
+  void a_copied_entry_does_not_restore_what_came_before_a_removed_endpoint() {
+    gateway_state state = test_state(1);
+    const endpoint_listing newer = this->restarted(state);
+    take(state, newer, std::nullopt, test_start);
+    unlist_endpoint(state.endpoints, newer.name, test_start, test_start);
+    drop_unlisted(state.endpoints, test_start);
+    CPPUNIT_ASSERT(!take(state, this->before, test_start, test_start + seconds{1}));
+    CPPUNIT_ASSERT(!take(state, this->before, test_start, test_start + seconds{2}));
+    // A heartbeat after the restore shows that the endpoint runs, with its clock set back.
+    ++this->before.heartbeat;
+    CPPUNIT_ASSERT(take(state, this->before, test_start, test_start + seconds{3}));
+    CPPUNIT_ASSERT_EQUAL(std::string("v1"), this->version_of(state));
+  }
+
+  void an_endpoint_whose_clock_was_set_back_returns() {
+    for (const std::optional<steady_time>& copied : {std::optional(test_start), no_copy}) {
+      gateway_state state = test_state(1);
+      take(state, this->restarted(state), std::nullopt, test_start);
+      this->before.heartbeat = 1;
+      CPPUNIT_ASSERT(!take(state, this->before, copied, test_start + seconds{1}));
+      ++this->before.heartbeat;
+      CPPUNIT_ASSERT(take(state, this->before, copied, test_start + milliseconds{2'200}));
+      CPPUNIT_ASSERT_EQUAL(std::string("v1"), this->version_of(state));
+      ++this->before.heartbeat;
+      CPPUNIT_ASSERT(take(state, this->before, copied, test_start + milliseconds{3'400}));
+    }
+  }
+
+  /// Entries whose heartbeats do not grow are believed once no copy can contain them.
+  void an_endpoint_without_growing_heartbeats_returns_in_the_end() {
+    gateway_state state = test_state(1);
+    take(state, this->restarted(state), std::nullopt, test_start);
+    this->before.heartbeat = 0;
+    const steady_time first = test_start + seconds{1};
+    CPPUNIT_ASSERT(!take(state, this->before, test_start, first));
+    CPPUNIT_ASSERT(!take(state, this->before, test_start, first + gone_retention / 2));
+    CPPUNIT_ASSERT(take(state, this->before, test_start, first + gone_retention));
+  }
+
+  /// The endpoint's last process is slow to end while the next one runs.
+  void two_incarnations_that_both_write_do_not_alternate() {
+    gateway_state state = test_state(1);
+    endpoint_listing newer = this->restarted(state);
+    for (int round = 0; round < 5; ++round) {
+      ++newer.heartbeat;
+      ++this->before.heartbeat;
+      CPPUNIT_ASSERT(take(state, newer, std::nullopt, test_start + seconds{2 * round}));
+      CPPUNIT_ASSERT(!take(state, this->before, std::nullopt, test_start + seconds{2 * round + 1}));
+    }
+  }
+
+  void a_second_copy_is_no_heartbeat() {
+    gateway_state state = test_state(1);
+    take(state, this->restarted(state), std::nullopt, test_start);
+    CPPUNIT_ASSERT(!take(state, this->before, test_start, test_start));
+    ++this->before.heartbeat;
+    const steady_time again = test_start + seconds{3};
+    CPPUNIT_ASSERT(!take(state, this->before, again, again));
+  }
+
   void a_missed_heartbeat_does_not_restore_an_endpoint() {
     gateway_state state = test_state(1);
     endpoint_listing entry = state.endpoints.rows.begin()->second.listing;
@@ -473,6 +572,7 @@
   void removed_state_is_never_restored() {
     std::uint64_t eras = 0;
     int trusted_again = 0;
+    int restarts = 0;
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
       era_simulation play(seed);
       play.run(seconds{60});
@@ -480,14 +580,50 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(label + ", keys", 0, play.late_keys);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(label + ", configurations", 0, play.older_configurations);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(label + ", endpoints", 0, play.restored_endpoints);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(label + ", incarnations", 0, play.earlier_incarnations);
+      restarts += play.restarts;
       eras += play.eras();
       trusted_again += play.trusted_again;
     }
     CPPUNIT_ASSERT(eras > 80);
+    CPPUNIT_ASSERT(restarts > 80);
     CPPUNIT_ASSERT(trusted_again > 0);
   }
 
  private:
+  static constexpr std::optional<steady_time> no_copy{};
+
+  /// An entry with version v1 of the only endpoint.
+  endpoint_listing before;
+
+  /// Lists the entry `before`. Returns that of the endpoint's next incarnation, with version v2.
+  endpoint_listing restarted(gateway_state& state) {
+    this->before = state.endpoints.rows.begin()->second.listing;
+    this->before.started = 1'000;
+    this->before.heartbeat = 5;
+    this->before.version = "v1";
+    take(state, this->before, std::nullopt, test_start);
+    endpoint_listing newer = this->before;
+    newer.started = 2'000;
+    newer.heartbeat = 1;
+    newer.version = "v2";
+    return newer;
+  }
+
+  /// Applies an entry of the store unless it is outdated. Returns true if it was applied.
+  static bool take(gateway_state& state, const endpoint_listing& entry,
+                   const std::optional<steady_time>& copied, steady_time now) {
+    const bool applied = !is_outdated(state.endpoints, entry, copied, now);
+    if (applied) {
+      list_endpoint(state.endpoints, entry, now);
+    }
+    return applied;
+  }
+
+  [[nodiscard]] std::string version_of(gateway_state& state) const {
+    return find_endpoint(state.endpoints, this->before.name)->listing.version;
+  }
+
   static store_orders orders(std::uint64_t version, steady_time as_of) {
     service_map map = test_services();
     map.version = version;
