Report suspected parts in small pools after two endpoints again

With the evidence of small pools prompt_part_suspected came only after the fourth crash there, so that log_schema_test did not see it. A part that has crashed two different endpoints is reported as suspected in pools of any size, as before; verdicts are not affected.

--- a/Source/Gateway/part_verdicts.cxx
+++ b/Source/Gateway/part_verdicts.cxx
@@ -266,7 +266,8 @@
                    std::vector<part_verdict>& verdicts) {
   std::erase_if(table.suspected, [&](std::uint64_t part) { return !counts.contains(part); });
   for (const auto& [part, counted] : counts) {
-    if (evidence_of(counted) + 1 >= part_crashes_allowed && table.suspected.insert(part).second) {
+    if (std::max(evidence_of(counted), counted.endpoints.size()) + 1 >= part_crashes_allowed &&
+        table.suspected.insert(part).second) {
       verdicts.push_back({part, list_of(counted), false, false});
     }
   }
