--- a/Source/Traffic/endpoint_choice.cxx
+++ b/Source/Traffic/endpoint_choice.cxx
@@ -123,12 +123,26 @@
   return bounded ? std::optional(*chosen) : std::nullopt;
 }
 
+namespace {
+
+/// Which connections may carry the request. One that may run only once must not be taken for
+/// rejected because of a late copy of an earlier answer: it would be sent again.
+link_history wanted_history(const request_record& record) {
+  if (record.admitted->taken_route->executions == gateway::execution_limit::idempotent) {
+    return link_history::any;
+  }
+  return record.request.id.empty() ? link_history::none : link_history::identified;
+}
+
+}  // namespace
+
 endpoint_link* connect_to(const request_record& record, const gateway::endpoint& row) {
   const gateway::pool& pool = *record.admitted->taken_pool;
   const double share = connections_used * pool.max_connections /
                        std::max<std::uint32_t>(record.context.state.fleet.gateways, 1);
   return record.context.links.acquire(row.listing.name, row.listing.address,
-                                      static_cast<std::size_t>(std::max(share, 1.0)));
+                                      static_cast<std::size_t>(std::max(share, 1.0)),
+                                      wanted_history(record));
 }
 
 void delay_search(request_record& record, steady_time now) {
