--- a/Tests/Fakes/scripted_endpoint.h
+++ b/Tests/Fakes/scripted_endpoint.h
@@ -43,6 +43,10 @@
       this->link.finish_sending();
     }
     void reset();
+    /// Bytes that the socket has not accepted yet.
+    [[nodiscard]] std::size_t unsent() const {
+      return this->link.unsent();
+    }
 
     void on_open() override {}
     void on_bytes(std::string_view bytes) override;
--- a/Tests/Soak/soak_gateway.cxx
+++ b/Tests/Soak/soak_gateway.cxx
@@ -26,7 +26,7 @@
 }  // namespace
 
 soak_gateway::soak_gateway(std::string gateway_name, std::string binary, std::string work_folder,
-                           std::unique_ptr<fault_proxy> proxy)
+                           std::unique_ptr<fault_proxy> proxy, const std::string& more_settings)
     : name(std::move(gateway_name)),
       public_address(free_address()),
       ready_address(free_address()),
@@ -38,7 +38,7 @@
   file << R"({"node":")" << this->name << R"(","failure_domain":"north","public_address":")"
        << this->public_address << R"(","ready_address":")" << this->ready_address
        << R"(","peer_address":")" << free_address() << R"(","store_address":")"
-       << this->store_proxy->address << R"("})";
+       << this->store_proxy->address << '"' << more_settings << '}';
 }
 
 soak_gateway::~soak_gateway() {
--- a/Tests/Soak/soak_gateway.h
+++ b/Tests/Soak/soak_gateway.h
@@ -12,8 +12,9 @@
 /// A gateway process that reaches the store through its own fault-injecting proxy.
 class soak_gateway {
  public:
+  /// `more_settings` are further members of the settings file, each after a comma.
   soak_gateway(std::string name, std::string program, std::string folder,
-               std::unique_ptr<fault_proxy> store_proxy);
+               std::unique_ptr<fault_proxy> store_proxy, const std::string& more_settings = {});
   /// Kills the process if it is still running.
   ~soak_gateway();
   soak_gateway(const soak_gateway&) = delete;
@@ -24,6 +25,10 @@
   void signal(int number) const;
   /// True if the process is running. Reaps it and sets `last_status` if it has ended.
   bool is_running();
+  /// 0 if the process is not running.
+  [[nodiscard]] pid_t process_id() const {
+    return this->process;
+  }
 
   const std::string name;
   std::string public_address;
