Bound the memory and the descriptors that callers can take

60 chunked bodies that stop short of their end held 276 MB on a VM of 160 MB. Bodies that were refused stayed in memory until their connection closed, requests ahead of the present one and the sent part of a buffer that never ran empty were kept without limit, and connections were accepted until the process had no descriptor left.

Connections now count what they hold in the memory account. A body that does not fit displaces slower ones or is refused with 503 and Retry-After before it is sent anywhere; callers that do not read, heads that do not arrive and idle connections are dropped when their share is used up. What follows a refused body is dropped, in at most 2 s and 8 MB. Receive buffers of callers' sockets are bounded, send buffers only while many callers lag: a single slow caller still gets an answer whose endpoint does not wait.

Limits of output that followed the number of lagging callers were tried first; they let the first callers use up the share, and unread streams held 52,476 kB.

--- a/Source/Base/error_kind.cxx
+++ b/Source/Base/error_kind.cxx
@@ -42,6 +42,8 @@
      false},
     {kind::stream_not_resumable, 503, "stream_not_resumable",
      "No endpoint is known to run the software version that began this stream.", false},
+    {kind::router_full, 503, "router_full", "This router has no memory left for the request.",
+     true},
 }};
 
 }  // namespace
--- a/Source/Gateway/admission.cxx
+++ b/Source/Gateway/admission.cxx
@@ -79,6 +79,10 @@
   return refuse_locally(error_kind::stopping, !state.peers.rows.empty(), random);
 }
 
+refusal refuse_without_memory(const gateway_state& state, random_source& random) {
+  return refuse_locally(error_kind::router_full, !state.peers.rows.empty(), random);
+}
+
 refusal refuse_without_endpoint(no_choice why, std::chrono::milliseconds time_left,
                                 random_source& random) {
   const error_kind kind =
--- a/Source/Gateway/admission.h
+++ b/Source/Gateway/admission.h
@@ -51,6 +51,10 @@
 /// retry time is short.
 refusal refuse_at_stop(const gateway_state& state, random_source& random);
 
+/// The refusal of a request for whose body this gateway has no memory left. If there are other
+/// gateways, the retry time is short.
+refusal refuse_without_memory(const gateway_state& state, random_source& random);
+
 /// The refusal of a request for which no endpoint is available. Retry times carry
 /// random jitter, so that callers don't retry at the same moment.
 refusal refuse_without_endpoint(no_choice why, std::chrono::milliseconds time_left,
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -21,6 +21,7 @@
 #include "Gateway/service_map.h"
 #include "Gateway/store_era.h"
 #include "Gateway/stream_origins.h"
+#include "Overload/memory_account.h"
 
 /// All state of one gateway. A single thread owns it.
 namespace chestnuthead::gateway {
@@ -63,6 +64,8 @@
   /// The graceful shutdown no longer accepts requests.
   bool closed = false;
   std::uint64_t requests_in_flight = 0;
+  /// What is held for callers and endpoints. It must outlive all connections.
+  overload::memory_account memory;
 };
 
 }  // namespace chestnuthead::gateway
--- a/Source/Overload/memory_account.cxx
+++ b/Source/Overload/memory_account.cxx
@@ -24,6 +24,8 @@
 constexpr double large_body_share = 0.75;
 constexpr std::size_t max_output_limit = 262'144;
 constexpr std::size_t min_output_limit = 16'384;
+/// Part of the memory left for output that one caller may use.
+constexpr std::size_t output_divisor = 8;
 constexpr std::size_t max_answer_limit = 262'144;
 constexpr std::size_t min_answer_limit = 16'384;
 
@@ -130,9 +132,13 @@
 }
 
 std::size_t output_limit(const memory_account& account) {
-  const std::size_t share = share_of(account, memory_group::caller_output);
-  return std::clamp(share / std::max<std::size_t>(account.unread_outputs, 1), min_output_limit,
-                    max_output_limit);
+  const std::size_t left = minus(share_of(account, memory_group::caller_output),
+                                 held_by(account, memory_group::caller_output));
+  return std::clamp(left / output_divisor, min_output_limit, max_output_limit);
+}
+
+bool is_output_short(const memory_account& account) {
+  return output_limit(account) < max_output_limit;
 }
 
 std::size_t answer_limit(const memory_account& account) {
@@ -192,6 +198,17 @@
   return found;
 }
 
+std::optional<std::size_t> largest(const std::vector<drop_candidate>& candidates) {
+  const auto found = std::max_element(candidates.begin(), candidates.end(),
+                                      [](const drop_candidate& one, const drop_candidate& other) {
+                                        return one.bytes < other.bytes;
+                                      });
+  if (found == candidates.end() || found->bytes == 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(found - candidates.begin());
+}
+
 void counted_bytes::attach(memory_account& account, memory_use use) {
   this->set(0);
   this->counted_in = &account;
@@ -204,10 +221,6 @@
   }
   std::size_t& held = this->counted_in->held.at(static_cast<std::size_t>(this->counted_as));
   held = held - this->bytes + wanted;
-  if (this->counted_as == memory_use::caller_output) {
-    std::size_t& outputs = this->counted_in->unread_outputs;
-    outputs = outputs + (wanted > 0 ? 1U : 0U) - (this->bytes > 0 ? 1U : 0U);
-  }
   this->bytes = wanted;
 }
 
--- a/Source/Overload/memory_account.h
+++ b/Source/Overload/memory_account.h
@@ -62,8 +62,6 @@
   /// Sockets that the process may have.
   std::size_t sockets = 3'896;
   std::array<std::size_t, memory_use_count> held{};
-  /// Connections with unsent output for their callers.
-  std::size_t unread_outputs = 0;
 };
 
 /// Sets the limits of a VM with this memory and of a process with this number of descriptors.
@@ -83,8 +81,11 @@
 /// Bytes by which the group exceeds its share.
 std::size_t excess(const memory_account& account, memory_group group);
 
-/// Unsent bytes for one caller from which on reading its answer from the endpoint pauses.
+/// Unsent bytes for one caller from which on reading its answer from the endpoint pauses: a part
+/// of what is left of the share, so that callers who come first do not use it up.
 std::size_t output_limit(const memory_account& account);
+/// True if so many callers do not read their answers that the limit is reduced.
+bool is_output_short(const memory_account& account);
 /// Size up to which an answer is kept until it is complete, so that it can still be retried.
 std::size_t answer_limit(const memory_account& account);
 
@@ -124,6 +125,8 @@
 /// most. Those whose rate is not known yet are spared, as they may be fast. None if there is no
 /// candidate that holds bytes.
 std::optional<std::size_t> slowest(const std::vector<drop_candidate>& candidates);
+/// Index of the connection that holds most, for when there is no time to learn which are slow.
+std::optional<std::size_t> largest(const std::vector<drop_candidate>& candidates);
 
 /// Bytes counted in an account for one use for as long as the object lives.
 class counted_bytes {
--- a/Source/Traffic/caller_answer.cxx
+++ b/Source/Traffic/caller_answer.cxx
@@ -11,9 +11,6 @@
 
 using std::chrono::milliseconds;
 
-/// Unsent bytes for a slow caller from which on reading from the endpoint pauses.
-constexpr std::size_t unsent_limit = 262'144;
-
 std::string format_seconds(milliseconds time) {
   constexpr int milliseconds_a_second = 1'000;
   constexpr std::size_t digits = 3;
@@ -51,7 +48,7 @@
 }
 
 bool caller_answer::caller_lags() const {
-  return this->sink.unsent() > unsent_limit;
+  return this->sink.unsent() > output_limit(this->record.context.state.memory);
 }
 
 void caller_answer::end_stream(int status) {
--- a/Source/Traffic/caller_link.h
+++ b/Source/Traffic/caller_link.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -11,6 +13,7 @@
 
 #include "Gateway/request.h"
 #include "Gateway/service_map.h"
+#include "Overload/memory_account.h"
 #include "Traffic/event_loop.h"
 #include "Traffic/exchange.h"
 #include "Traffic/http_reader.h"
@@ -27,6 +30,12 @@
   virtual ~caller_links() = default;
 
   virtual void remove(caller_link& link) = 0;
+  /// Drops slower requests whose bodies are incomplete until the link may hold `bytes` for the
+  /// body of its request. False if that can't be reached.
+  virtual bool make_room_for_body(caller_link& link, std::size_t bytes) = 0;
+  /// Drops connections with incomplete heads while the unparsed input exceeds its share of the
+  /// memory.
+  virtual void shed_input() = 0;
 };
 
 /// A connection from a caller. Its requests are processed one at a time.
@@ -48,6 +57,28 @@
   [[nodiscard]] bool busy() const {
     return this->active != nullptr;
   }
+  /// When the connection became idle, or began to close with all bytes delivered. Not set while
+  /// it carries a request.
+  [[nodiscard]] std::optional<steady_time> idle_since() const;
+  /// An idle connection that can be closed: all was delivered and no request lies unread.
+  [[nodiscard]] bool can_be_dropped() const;
+  /// A connection whose request's head is incomplete; holds nothing if there is no such head.
+  [[nodiscard]] overload::drop_candidate incomplete_head(steady_time now) const;
+  /// The same for a request whose body is incomplete.
+  [[nodiscard]] overload::drop_candidate incomplete_body(steady_time now) const;
+  /// The same for an answer that the caller does not read.
+  [[nodiscard]] overload::drop_candidate unread_answer(steady_time now) const;
+  /// Bytes counted for the body of the request that is being received.
+  [[nodiscard]] std::size_t body_memory() const {
+    return this->counted_body.get();
+  }
+  /// Adds what the connection counts in the account, for a check of the account's sums.
+  void add_counted(std::array<std::size_t, overload::memory_use_count>& sums) const;
+  /// Refuses a request whose body is incomplete, because the memory does not suffice.
+  void refuse_for_memory();
+  /// Resets the connection. A request in progress is cancelled, and its caller can tell that the
+  /// answer is incomplete.
+  void drop(std::string_view reason);
 
   void on_open() override {}
   void on_bytes(std::string_view bytes) override;
@@ -67,7 +98,12 @@
 
  private:
   void read_buffered();
-  void send_error(error_kind kind);
+  /// Updates the account, and stops reading where more input would only be kept.
+  void limit_input();
+  /// Keeps bytes of a body that fit into the memory.
+  [[nodiscard]] bool keep_body(std::string_view bytes);
+  void release_input();
+  void send_error(error_kind kind, std::chrono::milliseconds retry_after = {});
   /// Drops a request whose caller has disconnected before it was read, and its connection.
   void drop_disconnected_caller();
   void close_gracefully();
@@ -92,6 +128,9 @@
   std::optional<gateway::caller_request> request;
   std::optional<error_kind> rejection;
   std::string body;
+  /// Bytes of the body received so far, and its length if the head states it.
+  std::size_t body_received = 0;
+  std::optional<std::uint64_t> body_length;
   std::unique_ptr<exchange> active;
   /// Limits of the latest request, as they were when it began to arrive.
   gateway::caller_limits limits;
@@ -106,6 +145,18 @@
   steady_time phase_started_at{};
   /// `tcp_link::undelivered` at the latest check of a connection that is closing.
   std::size_t undelivered = 0;
+  /// Bytes read and dropped since the connection began to close.
+  std::size_t drained = 0;
+  overload::progress_meter input_progress;
+  overload::progress_meter output_progress;
+  /// `tcp_link::sent_bytes` at the latest tick.
+  std::uint64_t sent_before = 0;
+  bool is_send_buffer_bounded = false;
+  overload::counted_bytes counted_connection;
+  overload::counted_bytes counted_input;
+  overload::counted_bytes counted_body;
+  /// The body that the exchange keeps for further attempts.
+  overload::counted_bytes counted_request;
 };
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/endpoint_attempt.cxx
+++ b/Source/Traffic/endpoint_attempt.cxx
@@ -18,7 +18,11 @@
 endpoint_attempt::endpoint_attempt(request_record& shared, const answer_stream& answer_so_far,
                                    attempt_listener& receiver, const gateway::placement& chosen,
                                    steady_time now)
-    : record(shared), stream(answer_so_far), listener(receiver), number(shared.attempts.size()) {
+    : record(shared),
+      stream(answer_so_far),
+      listener(receiver),
+      number(shared.attempts.size()),
+      counted_buffer(shared.context.state.memory, overload::memory_use::buffered_answer) {
   const gateway::endpoint& row = *chosen.row;
   attempt_record entry;
   entry.endpoint = row.listing.name;
@@ -189,10 +193,12 @@
 
 std::size_t endpoint_attempt::buffer(std::string_view bytes) {
   this->call.buffered.append(bytes);
+  this->counted_buffer.set(overload::heap_bytes(this->call.buffered));
   return this->call.buffered.size();
 }
 
 std::string endpoint_attempt::take_buffered() {
+  this->counted_buffer.set(0);
   return std::exchange(this->call.buffered, {});
 }
 
--- a/Source/Traffic/endpoint_attempt.h
+++ b/Source/Traffic/endpoint_attempt.h
@@ -146,6 +146,7 @@
   /// Index in `request_record::attempts`.
   std::size_t number;
   call_state call;
+  overload::counted_bytes counted_buffer;
 };
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -15,6 +15,9 @@
 /// An idle connection is closed this long before the endpoint would close it, so that no
 /// request is sent on a connection that is being closed.
 constexpr std::chrono::milliseconds idle_margin{700};
+/// Most bytes read at once from an endpoint: many streams of slow callers each hold this much
+/// more than the limit at which reading pauses.
+constexpr std::size_t answer_read_bytes = 16'384;
 
 }  // namespace
 
@@ -24,9 +27,16 @@
       name(std::move(endpoint)),
       address(link_address),
       reader(http_kind::answer, *this),
-      link(links.loop, link_address, *this) {}
+      link(links.loop, link_address, *this) {
+  this->link.limit_reads(answer_read_bytes);
+  if (links.memory != nullptr) {
+    this->link.count_output(*links.memory, overload::memory_use::endpoint_output);
+    this->counted.attach(*links.memory, overload::memory_use::connection);
+    this->counted.set(overload::connection_cost);
+  }
+}
 
-void endpoint_link::start(const endpoint_call& call, call_listener& receiver) {
+void endpoint_link::start(endpoint_call call, call_listener& receiver) {
   this->listener = &receiver;
   this->request_id = call.request_id;
   this->answer_started = false;
@@ -34,7 +44,7 @@
   this->skipping = false;
   this->call_began_at = this->owner.time.now();
   this->reader.expect_no_body(call.bodiless_answer);
-  this->link.send(call.bytes);
+  this->link.send_buffer(std::move(call.bytes));
 }
 
 void endpoint_link::hold(call_listener& receiver) {
@@ -179,6 +189,7 @@
   made->began_at = this->time.now();
   this->opening.push_back(made.get());
   ++this->opened_count;
+  ++this->present_count;
   links.push_back(std::move(made));
   return links.back().get();
 }
@@ -215,6 +226,7 @@
     return;
   }
   link.gone = true;
+  --this->present_count;
   link.link.close();
   std::erase(this->opening, &link);
   std::erase(this->idle[link.name], &link);
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -73,7 +73,7 @@
   endpoint_link(endpoint_links& owner, endpoint_id endpoint, const std::string& address);
 
   /// Starts a call on an idle link, or on one that is still connecting.
-  void start(const endpoint_call& call, call_listener& listener);
+  void start(endpoint_call call, call_listener& listener);
   /// Keeps the link for a later `start` by the same listener, which learns of its end.
   void hold(call_listener& listener);
   /// Returns a held link to the pool, or closes it if it is not open.
@@ -129,6 +129,7 @@
   /// The present call started on a connection that had been idle for `reduced_idle_limit` or
   /// longer.
   bool was_idle_long = false;
+  overload::counted_bytes counted;
 };
 
 /// The connections to all endpoints.
@@ -136,6 +137,11 @@
  public:
   endpoint_links(event_loop& loop, const clock& time, const wire_dialect& dialect);
 
+  /// Counts the connections opened from now on in the account, which must outlive them.
+  void count_memory(overload::memory_account& account) {
+    this->memory = &account;
+  }
+
   /// Returns an idle link to the endpoint, or opens a new one if fewer than `most` are open.
   /// Null if neither is possible.
   endpoint_link* acquire(const endpoint_id& endpoint, const std::string& address, std::size_t most);
@@ -149,6 +155,10 @@
   [[nodiscard]] std::uint64_t opened() const {
     return this->opened_count;
   }
+  /// Connections that are open or opening.
+  [[nodiscard]] std::size_t open_count() const {
+    return this->present_count;
+  }
 
  private:
   friend class endpoint_link;
@@ -169,6 +179,8 @@
   /// Endpoints with the reduced idle limit, and when the reduction expires.
   std::map<endpoint_id, steady_time> idle_reduced_until;
   std::uint64_t opened_count = 0;
+  std::size_t present_count = 0;
+  overload::memory_account* memory = nullptr;
 };
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/exchange_answers.cxx
+++ b/Source/Traffic/exchange_answers.cxx
@@ -12,10 +12,6 @@
 using gateway::attempt_end;
 using gateway::attempt_result;
 
-/// Answers up to this size are buffered until they are complete, so that a request can still
-/// be retried if its answer breaks off.
-constexpr std::size_t buffered_answer_limit = 262'144;
-
 constexpr int first_server_error = 500;
 
 /// Statuses from which the caller may conclude that its request was not executed.
@@ -39,7 +35,7 @@
     return;
   }
   if (this->record.admitted->taken_route->streams ||
-      head.length.value_or(0) > buffered_answer_limit) {
+      head.length.value_or(0) > answer_limit(this->record.context.state.memory)) {
     this->start_forwarding(from);
   }
 }
@@ -54,7 +50,7 @@
     this->forward_bytes(from, bytes);
     return;
   }
-  if (from.buffer(bytes) <= buffered_answer_limit) {
+  if (from.buffer(bytes) <= answer_limit(this->record.context.state.memory)) {
     return;
   }
   if (is_success(from.answer().status)) {
--- a/Source/Traffic/gateway_metrics.cxx
+++ b/Source/Traffic/gateway_metrics.cxx
@@ -54,6 +54,15 @@
   }
 }
 
+void set_memory(metrics_registry& metrics, const overload::memory_account& memory) {
+  for (std::size_t use = 0; use < overload::memory_use_count; ++use) {
+    metrics.set("chestnuthead_memory_held_bytes",
+                label_of("use", name_of(static_cast<overload::memory_use>(use))),
+                static_cast<double>(memory.held.at(use)));
+  }
+  metrics.set("chestnuthead_memory_budget_bytes", {}, static_cast<double>(budget_of(memory)));
+}
+
 }  // namespace
 
 void set_gauges(metrics_registry& metrics, const gateway::gateway_state& state,
@@ -72,6 +81,7 @@
               static_cast<double>(count_refused(state.parts, now)));
   metrics.set("chestnuthead_endpoint_connections_opened_total", {},
               static_cast<double>(links.opened()));
+  set_memory(metrics, state.memory);
   set_pools(metrics, state, now);
   set_endpoints(metrics, state, now);
 }
--- a/Source/Traffic/gateway_server.h
+++ b/Source/Traffic/gateway_server.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <string_view>
 
 #include "chestnuthead/clock.h"
 
@@ -31,14 +35,36 @@
 
   void on_ready(bool readable, bool writable) override;
   void remove(caller_link& link) override;
+  bool make_room_for_body(caller_link& link, std::size_t bytes) override;
+  void shed_input() override;
+
+  /// What all connections count in the memory account, for a check of its sums.
+  [[nodiscard]] std::array<std::size_t, overload::memory_use_count> recount() const;
 
  private:
   void stop_listening();
+  /// Makes room for one more connection of a caller by closing idle ones, the longest idle
+  /// first, and then incomplete heads. False if there is none to close.
+  [[nodiscard]] bool make_room_for_connection();
+  [[nodiscard]] int drop_idle();
+  /// Stops accepting connections until the next tick. The kernel queues some meanwhile.
+  void pause_accepting(std::string_view reason);
+  /// Drops callers that do not read their answers while these exceed their share of the memory.
+  void shed_output(steady_time now);
+  /// Whether there is time to learn which connections are slow.
+  enum class haste : std::uint8_t { none, urgent };
+
+  /// The slowest connection by a function that describes it, or nullptr. If it is urgent and no
+  /// rate is known, the one that holds most.
+  template <class Describe>
+  [[nodiscard]] caller_link* slowest_link(Describe describe, haste how = haste::none) const;
 
   traffic_context& context;
   int descriptor;
   health_checks checks;
   std::map<caller_link*, std::unique_ptr<caller_link>> links;
+  bool accepting = true;
+  steady_time pause_logged_at{};
   bool stopping = false;
   steady_time close_idle_at{};
   /// From when on requests without an answer are ended with an error.
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -51,6 +51,8 @@
   http_head head;
   /// The last header callback delivered a value, so the next name starts a new field.
   bool value_seen = true;
+  /// Bytes of the names and values in `head`.
+  std::size_t head_text = 0;
   bool no_body = false;
   bool refused = false;
   bool in_message = false;
@@ -67,17 +69,25 @@
 }
 
 template <class State>
-int on_begin(http_parser* parser) {
-  auto& state = state_of<State>(parser);
+void drop_head(State& state) {
   state.head = http_head{};
   state.value_seen = true;
+  state.head_text = 0;
+}
+
+template <class State>
+int on_begin(http_parser* parser) {
+  auto& state = state_of<State>(parser);
+  drop_head(state);
   state.in_message = true;
   return 0;
 }
 
 template <class State>
 int on_target(http_parser* parser, const char* bytes, std::size_t size) {
-  state_of<State>(parser).head.target.append(bytes, size);
+  auto& state = state_of<State>(parser);
+  state.head.target.append(bytes, size);
+  state.head_text += size;
   return 0;
 }
 
@@ -89,6 +99,7 @@
     state.value_seen = false;
   }
   state.head.fields.back().first.append(bytes, size);
+  state.head_text += size;
   return 0;
 }
 
@@ -97,6 +108,7 @@
   auto& state = state_of<State>(parser);
   state.value_seen = true;
   state.head.fields.back().second.append(bytes, size);
+  state.head_text += size;
   return 0;
 }
 
@@ -160,7 +172,10 @@
   if (!head.chunked && parser->content_length != no_length) {
     head.length = parser->content_length;
   }
-  if (!state.listener->on_head(head)) {
+  const bool accepted = state.listener->on_head(head);
+  // Not kept while the body is read.
+  drop_head(state);
+  if (!accepted) {
     state.refused = true;
     return -1;
   }
@@ -255,6 +270,12 @@
   return error == HPE_HEADER_OVERFLOW ? http_fault::header_too_large : http_fault::malformed;
 }
 
+std::size_t http_reader::head_memory() const {
+  // Strings grow by doubling.
+  return this->state->head.fields.capacity() * sizeof(this->state->head.fields.front()) +
+         2 * this->state->head_text;
+}
+
 bool http_reader::between_messages() const {
   return !this->state->in_message;
 }
--- a/Source/Traffic/http_reader.h
+++ b/Source/Traffic/http_reader.h
@@ -76,6 +76,8 @@
   void limit_heads(std::size_t bytes);
 
   [[nodiscard]] http_fault fault() const;
+  /// Memory of the head that is being read, which many short fields make larger than its bytes.
+  [[nodiscard]] std::size_t head_memory() const;
   /// True if no message is partly parsed.
   [[nodiscard]] bool between_messages() const;
 
--- a/Source/Traffic/tcp_link.cxx
+++ b/Source/Traffic/tcp_link.cxx
@@ -1,7 +1,9 @@
 #include "Traffic/tcp_link.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -16,8 +18,6 @@
 
 namespace {
 
-/// Most bytes read by one system call.
-constexpr std::size_t read_bytes = 65'536;
 /// Most connections that the kernel queues until they are accepted.
 constexpr int accept_backlog = 1'024;
 /// Time that sent data may stay unacknowledged before the kernel closes the connection
@@ -92,6 +92,10 @@
   ::close(this->descriptor);
   this->descriptor = -1;
   this->open = false;
+  // The bytes can't be sent any more.
+  std::string().swap(this->out);
+  this->out_sent = 0;
+  this->count_buffer();
 }
 
 void tcp_link::discard() {
@@ -141,12 +145,39 @@
     // An error is ignored here: the next read fails too and reports it.
     sent = count > 0 ? static_cast<std::size_t>(count) : 0;
   }
+  this->sent_total += sent;
   if (sent < bytes.size()) {
     this->out.append(bytes.substr(sent));
+    this->count_buffer();
     this->update_interest();
   }
 }
 
+void tcp_link::send_buffer(std::string bytes) {
+  if (this->descriptor < 0 || !this->out.empty()) {
+    this->send(bytes);
+    return;
+  }
+  this->out = std::move(bytes);
+  if (this->open) {
+    this->flush();
+  }
+  this->count_buffer();
+  this->update_interest();
+}
+
+void tcp_link::count_buffer() {
+  this->counted_out.set(this->buffer_memory());
+}
+
+void tcp_link::bound_receive_buffer(int bytes) {
+  set_option(this->descriptor, SOL_SOCKET, SO_RCVBUF, bytes);
+}
+
+void tcp_link::bound_send_buffer(int bytes) {
+  set_option(this->descriptor, SOL_SOCKET, SO_SNDBUF, bytes);
+}
+
 void tcp_link::pause(bool wanted) {
   if (this->descriptor >= 0 && this->paused != wanted) {
     this->paused = wanted;
@@ -186,6 +217,13 @@
       break;
     }
     this->out_sent += static_cast<std::size_t>(count);
+    this->sent_total += static_cast<std::uint64_t>(count);
+  }
+  // The sent part is dropped before it is the larger one: a peer that always lags a little would
+  // otherwise make the buffer grow with all that was ever sent.
+  if (this->unsent() > 0 && this->out_sent > this->out.size() / 2) {
+    std::string(this->out, this->out_sent).swap(this->out);
+    this->out_sent = 0;
   }
   if (this->unsent() == 0) {
     // Releases the memory of a large message.
@@ -195,11 +233,13 @@
       ::shutdown(this->descriptor, SHUT_WR);
     }
   }
+  this->count_buffer();
 }
 
 void tcp_link::read_some() {
-  static thread_local std::array<char, read_bytes> buffer;
-  const ssize_t count = ::recv(this->descriptor, buffer.data(), buffer.size(), 0);
+  static thread_local std::array<char, max_read_bytes> buffer;
+  const ssize_t count =
+      ::recv(this->descriptor, buffer.data(), std::min(buffer.size(), this->read_limit), 0);
   if (count > 0) {
     this->listener.on_bytes({buffer.data(), static_cast<std::size_t>(count)});
   } else if (count == 0) {
--- a/Source/Traffic/tcp_link.h
+++ b/Source/Traffic/tcp_link.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "Overload/memory_account.h"
 #include "Traffic/event_loop.h"
 
 namespace chestnuthead::traffic {
@@ -14,6 +15,9 @@
 /// caller may read nothing for as long as it waits for an answer.
 inline constexpr std::chrono::milliseconds accepted_unacknowledged_limit{15'000};
 
+/// Most bytes read by one system call.
+inline constexpr std::size_t max_read_bytes = 65'536;
+
 /// How a connection ended.
 enum class link_end : std::uint8_t {
   /// The peer closed it gracefully.
@@ -48,8 +52,22 @@
   tcp_link& operator=(const tcp_link&) = delete;
 
   void send(std::string_view bytes);
+  /// Does the same without a copy of what the socket does not accept.
+  void send_buffer(std::string bytes);
   /// Stops or resumes reading, to apply back pressure to the sender.
   void pause(bool paused);
+  /// Bounds the number of bytes that are read at once, which `pause` may come too late for.
+  void limit_reads(std::size_t bytes) {
+    this->read_limit = bytes;
+  }
+  /// Counts the buffered bytes in the account.
+  void count_output(overload::memory_account& account, overload::memory_use use) {
+    this->counted_out.attach(account, use);
+  }
+  /// Bounds the kernel's buffer of received bytes for this connection.
+  void bound_receive_buffer(int bytes);
+  /// The same for bytes to be sent.
+  void bound_send_buffer(int bytes);
   /// Shuts down the sending side once all buffered bytes are sent; the peer can then close the
   /// connection gracefully.
   void finish_sending();
@@ -73,6 +91,14 @@
   [[nodiscard]] std::size_t unsent() const {
     return this->out.size() - this->out_sent;
   }
+  /// Memory of the buffered bytes.
+  [[nodiscard]] std::size_t buffer_memory() const {
+    return overload::heap_bytes(this->out);
+  }
+  /// Bytes that the socket has accepted so far.
+  [[nodiscard]] std::uint64_t sent_bytes() const {
+    return this->sent_total;
+  }
   /// Bytes that the peer's system has not acknowledged: those of `unsent()` and those that wait
   /// in the socket.
   [[nodiscard]] std::size_t undelivered() const;
@@ -85,6 +111,7 @@
   void read_some();
   void end(link_end how);
   void update_interest();
+  void count_buffer();
 
   event_loop& loop;
   link_listener& listener;
@@ -95,6 +122,9 @@
   io_interest interest;
   std::string out;
   std::size_t out_sent = 0;
+  std::uint64_t sent_total = 0;
+  std::size_t read_limit = max_read_bytes;
+  overload::counted_bytes counted_out;
 };
 
 /// Opens a non-blocking socket of `type` (`SOCK_STREAM` or `SOCK_DGRAM`) that is
--- a/include/chestnuthead/error_kind.h
+++ b/include/chestnuthead/error_kind.h
@@ -43,10 +43,11 @@
   unknown_route,
   header_too_large,
   stream_not_resumable,
+  router_full,
 };
 
 /// Number of entries in `error_kind`.
-inline constexpr int error_kind_count = 25;
+inline constexpr int error_kind_count = 26;
 
 /// The answer that a caller receives for one error kind.
 struct error_answer {
