Do not blame an endpoint that cuts off an answer nobody read

Endpoints cut off answers that stay unread for some seconds. When the gateway had stopped reading because its caller was slow, this counted as a broken connection: it ejected the endpoint, made the request a suspected crash and used the resend budget.

A connection that ends after reading its answer was paused for a second or more is now reported as cut_while_paused. The endpoint's health and the suspects stay as they are; a stream that can be resumed goes on when the caller has caught up, without counting against the budget, and any other answer is cut. The endpoint of a call that was paused for so long is not blamed for the rest of the call either, as buffered bytes may hide the cut for any time.

--- a/Source/Traffic/endpoint_attempt.cxx
+++ b/Source/Traffic/endpoint_attempt.cxx
@@ -49,7 +49,7 @@
   this->call.progress_at = now;
   begin_request(row, pool, state.fleet, now);
   count_send(state.rollouts, row, *this->record.admitted->taken_route, now);
-  if (this->record.history.sends > 0) {
+  if (this->record.history.sends > 0 && !std::exchange(this->record.goes_on_unread, false)) {
     this->record.context.metrics.count("chestnuthead_resends_total", pool_label(this->record));
     count_resend(state.resend_budgets[pool.name], state.resends, now);
   }
@@ -131,6 +131,15 @@
   }
 }
 
+void endpoint_attempt::end_unread() {
+  this->call.link = nullptr;
+  this->end("unread");
+  if (gateway::endpoint* row = this->find_row()) {
+    end_request(*row);
+  }
+  std::erase(this->record.hints.tried, this->call.endpoint);
+}
+
 void endpoint_attempt::withdraw(std::string_view result) {
   if (!this->call.link->is_open()) {
     --this->record.history.executions;
--- a/Source/Traffic/endpoint_attempt.h
+++ b/Source/Traffic/endpoint_attempt.h
@@ -63,6 +63,10 @@
   /// Does the same, and no longer counts the call as an execution if nothing of it was sent.
   void withdraw(std::string_view result);
 
+  /// Ends an attempt whose answer was cut off because the gateway did not read it, for which the
+  /// endpoint is not at fault.
+  void end_unread();
+
   /// Counts a long wait against the endpoint, at most once for each call.
   void report_long_wait(steady_time now);
   /// Records that the request may have crashed the endpoint.
--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -42,11 +42,24 @@
   this->answer_started = false;
   this->held = false;
   this->skipping = false;
+  this->pause(false);
+  this->was_paused_long = false;
   this->call_began_at = this->owner.time.now();
   this->reader.expect_no_body(call.bodiless_answer);
   this->link.send_buffer(std::move(call.bytes));
 }
 
+void endpoint_link::pause(bool paused) {
+  const steady_time now = this->owner.time.now();
+  if (paused) {
+    this->paused_at = this->paused_at.value_or(now);
+  } else if (this->paused_at) {
+    this->was_paused_long = this->was_paused_long || now - *this->paused_at >= long_read_pause;
+    this->paused_at.reset();
+  }
+  this->link.pause(paused);
+}
+
 void endpoint_link::hold(call_listener& receiver) {
   this->listener = &receiver;
   this->answer_started = false;
@@ -158,8 +171,14 @@
       this->reader.feed_end()) {
     return;
   }
-  if (!this->gone) {
-    this->fail(end == link_end::not_opened ? call_failure::not_sent : call_failure::broken);
+  if (this->gone) {
+    return;
+  }
+  this->pause(false);
+  if (end == link_end::not_opened) {
+    this->fail(call_failure::not_sent);
+  } else {
+    this->fail(this->was_paused_long ? call_failure::cut_while_paused : call_failure::broken);
   }
 }
 
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,8 +42,15 @@
   broken,
   /// The received bytes are not a valid answer to this request.
   not_an_answer,
+  /// The endpoint cut off an answer that the gateway had not read for `long_read_pause`, because
+  /// its caller was slow.
+  cut_while_paused,
 };
 
+/// Endpoints cut off answers that stay unread for some seconds. A pause of this length makes it
+/// likely that this is why an answer ended.
+inline constexpr std::chrono::milliseconds long_read_pause{1'000};
+
 /// A request to send on a link.
 struct endpoint_call {
   /// Head and body of the request.
@@ -82,9 +90,7 @@
   /// link must not be used afterwards, and its listener receives no further event.
   void abandon();
   /// Stops or resumes reading the answer.
-  void pause(bool paused) {
-    this->link.pause(paused);
-  }
+  void pause(bool paused);
 
   [[nodiscard]] const endpoint_id& endpoint() const {
     return this->name;
@@ -129,6 +135,9 @@
   /// The present call started on a connection that had been idle for `reduced_idle_limit` or
   /// longer.
   bool was_idle_long = false;
+  /// When reading the present answer was paused, if it is, and whether it was for long.
+  std::optional<steady_time> paused_at;
+  bool was_paused_long = false;
   overload::counted_bytes counted;
 };
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -187,6 +187,20 @@
   }
 }
 
+void exchange::continue_unread(steady_time now) {
+  this->record.not_resent = find_obstacle(this->record, now);
+  const bool may_go_on = this->record.not_resent == gateway::resend_obstacle::none ||
+                         this->record.not_resent == gateway::resend_obstacle::no_budget;
+  if (!may_go_on || now >= this->record.admitted->answer_by) {
+    this->answer.cut("cut");
+  } else if (this->answer.caller_lags()) {
+    this->record.phase = request_phase::awaits_caller;
+  } else {
+    this->record.goes_on_unread = true;
+    this->send_to_endpoint();
+  }
+}
+
 void exchange::end_wait(steady_time now) {
   if (now < this->record.next_search_at) {
     return;
@@ -264,6 +278,9 @@
     case request_phase::awaits_endpoint:
       this->end_wait(now);
       return;
+    case request_phase::awaits_caller:
+      this->continue_unread(now);
+      return;
     case request_phase::at_endpoint:
       this->check_attempt(now);
       return;
--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -73,6 +73,9 @@
   bool withdraw_with_refused_part(steady_time now);
   /// Waits for an endpoint if there is such hope; otherwise cuts the answer that has begun.
   void wait_or_cut(steady_time now);
+  /// Goes on with an answer that an endpoint cut off because the caller was slow, as soon as the
+  /// caller has caught up; cuts it if it can't be resumed.
+  void continue_unread(steady_time now);
   /// Searches for an endpoint again while the request waits for one.
   void end_wait(steady_time now);
   /// Takes the next step after an attempt: a retry, or an answer to the caller.
--- a/Source/Traffic/exchange_answers.cxx
+++ b/Source/Traffic/exchange_answers.cxx
@@ -161,6 +161,11 @@
 
 void exchange::on_attempt_failed(endpoint_attempt& from, call_failure failure) {
   this->stream.drop_partial();
+  if (failure == call_failure::cut_while_paused && this->record.history.answer_begun) {
+    from.end_unread();
+    this->continue_unread(this->record.context.time.now());
+    return;
+  }
   if (failure == call_failure::broken) {
     from.suspect_crash();
   }
--- a/Source/Traffic/request_record.h
+++ b/Source/Traffic/request_record.h
@@ -28,6 +28,8 @@
   at_endpoint,
   /// Its stream has begun and waits for an endpoint that can resume it.
   awaits_endpoint,
+  /// Its answer was cut off because the caller was slow, and goes on when it has caught up.
+  awaits_caller,
   /// Its answer has ended.
   ended,
 };
@@ -50,6 +52,9 @@
   std::vector<std::uint64_t> shorter_prefixes;
 
   gateway::attempt_history history;
+  /// The next attempt goes on with an answer that was cut off because the caller was slow, which
+  /// does not count against the resend budget.
+  bool goes_on_unread = false;
   /// The attempts so far, in order.
   std::vector<attempt_record> attempts;
   /// Why the request was not sent to another endpoint after its latest attempt.
