--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -22,6 +22,7 @@
 #include "Gateway/service_map.h"
 #include "Gateway/store_era.h"
 #include "Gateway/stream_origins.h"
+#include "Overload/memory_account.h"
 #include "Overload/pool_control.h"
 
 /// All state of one gateway. A single thread owns it.
@@ -68,6 +69,8 @@
   /// The graceful shutdown no longer accepts requests.
   bool closed = false;
   std::uint64_t requests_in_flight = 0;
+  /// What is held for callers and endpoints. It must outlive all connections.
+  overload::memory_account memory;
 };
 
 }  // namespace chestnuthead::gateway
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,8 +42,15 @@
   broken,
   /// The received bytes are not a valid answer to this request.
   not_an_answer,
+  /// The endpoint cut off an answer that the gateway had not read for `long_read_pause`, because
+  /// its caller was slow.
+  cut_while_paused,
 };
 
+/// Endpoints cut off answers that stay unread for some seconds. A pause of this length makes it
+/// likely that this is why an answer ended.
+inline constexpr std::chrono::milliseconds long_read_pause{1'000};
+
 /// A request to send on a link.
 struct endpoint_call {
   /// Head and body of the request.
@@ -83,7 +91,7 @@
   endpoint_link(endpoint_links& owner, endpoint_id endpoint, const std::string& address);
 
   /// Starts a call on an idle link, or on one that is still connecting.
-  void start(const endpoint_call& call, call_listener& listener);
+  void start(endpoint_call call, call_listener& listener);
   /// Keeps the link for a later `start` by the same listener, which learns of its end.
   void hold(call_listener& listener);
   /// Returns a held link to the pool, or closes it if it is not open.
@@ -92,9 +100,7 @@
   /// link must not be used afterwards, and its listener receives no further event.
   void abandon();
   /// Stops or resumes reading the answer.
-  void pause(bool paused) {
-    this->link.pause(paused);
-  }
+  void pause(bool paused);
 
   [[nodiscard]] const endpoint_id& endpoint() const {
     return this->name;
@@ -143,6 +149,10 @@
   /// The present call started on a connection that had been idle for `reduced_idle_limit` or
   /// longer.
   bool was_idle_long = false;
+  /// When reading the present answer was paused, if it is, and whether it was for long.
+  std::optional<steady_time> paused_at;
+  bool was_paused_long = false;
+  overload::counted_bytes counted;
 };
 
 /// The connections to all endpoints.
@@ -150,6 +160,11 @@
  public:
   endpoint_links(event_loop& loop, const clock& time, const wire_dialect& dialect);
 
+  /// Counts the connections opened from now on in the account, which must outlive them.
+  void count_memory(overload::memory_account& account) {
+    this->memory = &account;
+  }
+
   /// Returns an idle link to the endpoint with the wanted history, or opens a new one. If `most`
   /// are open, the new one replaces an idle link. Null if none of this is possible.
   endpoint_link* acquire(const endpoint_id& endpoint, const std::string& address, std::size_t most,
@@ -164,6 +179,10 @@
   [[nodiscard]] std::uint64_t opened() const {
     return this->opened_count;
   }
+  /// Connections that are open or opening.
+  [[nodiscard]] std::size_t open_count() const {
+    return this->present_count;
+  }
 
  private:
   friend class endpoint_link;
@@ -187,6 +206,8 @@
   /// Endpoints with the reduced idle limit, and when the reduction expires.
   std::map<endpoint_id, steady_time> idle_reduced_until;
   std::uint64_t opened_count = 0;
+  std::size_t present_count = 0;
+  overload::memory_account* memory = nullptr;
 };
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/request_record.h
+++ b/Source/Traffic/request_record.h
@@ -30,6 +30,8 @@
   at_endpoint,
   /// Its stream has begun and waits for an endpoint that can resume it.
   awaits_endpoint,
+  /// Its answer was cut off because the caller was slow, and goes on when it has caught up.
+  awaits_caller,
   /// Its answer has ended.
   ended,
 };
--- a/Tests/Fuzz/http_fuzz.cxx
+++ b/Tests/Fuzz/http_fuzz.cxx
@@ -68,7 +68,7 @@
     return;
   }
   std::string bytes = platform::platform_dialect().encode_request(
-      {*request, {"endpoint"}, {"customer"}, std::chrono::milliseconds{1'000}, {}, {}});
+      {*request, {"endpoint"}, {"customer"}, std::chrono::milliseconds{1'000}, {}, {}, 3});
   bytes += "Content-Length: " + std::to_string(sent.body.size()) + "\r\n\r\n" + sent.body;
   const parse_result forwarded = read_in_pieces(bytes, bytes.size());
   require(forwarded.fault == traffic::http_fault::none, "a forwarded request can be parsed");
