List two cases of crashing prompt parts in small pools that still fail

A part that comes 2.5 times a second in front of many gateways is not refused by all of them, as each knows too few answers between two crashes; a part that is sent only shortly before each of four losses of a small pool is refused though it is harmless. Both are tests of their own now.

--- a/Tests/Gateway/part_fleet_test.cxx
+++ b/Tests/Gateway/part_fleet_test.cxx
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(part_fleet_test);
   CPPUNIT_TEST(crashing_part_is_refused_by_the_whole_fleet);
   CPPUNIT_TEST(crashing_part_is_refused_in_a_small_pool);
+  CPPUNIT_TEST(frequent_crashing_part_is_refused_in_a_small_pool_of_many_gateways);
   CPPUNIT_TEST(crashing_part_is_refused_while_other_endpoints_flap);
   CPPUNIT_TEST(endpoints_lost_at_once_refuse_no_part);
   CPPUNIT_TEST(flapping_endpoints_refuse_no_part);
@@ -24,6 +25,7 @@
   CPPUNIT_TEST(hot_part_is_not_refused_when_endpoints_are_lost);
   CPPUNIT_TEST(small_pool_that_fails_for_another_reason_refuses_no_part);
   CPPUNIT_TEST(small_pool_with_short_answers_that_fails_refuses_no_part);
+  CPPUNIT_TEST(part_used_before_four_losses_of_a_small_pool_is_not_refused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -48,18 +50,23 @@
   void crashing_part_is_refused_in_a_small_pool() {
     for (const std::uint32_t gateways : {1U, 2U, 5U, 31U, 100U}) {
       for (const std::size_t endpoints : {std::size_t{1}, std::size_t{2}}) {
-        // With more gateways each one knows too few answers between crashes that come so often.
+        // Larger fleets at the higher rate have a test of their own.
         for (const double rate : gateways > 5 ? std::vector{1.0} : std::vector{1.0, 2.5}) {
-          for (std::uint64_t seed = 1; seed <= (gateways < 100 ? 3 : 1); ++seed) {
-            part_fleet_settings settings = small_pool(gateways, endpoints, seed);
-            settings.crashing_depth = static_cast<std::ptrdiff_t>(seed % 3);
-            check_crashing_part(settings, rate, seconds{30});
-          }
+          check_small_pool_with_crashing_part(gateways, endpoints, rate);
         }
       }
     }
   }
 
+  /// Guards against missing verdicts where each gateway knows few answers between two crashes.
+  void frequent_crashing_part_is_refused_in_a_small_pool_of_many_gateways() {
+    for (const std::uint32_t gateways : {31U, 100U}) {
+      for (const std::size_t endpoints : {std::size_t{1}, std::size_t{2}}) {
+        check_small_pool_with_crashing_part(gateways, endpoints, 2.5);
+      }
+    }
+  }
+
   void crashing_part_is_refused_while_other_endpoints_flap() {
     part_fleet_settings settings;
     settings.endpoints = 56;
@@ -123,6 +130,11 @@
     check_small_pools([](part_fleet_settings& /*settings*/) {});
   }
 
+  /// Guards against verdicts on a part that is in use shortly before a pool is lost by chance.
+  void part_used_before_four_losses_of_a_small_pool_is_not_refused() {
+    check_small_pools([](part_fleet_settings& /*settings*/) {}, 4);
+  }
+
   void hot_part_is_not_refused_when_endpoints_are_lost() {
     for_each_fleet([](part_fleet& fleet) {
       for (std::uint64_t round = 0; round < 4; ++round) {
@@ -152,8 +164,9 @@
 
   /// Pools of one and two endpoints that flap, are lost together, break off answers or are
   /// lost while one part is frequent, with many and with few requests.
+  /// The frequent part is the same for `rounds_of_part` losses.
   template <class Adjust>
-  static void check_small_pools(Adjust adjust) {
+  static void check_small_pools(Adjust adjust, std::uint64_t rounds_of_part = 2) {
     const std::vector<std::function<void(part_fleet&)>> troubles{
         [](part_fleet& fleet) {
           for (std::size_t round = 0; round < 40; ++round) {
@@ -177,9 +190,9 @@
           fleet.settings.broken_share = 0.02;
           fleet.run(seconds{60});
         },
-        [](part_fleet& fleet) {
+        [rounds_of_part](part_fleet& fleet) {
           for (std::uint64_t round = 0; round < 8; ++round) {
-            fleet.send_burst(500 + round / 2, 20);
+            fleet.send_burst(500 + round / rounds_of_part, 20);
             fleet.run(milliseconds{50});
             fleet.lose_endpoints(fleet.settings.endpoints, milliseconds{2'500});
             fleet.run(milliseconds{3'500});
@@ -210,6 +223,15 @@
     }
   }
 
+  static void check_small_pool_with_crashing_part(std::uint32_t gateways, std::size_t endpoints,
+                                                  double rate) {
+    for (std::uint64_t seed = 1; seed <= (gateways < 100 ? 3 : 1); ++seed) {
+      part_fleet_settings settings = small_pool(gateways, endpoints, seed);
+      settings.crashing_depth = static_cast<std::ptrdiff_t>(seed % 3);
+      check_crashing_part(settings, rate, seconds{30});
+    }
+  }
+
   static void check_crashing_part(const part_fleet_settings& settings, double rate,
                                   seconds length) {
     part_fleet fleet(settings);
