--- a/Source/Traffic/caller_answer.cxx
+++ b/Source/Traffic/caller_answer.cxx
@@ -11,16 +11,17 @@
 
 using std::chrono::milliseconds;
 
-std::string format_seconds(milliseconds time) {
+}  // namespace
+
+std::string retry_after_header(milliseconds time) {
   constexpr int milliseconds_a_second = 1'000;
   constexpr std::size_t digits = 3;
   std::string rest = std::to_string(time.count() % milliseconds_a_second);
   rest.insert(0, digits - rest.size(), '0');
-  return std::to_string(time.count() / milliseconds_a_second) + "." + rest;
+  return "Retry-After: " + std::to_string(time.count() / milliseconds_a_second) + "." + rest +
+         "\r\n";
 }
 
-}  // namespace
-
 bool is_success(int status) {
   constexpr int first_success = 200;
   constexpr int last_success = 299;
@@ -84,7 +85,7 @@
   const error_answer& answer = answer_for(kind);
   std::string headers = "Content-Type: application/json\r\n";
   if (retry_after.count() > 0) {
-    headers += "Retry-After: " + format_seconds(retry_after) + "\r\n";
+    headers += retry_after_header(retry_after);
   }
   const std::string text = R"({"error":")" + std::string(answer.name) + R"(","message":")" +
                            std::string(answer.sentence) + "\"}";
--- a/Source/Traffic/caller_answer.h
+++ b/Source/Traffic/caller_answer.h
@@ -60,6 +60,9 @@
   steady_time last_events_at{};
 };
 
+/// The header line that tells a caller when to retry, in seconds with milliseconds as a fraction.
+[[nodiscard]] std::string retry_after_header(std::chrono::milliseconds time);
+
 /// True for the statuses that report success.
 [[nodiscard]] bool is_success(int status);
 
--- a/Source/Traffic/caller_link.cxx
+++ b/Source/Traffic/caller_link.cxx
@@ -41,12 +41,6 @@
   out += "\r\n";
 }
 
-std::string format_retry_after(std::chrono::milliseconds time) {
-  const std::string thousandths = std::to_string(1'000 + time.count() % 1'000);
-  return "Retry-After: " + std::to_string(time.count() / 1'000) + "." + thousandths.substr(1) +
-         "\r\n";
-}
-
 gateway::caller_limits limits_of(const traffic_context& context) {
   return context.state.services == nullptr ? gateway::caller_limits{}
                                            : context.state.services->limits;
@@ -245,7 +239,7 @@
                            {"request", this->request ? this->request->id : std::string()}});
   std::string headers = "Content-Type: text/plain\r\n";
   if (retry_after.count() > 0) {
-    headers += format_retry_after(retry_after);
+    headers += retry_after_header(retry_after);
   }
   this->send_whole(this->context.dialect.status_of(kind), headers, answer.sentence);
   this->close_gracefully();
--- a/Source/Traffic/gateway_server.cxx
+++ b/Source/Traffic/gateway_server.cxx
@@ -128,7 +128,7 @@
 }
 
 template <class Describe>
-caller_link* gateway_server::slowest_link(Describe describe, haste how) const {
+caller_link* gateway_server::slowest_link(Describe describe, urgency level) const {
   std::vector<overload::drop_candidate> candidates;
   std::vector<caller_link*> described;
   for (const auto& [key, link] : this->links) {
@@ -136,7 +136,7 @@
     described.push_back(key);
   }
   auto found = slowest(candidates);
-  if (!found && how == haste::urgent) {
+  if (!found && level == urgency::urgent) {
     found = largest(candidates);
   }
   return found ? described[*found] : nullptr;
@@ -174,7 +174,7 @@
     const bool is_far_over = excess(memory, group) > share_of(memory, group) / 2;
     caller_link* found =
         this->slowest_link([now](const caller_link& one) { return one.unread_answer(now); },
-                           is_far_over ? haste::urgent : haste::none);
+                           is_far_over ? urgency::urgent : urgency::none);
     if (found == nullptr) {
       return;
     }
--- a/Source/Traffic/gateway_server.h
+++ b/Source/Traffic/gateway_server.h
@@ -52,12 +52,12 @@
   /// Drops callers that do not read their answers while these exceed their share of the memory.
   void shed_output(steady_time now);
   /// Whether there is time to learn which connections are slow.
-  enum class haste : std::uint8_t { none, urgent };
+  enum class urgency : std::uint8_t { none, urgent };
 
   /// The slowest connection by a function that describes it, or nullptr. If it is urgent and no
   /// rate is known, the one that holds most.
   template <class Describe>
-  [[nodiscard]] caller_link* slowest_link(Describe describe, haste how = haste::none) const;
+  [[nodiscard]] caller_link* slowest_link(Describe describe, urgency level = urgency::none) const;
 
   traffic_context& context;
   int descriptor;
