--- a/Source/Gateway/extra_tries.cxx
+++ b/Source/Gateway/extra_tries.cxx
@@ -173,11 +173,11 @@
 
 hedge_obstacle obstacle_to_hedge(const extra_tries& tries, const hedge_candidate& candidate,
                                  const hedge_budget& resends, steady_time now) {
-  const route& way = candidate.taken_route;
+  const route& taken = candidate.taken_route;
   if (tries.share <= 0.0) {
     return hedge_obstacle::switched_off;
   }
-  if (way.executions != execution_limit::idempotent) {
+  if (taken.executions != execution_limit::idempotent) {
     return hedge_obstacle::not_repeatable;
   }
   if (candidate.history.answer_begun) {
@@ -186,10 +186,10 @@
   if (candidate.is_resumption) {
     return hedge_obstacle::resumption;
   }
-  if (candidate.history.executions >= way.max_attempts) {
+  if (candidate.history.executions >= taken.max_attempts) {
     return hedge_obstacle::executions_used;
   }
-  if (candidate.history.sends >= way.max_attempts + sends_for_rejections) {
+  if (candidate.history.sends >= taken.max_attempts + sends_for_rejections) {
     return hedge_obstacle::sends_used;
   }
   if (candidate.stopping) {
--- a/Source/Traffic/endpoint_attempt.cxx
+++ b/Source/Traffic/endpoint_attempt.cxx
@@ -108,15 +108,21 @@
   row.events = this->stream.events().events;
 }
 
-void endpoint_attempt::close(attempt_result result) {
+void endpoint_attempt::end_call(std::string_view result) {
   this->call.link = nullptr;
-  this->end(name_of(result));
+  this->end(result);
   this->count_end();
+  if (gateway::endpoint* row = this->find_row()) {
+    end_request(*row);
+  }
+}
+
+void endpoint_attempt::close(attempt_result result) {
+  this->end_call(name_of(result));
   gateway::endpoint* row = this->find_row();
   if (row == nullptr) {
     return;
   }
-  end_request(*row);
   const bool executed = !this->call.answer.not_executed && !this->call.answer.wrong_endpoint;
   if (executed) {
     count_rollout_result(this->record.context.state.rollouts, *row,
@@ -132,21 +138,11 @@
 
 void endpoint_attempt::cancel(std::string_view result) {
   this->call.link->abandon();
-  this->call.link = nullptr;
-  this->end(result);
-  this->count_end();
-  if (gateway::endpoint* row = this->find_row()) {
-    end_request(*row);
-  }
+  this->end_call(result);
 }
 
 void endpoint_attempt::end_unread() {
-  this->call.link = nullptr;
-  this->end("unread");
-  this->count_end();
-  if (gateway::endpoint* row = this->find_row()) {
-    end_request(*row);
-  }
+  this->end_call("unread");
   std::erase(this->record.hints.tried, this->call.endpoint);
 }
 
--- a/Source/Traffic/endpoint_choice.cxx
+++ b/Source/Traffic/endpoint_choice.cxx
@@ -53,6 +53,15 @@
   record.hints.scope = std::move(versions.scope);
 }
 
+/// Which connections may carry the request. One that may run only once must not be taken for
+/// rejected because of a late copy of an earlier answer: it would be sent again.
+link_history wanted_history(const request_record& record) {
+  if (record.admitted->taken_route->executions == gateway::execution_limit::idempotent) {
+    return link_history::any;
+  }
+  return record.request.id.empty() ? link_history::none : link_history::identified;
+}
+
 }  // namespace
 
 void update_hints(request_record& record, steady_time now) {
@@ -115,7 +124,7 @@
   update_hints(record, now);
   const gateway::placement_choice choice = choose(record, now);
   const auto* chosen = std::get_if<gateway::placement>(&choice);
-  if (chosen == nullptr || chosen->row->cold_until > now) {
+  if (chosen == nullptr || is_cold(*chosen->row, now)) {
     return std::nullopt;
   }
   const auto& endpoints = endpoints_of(state.endpoints, record.admitted->taken_pool->name);
@@ -123,19 +132,6 @@
   return bounded ? std::optional(*chosen) : std::nullopt;
 }
 
-namespace {
-
-/// Which connections may carry the request. One that may run only once must not be taken for
-/// rejected because of a late copy of an earlier answer: it would be sent again.
-link_history wanted_history(const request_record& record) {
-  if (record.admitted->taken_route->executions == gateway::execution_limit::idempotent) {
-    return link_history::any;
-  }
-  return record.request.id.empty() ? link_history::none : link_history::identified;
-}
-
-}  // namespace
-
 endpoint_link* connect_to(const request_record& record, const gateway::endpoint& row) {
   const gateway::pool& pool = *record.admitted->taken_pool;
   const double share = connections_used * pool.max_connections /
--- a/Source/Traffic/exchange_hedging.cxx
+++ b/Source/Traffic/exchange_hedging.cxx
@@ -56,16 +56,16 @@
 
 bool exchange::is_hedge_due(steady_time now) {
   const gateway::extra_tries& tries = this->record.context.state.tries;
-  const gateway::route& way = *this->record.admitted->taken_route;
+  const gateway::route& taken = *this->record.admitted->taken_route;
   if (tries.share <= 0.0 || this->hedging.used || this->record.history.answer_begun ||
-      this->record.standby != nullptr || !may_be_hedged(way)) {
+      this->record.standby != nullptr || !may_be_hedged(taken)) {
     return false;
   }
   if (!this->hedging.due_known) {
     this->hedging.due_known = true;
     this->hedging.due_at =
         hedge_due(tries, kind_of(this->record),
-                  {this->record.arrived_at, this->present->sent_at(), way.latency_objective});
+                  {this->record.arrived_at, this->present->sent_at(), taken.latency_objective});
   }
   return this->hedging.due_at && now >= *this->hedging.due_at && now >= this->hedging.next_check_at;
 }
