--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -91,6 +91,8 @@
   steady_time arrivals_at{};
   /// Earliest time for this gateway's next request while the endpoint is cold.
   steady_time next_cold_request{};
+  /// This gateway's latest request while the endpoint was cold.
+  std::optional<steady_time> cold_request_at;
   /// Latest time at which the endpoint reported to this gateway that it is leaving, and at
   /// which a peer forwarded such a report.
   std::optional<steady_time> reported_leaving_at;
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -442,6 +442,7 @@
   note_arrival(row, now);
   if (is_cold(row, now)) {
     row.next_cold_request = now + cold_interval(pool, fleet);
+    row.cold_request_at = now;
   }
 }
 
--- a/Source/Traffic/endpoint_attempt.cxx
+++ b/Source/Traffic/endpoint_attempt.cxx
@@ -52,6 +52,7 @@
   this->call.sent_at = now;
   this->call.first = this->record.history.sends == 0;
   this->call.progress_at = now;
+  this->report_cold_request(row, now);
   begin_request(row, pool, state.fleet, now);
   this->count_start(row, now);
   count_send(state.rollouts, row, *this->record.admitted->taken_route, now);
@@ -75,6 +76,25 @@
       *this);
 }
 
+void endpoint_attempt::report_cold_request(const gateway::endpoint& row, steady_time now) const {
+  if (!is_cold(row, now)) {
+    return;
+  }
+  traffic_context& context = this->record.context;
+  context.metrics.count("chestnuthead_cold_requests_total", pool_label(this->record));
+  std::vector<log_field> fields{
+      {"endpoint", row.listing.name.value},
+      {"request", this->record.request.id},
+      {"cold_ms", milliseconds_between(now, row.cold_until)},
+      {"gateways", std::int64_t{context.state.fleet.gateways}},
+      {"chosen_by", std::string(name_of(this->record.attempts[this->number].reason))},
+      {"sends", std::int64_t{this->record.history.sends}}};
+  if (row.cold_request_at) {
+    fields.push_back({"since_previous_ms", milliseconds_between(*row.cold_request_at, now)});
+  }
+  context.log.write(log_level::info, "cold_endpoint_used", std::move(fields));
+}
+
 std::string endpoint_attempt::encode_call(const gateway::endpoint& row, steady_time now) const {
   const gateway::caller_request& request = this->record.request;
   const std::string& body = this->record.body;
--- a/Source/Traffic/endpoint_attempt.h
+++ b/Source/Traffic/endpoint_attempt.h
@@ -170,6 +170,8 @@
   /// The endpoint's row, or nullptr if the endpoint is no longer known.
   [[nodiscard]] gateway::endpoint* find_row() const;
   [[nodiscard]] std::string encode_call(const gateway::endpoint& row, steady_time now) const;
+  /// Counts and logs the request if the endpoint is cold.
+  void report_cold_request(const gateway::endpoint& row, steady_time now) const;
   /// Records the result of the call, which no longer counts as in flight.
   void end_call(std::string_view result);
   /// Counts the call in its pool's overload control, and no longer counts it.
--- a/Source/Traffic/endpoint_notices.cxx
+++ b/Source/Traffic/endpoint_notices.cxx
@@ -1,6 +1,7 @@
 #include "Traffic/endpoint_notices.h"
 
 #include "Gateway/endpoint_reports.h"
+#include "Traffic/attempt_log.h"
 
 namespace chestnuthead::traffic {
 
@@ -27,10 +28,12 @@
 void handle_endpoint_notices(traffic_context& context, gateway::endpoint& row,
                              const gateway::endpoint_answer& answer, const std::string& request) {
   const steady_time now = context.time.now();
+  const bool was_cold = is_cold(row, now);
   if (apply_answer_headers(row, answer, context.random, now)) {
     context.log.write(log_level::info, "endpoint_leaving",
                       {{"endpoint", row.listing.name.value}, {"request", request}});
   }
+  log_if_turned_cold(context, row, was_cold, "answer");
   note_load_report(context, row, answer, now);
   if (answer.pause) {
     const std::string label = "pool=\"" + row.listing.pool.value + "\"";
@@ -42,4 +45,17 @@
   }
 }
 
+void log_if_turned_cold(traffic_context& context, const gateway::endpoint& row, bool was_cold,
+                        const std::string& source) {
+  const steady_time now = context.time.now();
+  if (was_cold || !is_cold(row, now)) {
+    return;
+  }
+  context.log.write(log_level::info, "endpoint_cold",
+                    {{"endpoint", row.listing.name.value},
+                     {"source", source},
+                     {"cold_ms", milliseconds_between(now, row.cold_until)},
+                     {"gateways", std::int64_t{context.state.fleet.gateways}}});
+}
+
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/endpoint_notices.h
+++ b/Source/Traffic/endpoint_notices.h
@@ -13,4 +13,9 @@
 void handle_endpoint_notices(traffic_context& context, gateway::endpoint& row,
                              const gateway::endpoint_answer& answer, const std::string& request);
 
+/// Logs that the endpoint turned cold if it was not cold before. `source` tells how this gateway
+/// learnt it: `entry` of the platform's list, or `answer` to a health check.
+void log_if_turned_cold(traffic_context& context, const gateway::endpoint& row, bool was_cold,
+                        const std::string& source);
+
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/gateway_server.h
+++ b/Source/Traffic/gateway_server.h
@@ -33,6 +33,11 @@
   /// True once the graceful shutdown has finished.
   [[nodiscard]] bool stopped(steady_time now) const;
 
+  /// Number of open connections of callers.
+  [[nodiscard]] std::size_t connections() const {
+    return this->links.size();
+  }
+
   void on_ready(bool readable, bool writable) override;
   void remove(caller_link& link) override;
   bool make_room_for_body(caller_link& link, std::size_t bytes) override;
--- a/Tests/Traffic/log_schema_test.cxx
+++ b/Tests/Traffic/log_schema_test.cxx
@@ -7,6 +7,7 @@
 
 #include "Base/hashing.h"
 #include "Net/json_text.h"
+#include "Traffic/endpoint_notices.h"
 #include "Traffic/traffic_harness.h"
 
 namespace chestnuthead {
@@ -42,6 +43,16 @@
     const auto refused = harness.connect();
     refused->send(traffic_harness::chat_bytes("c2"));
     CPPUNIT_ASSERT(harness.run_until([&] { return refused->has_answers(1); }));
+    // A health check that tells that the endpoint is cold, and a request to it.
+    gateway::endpoint& plain_row = *find_endpoint(harness.state.endpoints, endpoint_id{"plain"});
+    gateway::endpoint_answer check;
+    check.cold_for = std::chrono::seconds{3};
+    traffic::handle_endpoint_notices(harness.context, plain_row, check, {});
+    harness.plain->scripts = {
+        [](connection& payer) { payer.send(traffic_harness::answer_bytes("p3", "paid")); }};
+    const auto payer = harness.connect();
+    payer->send(traffic_harness::payment_bytes("p3"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return payer->has_answers(1); }));
     check_lines(harness.take_log());
   }
 
@@ -82,8 +93,9 @@
       }
       seen.insert(event);
     }
-    for (const char* expected : {"request_ended", "request_rejected", "endpoint_set_aside",
-                                 "prompt_part_suspected", "request_part_refused"}) {
+    for (const char* expected :
+         {"request_ended", "request_rejected", "endpoint_set_aside", "prompt_part_suspected",
+          "request_part_refused", "endpoint_cold", "cold_endpoint_used"}) {
       CPPUNIT_ASSERT_MESSAGE(expected, seen.contains(expected));
     }
   }
