--- /dev/null
+++ b/Tests/Gateway/cold_rate_test.cxx
@@ -0,0 +1,248 @@
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Gateway/gateway_fixture.h"
+#include "Gateway/peer_table.h"
+#include "Gateway/placement.h"
+
+namespace chestnuthead::gateway {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Requests per second that a cold endpoint supports, and how many it may get in one second.
+constexpr double cold_rate = 14.0;
+constexpr std::size_t cold_rate_bound = 26;
+constexpr seconds warm_up{3};
+constexpr milliseconds step{10};
+
+node_id gateway_name(int number) {
+  return {"gateway-" + std::to_string(number)};
+}
+
+/// Gateways with states of their own before one endpoint that turns cold. Each sends as often as
+/// it may, with gaps of `pause`.
+class cold_fleet {
+ public:
+  explicit cold_fleet(int gateways) {
+    for (int number = 0; number < gateways; ++number) {
+      this->members.push_back(std::make_unique<member>());
+      this->members.back()->offset = milliseconds{next_below(this->random, 500)};
+    }
+    for (int number = 0; number < gateways; ++number) {
+      this->start(number);
+    }
+  }
+
+  /// Starts the gateway anew. It reads the list of gateways from the store unless that fails.
+  void start(int number, bool reads_peers = true) {
+    member& one = *this->members[static_cast<std::size_t>(number)];
+    one.state = test_state(1);
+    one.state.self = gateway_name(number);
+    one.state.services = this->services;
+    one.state.peers_known = reads_peers;
+    for (int other = 0; reads_peers && other < this->size(); ++other) {
+      if (other != number) {
+        list_peer(one.state.peers, gateway_name(other), "10.0.0.2:7340", this->now);
+      }
+    }
+  }
+
+  /// The gateway does not know of a share of the others.
+  void hide_peers(int number, double share) {
+    peer_table& peers = this->members[static_cast<std::size_t>(number)]->state.peers;
+    std::erase_if(peers.rows, [&](const auto&) { return next_unit(this->random) < share; });
+  }
+
+  /// All gateways learn, each with a delay, that the endpoint is cold.
+  void turn_cold() {
+    for (const auto& one : this->members) {
+      one->cold_at = this->now + one->offset;
+    }
+  }
+
+  void run_for(milliseconds length) {
+    const steady_time end = this->now + length;
+    for (; this->now < end; this->now += step) {
+      for (const auto& one : this->members) {
+        this->tick(*one);
+        this->send(*one);
+      }
+    }
+  }
+
+  [[nodiscard]] int size() const {
+    return static_cast<int>(this->members.size());
+  }
+  [[nodiscard]] std::size_t requests() const {
+    return this->sent.size();
+  }
+
+  /// The highest number of requests in any second.
+  [[nodiscard]] std::size_t most_in_a_second() const {
+    std::size_t most = 0;
+    for (auto first = this->sent.begin(); first != this->sent.end(); ++first) {
+      const auto last = std::lower_bound(first, this->sent.end(), *first + seconds{1});
+      most = std::max(most, static_cast<std::size_t>(last - first));
+    }
+    return most;
+  }
+
+  /// Mean time between two requests that a gateway wants to send to the endpoint.
+  milliseconds pause{0};
+
+ private:
+  struct member {
+    gateway_state state;
+    /// Delay with which the gateway learns that the endpoint is cold.
+    milliseconds offset{0};
+    steady_time cold_at{};
+    steady_time next_wanted{};
+  };
+
+  void tick(member& one) {
+    if (one.cold_at != steady_time{} && this->now >= one.cold_at) {
+      one.cold_at = {};
+      row_of(one).cold_until = this->now + warm_up;
+    }
+    const std::uint32_t known = count_gateways(one.state.peers, this->now);
+    one.state.fleet.gateways = one.state.peers_known ? known : std::max(known, gateways_assumed);
+  }
+
+  void send(member& one) {
+    endpoint& row = row_of(one);
+    if (!is_cold(row, this->now) || this->now < one.next_wanted) {
+      return;
+    }
+    const pool& settings = *find_pool(*one.state.services, engine_pool);
+    const auto choice =
+        choose_endpoint(endpoints_of(one.state.endpoints, engine_pool), settings, chat_request(1),
+                        {}, one.state.fleet, this->random, this->now);
+    if (!std::holds_alternative<placement>(choice)) {
+      return;
+    }
+    begin_request(row, settings, one.state.fleet, this->now);
+    end_request(row);
+    this->sent.push_back(this->now);
+    const auto spread = static_cast<std::uint64_t>(this->pause.count());
+    if (spread > 0) {
+      one.next_wanted = this->now + milliseconds{next_below(this->random, 2 * spread)};
+    }
+  }
+
+  static endpoint& row_of(member& one) {
+    return one.state.endpoints.rows.begin()->second;
+  }
+
+  static service_map_ptr make_services() {
+    service_map map = test_services();
+    map.pools[engine_pool.value].cold_rate = cold_rate;
+    return std::make_shared<const service_map>(std::move(map));
+  }
+
+  seeded_random random{53};
+  service_map_ptr services = make_services();
+  steady_time now = test_start;
+  std::vector<std::unique_ptr<member>> members;
+  std::vector<steady_time> sent;
+};
+
+}  // namespace
+
+/// Guards against floods of cold endpoints: each gateway alone kept to its share, but all together
+/// sent more than the endpoint supports.
+class cold_rate_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(cold_rate_test);
+  CPPUNIT_TEST(first_requests_of_many_gateways_flood_no_cold_endpoint);
+  CPPUNIT_TEST(restarted_gateways_flood_no_cold_endpoint);
+  CPPUNIT_TEST(gateways_that_know_no_others_flood_no_cold_endpoint);
+  CPPUNIT_TEST(gateways_that_miss_a_third_of_the_others_flood_no_cold_endpoint);
+  CPPUNIT_TEST(an_endpoint_that_turns_cold_again_is_not_flooded);
+  CPPUNIT_TEST(a_cold_endpoint_is_used_up_to_its_rate);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void first_requests_of_many_gateways_flood_no_cold_endpoint() {
+    for (const int gateways : {29, 68, 350}) {
+      cold_fleet fleet(gateways);
+      fleet.turn_cold();
+      fleet.run_for(warm_up);
+      check_bound(fleet);
+    }
+  }
+
+  void restarted_gateways_flood_no_cold_endpoint() {
+    for (const int gateways : {5, 68, 350}) {
+      cold_fleet fleet(gateways);
+      fleet.turn_cold();
+      fleet.run_for(milliseconds{1'000});
+      for (int number = 0; number < gateways; ++number) {
+        fleet.start(number);
+      }
+      fleet.turn_cold();
+      fleet.run_for(warm_up);
+      check_bound(fleet);
+    }
+  }
+
+  void gateways_that_know_no_others_flood_no_cold_endpoint() {
+    cold_fleet fleet(68);
+    for (int number = 0; number < fleet.size(); ++number) {
+      fleet.start(number, false);
+    }
+    fleet.turn_cold();
+    fleet.run_for(warm_up);
+    check_bound(fleet);
+  }
+
+  void gateways_that_miss_a_third_of_the_others_flood_no_cold_endpoint() {
+    cold_fleet fleet(68);
+    for (int number = 0; number < fleet.size(); ++number) {
+      fleet.hide_peers(number, 1.0 / 3.0);
+    }
+    fleet.turn_cold();
+    fleet.run_for(warm_up);
+    check_bound(fleet);
+  }
+
+  void an_endpoint_that_turns_cold_again_is_not_flooded() {
+    cold_fleet fleet(68);
+    for (int times = 0; times < 3; ++times) {
+      fleet.turn_cold();
+      fleet.run_for(seconds{5});
+    }
+    check_bound(fleet);
+  }
+
+  /// Each gateway wants to send twice a second, as one does before a pool that is short.
+  void a_cold_endpoint_is_used_up_to_its_rate() {
+    for (const int gateways : {1, 5, 29, 68, 350}) {
+      cold_fleet fleet(gateways);
+      fleet.pause = gateways < 29 ? milliseconds{0} : milliseconds{500};
+      fleet.turn_cold();
+      fleet.run_for(warm_up);
+      const double possible = cold_rate * std::chrono::duration<double>(warm_up).count();
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(gateways) + " gateways sent " +
+                                 std::to_string(fleet.requests()) + " requests",
+                             static_cast<double>(fleet.requests()) > possible / 2.0);
+    }
+  }
+
+ private:
+  static void check_bound(const cold_fleet& fleet) {
+    const std::size_t most = fleet.most_in_a_second();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.size()) + " gateways sent " + std::to_string(most) +
+                               " requests in one second",
+                           most <= cold_rate_bound);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cold_rate_test);
+
+}  // namespace chestnuthead::gateway
