Let only as many gateways send to a cold endpoint as it supports per second

Callers saw endpoints fail that had just started: on a site with 68 gateways a cold endpoint that supports 14 requests a second (26 with the tolerance) was flooded.

Cause: the rate was divided into a pause of (gateways / rate) after a gateway's last request. A gateway that has sent none yet has no pause, so all may send their first request at once, and the more gateways there are, the more come. A count of gateways that is too small (32 are assumed after a start) shortens all pauses as well. Evidence: cold_rate_test plays gateways with states of their own; 29 sent 29 requests in one second and 68 sent 68, also after a restart, without the list of gateways, with a third of it missing, and for an endpoint that turns cold again.

Now the first gateways in the endpoint's rendezvous order are its senders, as many as it supports requests a second, with one interval between two requests of each. Their first requests are spread, a gateway that has just started waits an interval, and one that does not know the others sends nothing. The number of first requests no longer grows with the fleet, and a list that misses some gateways adds senders only in proportion.

--- /dev/null
+++ b/Source/Gateway/cold_pacing.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "chestnuthead/clock.h"
+
+#include "Gateway/gateway_state.h"
+
+/// Division of the requests that a cold endpoint supports among the gateways.
+///
+/// Only as many gateways send to a cold endpoint as it supports requests per second: the first
+/// ones in its rendezvous order. If all of them sent, a share would be less than one request in
+/// the whole time that the endpoint is cold, and their first requests could arrive together. Each
+/// gateway derives the order from its own list of gateways. One that misses some of the others
+/// takes itself for a sender too often, but in proportion to those that it misses only.
+namespace chestnuthead::gateway {
+
+/// Number of gateways that send to a cold endpoint.
+std::uint32_t cold_senders(double cold_rate, std::uint32_t gateways);
+
+/// Minimum time between two requests of one sender.
+std::chrono::milliseconds cold_interval(double cold_rate, std::uint32_t senders);
+
+/// Decides for each cold endpoint whether this gateway may send requests to it. A gateway that
+/// has not read the list of gateways may not. The first requests of all senders are spread over
+/// the interval. A sender that has just started waits for one more interval, since its predecessor
+/// may have sent a request, and one that takes the place of another sender does as well.
+void update_cold_pacing(gateway_state& state, steady_time now);
+
+}  // namespace chestnuthead::gateway
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -68,6 +68,20 @@
   std::optional<steady_time> copied_at;
 };
 
+/// Whether and how often this gateway may send to an endpoint while that is cold; see
+/// Gateway/cold_pacing.h.
+struct cold_pacing {
+  /// False until `update_cold_pacing` has run since the endpoint turned cold.
+  bool is_decided = false;
+  bool is_sender = false;
+  /// Minimum time between two requests.
+  std::chrono::milliseconds interval{0};
+  /// Earliest time for the next request.
+  steady_time next_at{};
+  /// The latest request.
+  std::optional<steady_time> sent_at;
+};
+
 struct endpoint {
   endpoint_listing listing;
   /// Hash of the endpoint's name, for rendezvous placement.
@@ -89,10 +103,7 @@
   /// `arrivals_half_life` since `arrivals_at`.
   double arrivals = 0.0;
   steady_time arrivals_at{};
-  /// Earliest time for this gateway's next request while the endpoint is cold.
-  steady_time next_cold_request{};
-  /// This gateway's latest request while the endpoint was cold.
-  std::optional<steady_time> cold_request_at;
+  cold_pacing pacing;
   /// Latest time at which the endpoint reported to this gateway that it is leaving, and at
   /// which a peer forwarded such a report.
   std::optional<steady_time> reported_leaving_at;
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -60,8 +60,10 @@
   steady_time confirmed_at{};
   /// How long after `confirmed_at` callers' keys are still accepted.
   std::chrono::milliseconds key_trust{0};
-  /// True once the list of gateways was read.
+  /// True once the list of gateways was read, or if this gateway has no peers.
   bool peers_known = false;
+  /// When this process started.
+  steady_time started_at{};
   /// True once the list of endpoints was read.
   bool endpoints_known = false;
   /// A graceful shutdown has begun.
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -50,7 +50,8 @@
 constexpr double unlimited_load = 1e9;
 
 bool cold_rate_spent(const endpoint& row, const pool& pool, steady_time now) {
-  return pool.cold_rate > 0.0 && is_cold(row, now) && now < row.next_cold_request;
+  return pool.cold_rate > 0.0 && is_cold(row, now) &&
+         (!row.pacing.is_sender || now < row.pacing.next_at);
 }
 
 bool fits_tokens(const endpoint& row, const pool& pool, const endpoint_limit& limit) {
@@ -429,20 +430,12 @@
   return nullptr;
 }
 
-std::chrono::milliseconds cold_interval(const pool& pool, const fleet_view& fleet) {
-  if (pool.cold_rate <= 0.0) {
-    return std::chrono::milliseconds{0};
-  }
-  const double seconds = static_cast<double>(fleet.gateways) / pool.cold_rate;
-  return std::chrono::milliseconds{static_cast<std::int64_t>(std::ceil(seconds * 1'000.0))};
-}
-
-void begin_request(endpoint& row, const pool& pool, const fleet_view& fleet, steady_time now) {
+void begin_request(endpoint& row, steady_time now) {
   ++row.in_flight;
   note_arrival(row, now);
   if (is_cold(row, now)) {
-    row.next_cold_request = now + cold_interval(pool, fleet);
-    row.cold_request_at = now;
+    row.pacing.next_at = now + row.pacing.interval;
+    row.pacing.sent_at = now;
   }
 }
 
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -89,7 +89,7 @@
   /// The request may not be sent to its version.
   version_not_allowed,
   full,
-  /// It is cold, and this gateway has used up its share of the cold rate.
+  /// It is cold, and this gateway has used up its share of the cold rate or has none.
   cold_rate_used_up,
 };
 
@@ -189,11 +189,8 @@
 const endpoint* prefix_source(const std::vector<endpoint*>& endpoints, const endpoint& chosen,
                               const placement_hints& hints, steady_time now);
 
-/// This gateway's minimum time between two requests to a cold endpoint.
-std::chrono::milliseconds cold_interval(const pool& pool, const fleet_view& fleet);
-
 /// Counts a request that is about to be sent to the endpoint.
-void begin_request(endpoint& row, const pool& pool, const fleet_view& fleet, steady_time now);
+void begin_request(endpoint& row, steady_time now);
 
 /// Counts the end of a request at the endpoint.
 void end_request(endpoint& row);
--- a/Source/Measure/rollout_fleet.cxx
+++ b/Source/Measure/rollout_fleet.cxx
@@ -476,7 +476,7 @@
     record_placement(this->holders, {affinity_of(request), placed->row->hash}, now);
   }
   count_send(state.rollouts, *placed->row, this->routes[kind], now);
-  begin_request(*placed->row, this->pool, state.fleet, now);
+  begin_request(*placed->row, now);
   this->send_to(number, kind, this->place_of_hash.at(placed->row->hash), prefix,
                 placed->reason == gateway::choice_reason::holds_prefix);
 }
--- a/Source/Traffic/endpoint_attempt.cxx
+++ b/Source/Traffic/endpoint_attempt.cxx
@@ -53,7 +53,7 @@
   this->call.first = this->record.history.sends == 0;
   this->call.progress_at = now;
   this->report_cold_request(row, now);
-  begin_request(row, pool, state.fleet, now);
+  begin_request(row, now);
   this->count_start(row, now);
   count_send(state.rollouts, row, *this->record.admitted->taken_route, now);
   if (this->record.history.sends > 0) {
@@ -89,8 +89,8 @@
       {"gateways", std::int64_t{context.state.fleet.gateways}},
       {"chosen_by", std::string(name_of(this->record.attempts[this->number].reason))},
       {"sends", std::int64_t{this->record.history.sends}}};
-  if (row.cold_request_at) {
-    fields.push_back({"since_previous_ms", milliseconds_between(*row.cold_request_at, now)});
+  if (row.pacing.sent_at) {
+    fields.push_back({"since_previous_ms", milliseconds_between(*row.pacing.sent_at, now)});
   }
   context.log.write(log_level::info, "cold_endpoint_used", std::move(fields));
 }
--- a/Tests/Gateway/cold_rate_test.cxx
+++ b/Tests/Gateway/cold_rate_test.cxx
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Gateway/cold_pacing.h"
 #include "Gateway/gateway_fixture.h"
 #include "Gateway/peer_table.h"
 #include "Gateway/placement.h"
@@ -46,6 +47,7 @@
     one.state = test_state(1);
     one.state.self = gateway_name(number);
     one.state.services = this->services;
+    one.state.started_at = this->now;
     one.state.peers_known = reads_peers;
     for (int other = 0; reads_peers && other < this->size(); ++other) {
       if (other != number) {
@@ -111,6 +113,7 @@
       one.cold_at = {};
       row_of(one).cold_until = this->now + warm_up;
     }
+    update_cold_pacing(one.state, this->now);
     const std::uint32_t known = count_gateways(one.state.peers, this->now);
     one.state.fleet.gateways = one.state.peers_known ? known : std::max(known, gateways_assumed);
   }
@@ -127,7 +130,7 @@
     if (!std::holds_alternative<placement>(choice)) {
       return;
     }
-    begin_request(row, settings, one.state.fleet, this->now);
+    begin_request(row, this->now);
     end_request(row);
     this->sent.push_back(this->now);
     const auto spread = static_cast<std::uint64_t>(this->pause.count());
--- a/Tests/Gateway/gateway_fixture.h
+++ b/Tests/Gateway/gateway_fixture.h
@@ -92,6 +92,7 @@
   state.services = std::make_shared<const service_map>(test_services());
   state.key_trust = std::chrono::milliseconds{3'900};
   state.confirmed_at = test_start;
+  state.peers_known = true;
   state.endpoints_known = true;
   for (int engine = 0; engine < engines; ++engine) {
     list_endpoint(state.endpoints, listing_of("engine-" + std::to_string(engine), engine_pool),
--- a/Tests/Gateway/load_bound_test.cxx
+++ b/Tests/Gateway/load_bound_test.cxx
@@ -161,7 +161,7 @@
     const placement& chosen = std::get<placement>(choice);
     const endpoint_id name = chosen.row->listing.name;
     record_own_placement(state.holders, {prefix, chosen.row->hash}, this->now);
-    begin_request(*chosen.row, settings, state.fleet, this->now);
+    begin_request(*chosen.row, this->now);
     const double mean =
         static_cast<double>(this->running.size()) / static_cast<double>(this->terms.engines);
     if (this->counting) {
--- a/Tests/Gateway/placement_test.cxx
+++ b/Tests/Gateway/placement_test.cxx
@@ -6,6 +6,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Gateway/cold_pacing.h"
 #include "Gateway/endpoint_health.h"
 #include "Gateway/gateway_fixture.h"
 #include "property_check.h"
@@ -65,7 +66,7 @@
       // Half of all requests belong to one chat.
       const std::uint64_t chat = number % 2 == 0 ? 1 : static_cast<std::uint64_t>(number);
       endpoint* row = choose(state, chat);
-      begin_request(*row, settings, state.fleet, test_start);
+      begin_request(*row, test_start);
       double total = 0.0;
       for (const auto& [name, other] : state.endpoints.rows) {
         total += load_of(other);
@@ -90,7 +91,7 @@
       // Half of all requests belong to one chat.
       const std::uint64_t chat = number % 2 == 0 ? 1 : static_cast<std::uint64_t>(number);
       endpoint* row = choose(state, chat);
-      begin_request(*row, engine_pool_settings(0.0), state.fleet, test_start);
+      begin_request(*row, test_start);
       CPPUNIT_ASSERT(load_of(*row) <= 2.0 * (number + 1) / 9.0 + 3.0);
     }
   }
@@ -142,7 +143,7 @@
       seeded_random random(gateways);
       std::vector<milliseconds> sent;
       for (std::uint32_t gateway = 0; gateway < gateways; ++gateway) {
-        simulate_cold_sender(gateways, milliseconds{next_below(random, 1'000)}, sent);
+        simulate_cold_sender(gateway, gateways, milliseconds{next_below(random, 1'000)}, sent);
       }
       std::sort(sent.begin(), sent.end());
       for (std::size_t first = 0; first < sent.size(); ++first) {
@@ -307,7 +308,7 @@
     const milliseconds start = ends.size() < slots ? at : std::max(at, ends[slots - 1]);
     const auto work = milliseconds{20 + static_cast<int>(next_below(random, 81))};
     chosen.calls.emplace_back(gateway, start + work);
-    begin_request(row, pool{}, state.fleet, test_start);
+    begin_request(row, test_start);
     return true;
   }
 
@@ -331,20 +332,26 @@
   }
 
   /// Simulates three seconds in which one gateway tries to send a request every millisecond.
-  static void simulate_cold_sender(std::uint32_t gateways, milliseconds offset,
-                                   std::vector<milliseconds>& sent) {
+  static void simulate_cold_sender(std::uint32_t number, std::uint32_t gateways,
+                                   milliseconds offset, std::vector<milliseconds>& sent) {
     gateway_state state = test_state(1);
-    state.fleet.gateways = gateways;
+    state.self = {"gateway-" + std::to_string(number)};
+    for (std::uint32_t other = 0; other < gateways; ++other) {
+      if (other != number) {
+        list_peer(state.peers, {"gateway-" + std::to_string(other)}, "10.0.0.2:7340", test_start);
+      }
+    }
     endpoint& row = state.endpoints.rows.begin()->second;
     row.cold_until = test_start + seconds{3};
     const pool settings = engine_pool_settings();
     seeded_random random(1);
     for (milliseconds at{0}; at < seconds{3}; at += milliseconds{1}) {
+      update_cold_pacing(state, test_start + at);
       const auto choice =
           choose_endpoint(endpoints_of(state.endpoints, engine_pool), settings, chat_request(1), {},
                           state.fleet, random, test_start + at);
       if (std::holds_alternative<placement>(choice)) {
-        begin_request(row, settings, state.fleet, test_start + at);
+        begin_request(row, test_start + at);
         end_request(row);
         sent.push_back(at + offset);
       }
--- a/Tests/Traffic/traffic_harness.cxx
+++ b/Tests/Traffic/traffic_harness.cxx
@@ -1,6 +1,7 @@
 #include "traffic_harness.h"
 
 #include "Fakes/local_address.h"
+#include "Gateway/cold_pacing.h"
 #include "wire_headers.h"
 
 namespace chestnuthead {
@@ -98,6 +99,7 @@
   drop_unlisted(this->state.endpoints, now);
   forget_versions(this->state.rollouts, this->state.endpoints);
   update_stream_versions(this->state.streams, this->state.endpoints, now);
+  update_cold_pacing(this->state, now);
   this->state.streams.endpoints_as_of = now;
   this->state.streams.records_as_of = now;
 }
--- a/Tests/Traffic/where_report_test.cxx
+++ b/Tests/Traffic/where_report_test.cxx
@@ -209,7 +209,8 @@
     node.engine(3).misplaced = true;
     node.engine(4).in_flight = 4 * 64;
     node.engine(5).cold_until = now + seconds{3};
-    node.engine(5).next_cold_request = now + seconds{1};
+    node.engine(5).pacing.is_sender = true;
+    node.engine(5).pacing.next_at = now + seconds{1};
     node.engine(6).listed = false;
     const where_report report = explain_where(node.context, describe(1), now);
     const pool_report& pool = report.pools.front();
@@ -363,7 +364,7 @@
       std::string names;
       for (idle_gateway* node : {&with, &without}) {
         const gateway::placement chosen = node->choose(gateway::chat_request(chat));
-        begin_request(*chosen.row, gateway::engine_pool_settings(), node->state.fleet, now);
+        begin_request(*chosen.row, now);
         record_own_placement(node->state.holders,
                              {affinity_of(gateway::chat_request(chat)), chosen.row->hash}, now);
         const std::string& name = chosen.row->listing.name.value;
