Record all prompt parts of a busy endpoint's crash

A crash breaks off every request that the endpoint was executing, and the parts of all these prompts become suspects. The list of a crash held 64 parts and ignored further ones, so with busy endpoints the part that had caused the crash was often missing: it was never refused, it went on crashing endpoints, and sound parts that happened to stand in more lists were refused instead. The list holds 512 parts now. Messages to peers keep their limits and their format.

It allows one in a hundred sound requests to be refused: other frequent parts may tie with the cause for a moment.

--- a/Source/Gateway/crashing_parts.h
+++ b/Source/Gateway/crashing_parts.h
@@ -41,7 +41,10 @@
 inline constexpr std::size_t max_crash_events = 256;
 inline constexpr std::size_t max_part_answers = 4'096;
 inline constexpr std::size_t max_refused_parts = 64;
-inline constexpr std::size_t max_parts_per_event = 64;
+/// A crash breaks off all requests that the endpoint was executing, on all gateways. With 64 parts,
+/// six endpoints with 400 requests per second filled the list before the cause was added, and the
+/// part was never refused.
+inline constexpr std::size_t max_parts_per_event = 512;
 /// Limits of the lists in one message.
 inline constexpr std::size_t max_reported_crashes = 64;
 inline constexpr std::size_t max_reported_clearances = 32;
--- a/Tests/Gateway/part_fleet_test.cxx
+++ b/Tests/Gateway/part_fleet_test.cxx
@@ -15,6 +15,7 @@
 class part_fleet_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(part_fleet_test);
   CPPUNIT_TEST(crashing_part_is_refused_by_the_whole_fleet);
+  CPPUNIT_TEST(crashing_part_is_refused_by_many_gateways_with_busy_endpoints);
   CPPUNIT_TEST(crashing_part_is_refused_in_a_small_pool);
   CPPUNIT_TEST(frequent_crashing_part_is_refused_in_a_small_pool_of_many_gateways);
   CPPUNIT_TEST(crashing_part_is_refused_while_other_endpoints_flap);
@@ -46,6 +47,14 @@
     }
   }
 
+  /// Guards against crashes of busy endpoints that are recorded without the part that caused them.
+  void crashing_part_is_refused_by_many_gateways_with_busy_endpoints() {
+    check_busy_pool(5, 6, 400.0);
+    check_busy_pool(68, 6, 400.0);
+    check_busy_pool(68, 12, 400.0);
+    check_busy_pool(68, 78, 570.0);
+  }
+
   /// Guards against pools that have too few endpoints for a verdict by different endpoints.
   void crashing_part_is_refused_in_a_small_pool() {
     for (const std::uint32_t gateways : {1U, 2U, 5U, 31U, 100U}) {
@@ -253,6 +262,34 @@
     CPPUNIT_ASSERT_MESSAGE(figures, fleet.is_refused_everywhere(part_fleet::crashing_part));
   }
 
+  /// Endpoints execute so many requests that most parts in use stand in every crash.
+  static void check_busy_pool(std::uint32_t gateways, std::size_t endpoints, double sound_rate) {
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      part_fleet_settings settings;
+      settings.gateways = gateways;
+      settings.endpoints = endpoints;
+      settings.sound_rate = sound_rate;
+      settings.seed = seed;
+      settings.crashing_depth = static_cast<std::ptrdiff_t>(seed % 3);
+      part_fleet fleet(settings);
+      fleet.run(seconds{5});
+      fleet.settings.crashing_rate = 2.5;
+      fleet.run(seconds{25});
+      const part_fleet_results& results = fleet.results;
+      const std::string figures =
+          std::to_string(gateways) + " gateways, " + std::to_string(endpoints) +
+          " endpoints, seed " + std::to_string(seed) + ": crashes " +
+          std::to_string(results.crashes) + ", late arrivals " +
+          std::to_string(results.late_arrivals) + ", sound refused " +
+          std::to_string(results.sound_refused) + " of " + std::to_string(results.sound) +
+          ", late sound resent " + std::to_string(results.late_sound_resent);
+      CPPUNIT_ASSERT_MESSAGE(figures, results.late_arrivals <= 3);
+      CPPUNIT_ASSERT_MESSAGE(figures, results.sound_refused * 100 <= results.sound);
+      CPPUNIT_ASSERT_MESSAGE(figures, results.late_sound_resent == 0);
+      CPPUNIT_ASSERT_MESSAGE(figures, fleet.is_refused_everywhere(part_fleet::crashing_part));
+    }
+  }
+
   template <class Trouble>
   static void for_each_fleet(Trouble cause_trouble) {
     for (const std::uint32_t gateways : {1U, 5U, 31U}) {
