Record the streams of very large fleets more often

While two software versions serve, each gateway records its new streams every 10 ms a gateway, so that the fleet writes 100 times a second at most. With 350 gateways that is every 3.5 s, longer than most streams last, and a stream that was open at a killed gateway and is not in the store is refused when its caller takes it up. From 100 gateways on the interval is now 1 s, or as long as keeps the fleet below 190 writes a second, which the test of the store's rate allows. Fleets of up to 100 gateways write as often as before.

With 350 gateways the test fails before the change.

--- a/Source/Gateway/stream_origins.cxx
+++ b/Source/Gateway/stream_origins.cxx
@@ -10,8 +10,13 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds min_record_interval{400};
-/// At 100 writes a second over all gateways.
+/// At 100 writes per second over all gateways.
 constexpr milliseconds record_interval_per_gateway{10};
+/// With streams of 1 to 3 s, the store knows 0.7 of those that were open at a killed gateway after
+/// records every second, and 0.3 after records every 3.5 s.
+constexpr milliseconds wanted_record_interval{1'000};
+/// Writes per second over all gateways for which `wanted_record_interval` may be kept.
+constexpr std::uint32_t max_record_rate = 190;
 
 void want_record(stream_origins& table, std::uint64_t request, const known_origin& row) {
   const bool ambiguous =
@@ -61,7 +66,9 @@
 }  // namespace
 
 milliseconds origin_record_interval(std::uint32_t gateways) {
-  return std::max(min_record_interval, record_interval_per_gateway * gateways);
+  const milliseconds usual = std::max(min_record_interval, record_interval_per_gateway * gateways);
+  const milliseconds shortest = milliseconds{std::chrono::seconds{gateways}} / max_record_rate;
+  return std::min(usual, std::max(wanted_record_interval, shortest));
 }
 
 bool note_stream_version(stream_origins& table, const pool_id& pool, const std::string& version,
--- a/Tests/Gateway/stream_origins_test.cxx
+++ b/Tests/Gateway/stream_origins_test.cxx
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <random>
 #include <set>
+#include <string>
+#include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -144,6 +147,50 @@
   return table;
 }
 
+/// Share of the streams that were open when a gateway was killed which the store knows, over
+/// `gateways` that all began streams of 1 to 3 s, which go on at two versions.
+double known_share_after_kill(std::uint32_t gateways) {
+  constexpr std::uint64_t streams_per_gateway = 8;
+  constexpr milliseconds write_time{20};
+  constexpr milliseconds tick{10};
+  constexpr milliseconds run{10'000};
+  std::mt19937_64 random(1);
+  const auto draw = [&random](std::int64_t end) {
+    return milliseconds{std::uniform_int_distribution<std::int64_t>(0, end - 1)(random)};
+  };
+  int open = 0;
+  int known = 0;
+  for (std::uint32_t number = 0; number < gateways; ++number) {
+    stream_origins table = fresh_gateway({"v1", "v2"}, test_start);
+    const steady_time killed_at = test_start + run + draw(origin_record_interval(gateways).count());
+    steady_time next_record_at = test_start;
+    std::map<std::uint64_t, steady_time> ends;
+    std::set<std::uint64_t> recorded;
+    std::uint64_t last_request = 0;
+    for (steady_time now = test_start; now < killed_at; now += tick) {
+      if (draw(1'000) < tick * streams_per_gateway) {
+        ends[++last_request] = now + milliseconds{1'000} + draw(2'000);
+        note_stream(table, {last_request, "v1", engine_pool}, now);
+      }
+      if (now >= next_record_at && !table.unrecorded.empty()) {
+        next_record_at = now + origin_record_interval(gateways);
+        const std::vector<stream_origin> origins = take_unrecorded(table, 1'000);
+        for (const stream_origin& origin : origins) {
+          if (now + write_time <= killed_at) {
+            recorded.insert(origin.request);
+          }
+        }
+        mark_recorded(table, origins, /*recorded=*/true);
+      }
+    }
+    for (const auto& [request, end] : ends) {
+      open += end > killed_at ? 1 : 0;
+      known += end > killed_at && recorded.contains(request) ? 1 : 0;
+    }
+  }
+  return static_cast<double>(known) / open;
+}
+
 /// The chats are split over the engine pool and another one with this weight.
 service_map split_services(double weight) {
   service_map map = test_services();
@@ -171,6 +218,7 @@
   CPPUNIT_TEST(wait_for_an_unknown_stream_ends);
   CPPUNIT_TEST(number_of_origins_is_bounded);
   CPPUNIT_TEST(records_of_a_large_fleet_stay_within_the_stores_rate);
+  CPPUNIT_TEST(most_streams_of_killed_gateways_are_known_in_any_fleet);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -326,6 +374,16 @@
     CPPUNIT_ASSERT(gateways / interval.count() < store_writes_per_second / 2);
   }
 
+  /// Guards against records so rare that most streams of a killed gateway can't go on.
+  void most_streams_of_killed_gateways_are_known_in_any_fleet() {
+    for (const std::uint32_t gateways : {3U, 40U, 68U, 150U, 350U}) {
+      const double share = known_share_after_kill(gateways);
+      CPPUNIT_ASSERT_MESSAGE(
+          std::to_string(gateways) + " gateways: share known " + std::to_string(share),
+          share > 0.5);
+    }
+  }
+
  private:
   static void play_step(model_fleet& fleet, int kind) {
     fleet.advance();
