Find crashing prompt parts in small pools that answer nothing between crashes

In a pool of one or two endpoints, requests with a crashing part may come so often that nothing else is answered between two crashes. The part was then not refused, since the pool may as well fail altogether, and the pool stayed down for as long as such requests came.

Such a part is now withheld for 6 s, after as many crashes as a verdict in a small pool needs. If the pool answers other requests meanwhile, these answers complete the proof and the part is refused. If the pool crashes again without the part, that crash counts against a verdict as before. Parts that stand in equally many crashes take turns, one trial after another crash. A withheld part is not told to peers, its requests are refused with the time that is left of the trial, and refusing them does not renew it. The log has `prompt_part_withheld`.

--- a/Source/Gateway/crashing_parts.cxx
+++ b/Source/Gateway/crashing_parts.cxx
@@ -72,12 +72,24 @@
   if (refusal != table.refused.end() && at > refusal->second.since) {
     table.refused.erase(refusal);
   }
+  table.trials.erase(part);
   limit_answers(table);
   part_answer& row = table.answers[part];
   row.at = std::max(row.at, at);
   return row;
 }
 
+bool is_in_force(const crashing_parts& table, std::uint64_t part, steady_time now) {
+  const auto place = table.refused.find(part);
+  return place != table.refused.end() && is_refused(place->second, now);
+}
+
+/// True if the part is withheld but not refused.
+bool is_on_trial(const crashing_parts& table, std::uint64_t part, steady_time now) {
+  const auto place = table.trials.find(part);
+  return place != table.trials.end() && now < place->second.until && !is_in_force(table, part, now);
+}
+
 }  // namespace
 
 bool is_refused(const part_refusal& row, steady_time now) {
@@ -204,10 +216,9 @@
 std::optional<std::uint64_t> refused_part(const crashing_parts& table,
                                           const std::vector<prompt_part>& prompt, steady_time now) {
   std::optional<std::uint64_t> found;
-  if (!table.refused.empty()) {
+  if (!table.refused.empty() || !table.trials.empty()) {
     for_each_shared_part(prompt, [&](std::uint64_t part, std::uint32_t /*depth*/) {
-      const auto place = table.refused.find(part);
-      if (place != table.refused.end() && is_refused(place->second, now)) {
+      if (is_in_force(table, part, now) || is_on_trial(table, part, now)) {
         found = part;
       }
     });
@@ -215,8 +226,16 @@
   return found;
 }
 
+milliseconds time_until_retry(const crashing_parts& table, std::uint64_t part, steady_time now) {
+  return is_on_trial(table, part, now)
+             ? std::chrono::ceil<milliseconds>(table.trials.at(part).until - now)
+             : milliseconds{part_refusal_time};
+}
+
 void note_refused_request(crashing_parts& table, std::uint64_t part, steady_time now) {
-  refuse_part(table, part, now, now);
+  if (!is_on_trial(table, part, now)) {
+    refuse_part(table, part, now, now);
+  }
 }
 
 std::size_t count_refused(const crashing_parts& table, steady_time now) {
--- a/Source/Gateway/crashing_parts.h
+++ b/Source/Gateway/crashing_parts.h
@@ -35,6 +35,8 @@
 inline constexpr std::chrono::seconds part_refusal_time{60};
 /// How long after a refusal one more crash refuses the part again.
 inline constexpr std::chrono::minutes part_probation{10};
+/// How long a part is withheld in a trial: longer than an endpoint needs to start again and answer.
+inline constexpr std::chrono::seconds part_trial_time{6};
 /// How long crashes, cleared parts and refusals are repeated in messages to the peers.
 inline constexpr std::chrono::seconds part_report_time{5};
 
@@ -109,6 +111,14 @@
   std::optional<steady_time> own_evidence_at;
 };
 
+/// Withholds requests with a part of a small pool that answers nothing between its crashes. If
+/// others are answered meanwhile, the part caused the crashes; if the pool crashes again without
+/// it, another cause did.
+struct part_trial {
+  steady_time until{};
+  int count = 0;
+};
+
 struct crashing_parts {
   /// Recent crashes in the order in which they became known.
   std::vector<crash_event> events;
@@ -117,6 +127,8 @@
   std::map<std::uint64_t, std::array<steady_time, 3>> latest_answers;
   /// Parts that are refused or on probation.
   std::map<std::uint64_t, part_refusal> refused;
+  /// Suspected parts that have been withheld.
+  std::map<std::uint64_t, part_trial> trials;
   /// Parts that were reported as suspected.
   std::set<std::uint64_t> suspected;
   /// Parts that were refused because of a peer since the last review.
@@ -144,10 +156,14 @@
 /// Refuses a part that a peer refuses. Returns true if it was not refused before.
 bool adopt_refusal(crashing_parts& table, std::uint64_t part, steady_time now);
 
-/// The refused part of a prompt.
+/// The part of a prompt that is refused or withheld.
 std::optional<std::uint64_t> refused_part(const crashing_parts& table,
                                           const std::vector<prompt_part>& prompt, steady_time now);
 
+/// Time after which a request with a refused or withheld part may be sent again.
+std::chrono::milliseconds time_until_retry(const crashing_parts& table, std::uint64_t part,
+                                           steady_time now);
+
 /// True if the refusal is in force, false if the part is only on probation.
 bool is_refused(const part_refusal& row, steady_time now);
 
@@ -161,7 +177,8 @@
 void refuse_part(crashing_parts& table, std::uint64_t part, std::optional<steady_time> own_evidence,
                  steady_time now);
 
-/// Records that a request of this gateway was refused because of the part.
+/// Records that a request of this gateway was refused because of the part. A part that is only
+/// withheld does not become refused by this.
 void note_refused_request(crashing_parts& table, std::uint64_t part, steady_time now);
 
 /// Number of parts that are refused.
--- a/Source/Gateway/part_verdicts.cxx
+++ b/Source/Gateway/part_verdicts.cxx
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -164,7 +165,8 @@
   return others * (is_persistent ? 1 : per_other) <= counted.events.size();
 }
 
-bool is_proven(const crashing_parts& table, const tally& counted, std::uint32_t gateways,
+/// True if the part may have caused its crashes, unless the pool fails altogether.
+bool is_likely(const crashing_parts& table, const tally& counted, std::uint32_t gateways,
                steady_time now) {
   if (evidence_of(counted) < part_crashes_allowed) {
     return false;
@@ -173,8 +175,13 @@
   const bool is_settled =
       now - times[1] >= report_delay(gateways) &&
       (times.back() - times.front() >= simultaneous || now - times.back() >= clearance_margin);
-  return is_settled && others_were_answered(table, counted, times.front()) &&
-         explains_most(table, counted, times, now);
+  return is_settled && explains_most(table, counted, times, now);
+}
+
+bool is_proven(const crashing_parts& table, const tally& counted, std::uint32_t gateways,
+               steady_time now) {
+  return is_likely(table, counted, gateways, now) &&
+         others_were_answered(table, counted, times_of(counted).front());
 }
 
 /// True if the two parts stand in one event, the other one deeper in its prompt.
@@ -228,6 +235,50 @@
   return deepest;
 }
 
+int trials_of(const crashing_parts& table, std::uint64_t part) {
+  const auto place = table.trials.find(part);
+  return place == table.trials.end() ? 0 : place->second.count;
+}
+
+/// True if the part stands in clearly more crashes than other parts that are not shallower and
+/// have not had more trials.
+bool deserves_trial(const crashing_parts& table, const tallies& counts, std::uint64_t part) {
+  const std::size_t crashes = counts.at(part).events.size();
+  return std::none_of(counts.begin(), counts.end(), [&](const auto& entry) {
+    const auto& [other, counted] = entry;
+    return other != part && counted.events.size() + small_pool_lead > crashes &&
+           trials_of(table, other) <= trials_of(table, part) && !is_shallower(counted, other, part);
+  });
+}
+
+/// Begins a trial of a part of a small pool in which nothing is answered since the part's first
+/// crash. The next trial takes another crash.
+std::optional<std::uint64_t> begin_trial(crashing_parts& table, const tallies& counts,
+                                         std::uint32_t gateways, steady_time now) {
+  const bool is_running = std::any_of(table.trials.begin(), table.trials.end(),
+                                      [now](auto& entry) { return now < entry.second.until; });
+  if (is_running) {
+    return std::nullopt;
+  }
+  for (const auto& [part, counted] : counts) {
+    if (!counted.in_small_pools || !is_likely(table, counted, gateways, now)) {
+      continue;
+    }
+    const std::vector<steady_time> times = times_of(counted);
+    const bool has_new_crash =
+        std::all_of(table.trials.begin(), table.trials.end(),
+                    [&times](const auto& entry) { return times.back() >= entry.second.until; });
+    if (has_new_crash && !others_were_answered(table, counted, times.front()) &&
+        deserves_trial(table, counts, part)) {
+      part_trial& trial = table.trials[part];
+      trial.until = now + part_trial_time;
+      ++trial.count;
+      return part;
+    }
+  }
+  return std::nullopt;
+}
+
 void drop_expired(crashing_parts& table, steady_time now) {
   std::erase_if(table.events,
                 [now](const crash_event& event) { return now - event.at >= part_crash_lifetime; });
@@ -235,6 +286,9 @@
                 [now](const auto& entry) { return now - entry.second.at >= part_crash_lifetime; });
   std::erase_if(table.refused,
                 [now](const auto& entry) { return now >= entry.second.until + part_probation; });
+  std::erase_if(table.trials, [now](const auto& entry) {
+    return now >= entry.second.until + part_crash_lifetime;
+  });
 }
 
 /// Endpoints that crashed while they executed a request with the part.
@@ -303,6 +357,11 @@
       guilty.push_back(part);
     }
   }
+  if (guilty.empty()) {
+    if (const auto part = begin_trial(table, counts, gateways, now)) {
+      verdicts.push_back({*part, list_of(counts.at(*part)), false, false, true});
+    }
+  }
   for (const std::uint64_t part : guilty) {
     refuse_part(table, part, now, now);
     verdicts.push_back({part, list_of(counts.at(part)), true, false});
--- a/Source/Gateway/part_verdicts.h
+++ b/Source/Gateway/part_verdicts.h
@@ -12,7 +12,7 @@
 /// Decides from the recorded crashes which prompt parts are refused.
 namespace chestnuthead::gateway {
 
-/// A part that has become suspected or refused.
+/// A part that has become suspected, withheld or refused.
 struct part_verdict {
   std::uint64_t part = 0;
   /// Hashes of the endpoints that it crashed, as far as known to this gateway.
@@ -21,6 +21,8 @@
   bool refused = false;
   /// Refused because a peer refuses it.
   bool from_peer = false;
+  /// Withheld for `part_trial_time`.
+  bool withheld = false;
 };
 
 /// Number of endpoints that are listed in a pool, which is given by its hash.
--- a/Source/Traffic/crashing_part_review.cxx
+++ b/Source/Traffic/crashing_part_review.cxx
@@ -35,6 +35,13 @@
   return 0;
 }
 
+const char* event_of(const gateway::part_verdict& verdict) {
+  if (verdict.refused) {
+    return "request_part_refused";
+  }
+  return verdict.withheld ? "prompt_part_withheld" : "prompt_part_suspected";
+}
+
 }  // namespace
 
 std::string part_text(std::uint64_t part) {
@@ -54,8 +61,8 @@
     if (verdict.refused) {
       fields.push_back({"source", std::string(verdict.from_peer ? "peer" : "own")});
     }
-    context.log.write(verdict.refused ? log_level::warning : log_level::info,
-                      verdict.refused ? "request_part_refused" : "prompt_part_suspected", fields);
+    context.log.write(verdict.refused ? log_level::warning : log_level::info, event_of(verdict),
+                      fields);
   }
 }
 
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -282,7 +282,7 @@
     this->answer.answer_error(error_kind::endpoint_failed, {});
   } else {
     this->answer.answer_error(error_kind::request_refused_after_crashes,
-                              gateway::part_refusal_time);
+                              time_until_retry(parts, *this->record.refused_part, now));
   }
   return true;
 }
--- a/Tests/Gateway/crashing_parts_test.cxx
+++ b/Tests/Gateway/crashing_parts_test.cxx
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(last_part_is_never_refused);
   CPPUNIT_TEST(crashes_of_one_endpoint_are_not_added_up);
   CPPUNIT_TEST(crashes_of_one_endpoint_are_added_up_in_a_small_pool);
+  CPPUNIT_TEST(part_of_a_small_pool_without_answers_is_withheld_before_it_is_refused);
+  CPPUNIT_TEST(trial_ends_if_a_small_pool_crashes_without_the_part);
   CPPUNIT_TEST(small_pool_whose_endpoints_are_lost_together_refuses_no_part);
   CPPUNIT_TEST(unrelated_parts_of_a_small_pool_are_not_refused);
   CPPUNIT_TEST(large_pool_of_which_few_entries_are_left_is_not_small);
@@ -101,6 +103,32 @@
     }
   }
 
+  /// Guards against parts that crash an endpoint too often for other requests to be answered.
+  void part_of_a_small_pool_without_answers_is_withheld_before_it_is_refused() {
+    this->crash_without_answers();
+    CPPUNIT_ASSERT(bad == this->refused_at(12'100, {shared, bad, 94}));
+    CPPUNIT_ASSERT(!this->refused_at(12'100, {shared, 70, 94}));
+    CPPUNIT_ASSERT(time_until_retry(this->table, bad, at(12'100)) < part_trial_time);
+    this->answer_at(15'500, {shared, 70, 92});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->review_at(15'600));
+    CPPUNIT_ASSERT(bad == this->refused_at(30'000, {shared, bad, 94}));
+    CPPUNIT_ASSERT(time_until_retry(this->table, bad, at(30'000)) == part_refusal_time);
+  }
+
+  /// Guards against trials that become refusals, or are renewed by the requests that they end.
+  void trial_ends_if_a_small_pool_crashes_without_the_part() {
+    this->crash_without_answers();
+    note_refused_request(this->table, bad, at(13'000));
+    this->crash_at(15'500, 0, {shared, 70, 92});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->review_at(15'600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->review_at(18'100));
+    CPPUNIT_ASSERT(!this->refused_at(18'100, {shared, bad, 94}));
+    this->crash_at(19'000, 0, {shared, bad, 95});
+    this->answer_thrice(21'000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->review_at(21'100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count_refused(this->table, at(21'100)));
+  }
+
   /// A part that was in use both times when all endpoints were lost.
   void small_pool_whose_endpoints_are_lost_together_refuses_no_part() {
     this->listed_endpoints = 2;
@@ -304,6 +332,15 @@
     return refused_part(this->table, prompt_of(parts), at(time));
   }
 
+  /// The only endpoint of a pool crashes five times and answers nothing.
+  void crash_without_answers() {
+    this->listed_endpoints = 1;
+    for (int number = 0; number < 5; ++number) {
+      this->crash_at(3'000 * number, 0, {shared, bad, 90});
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->review_at(3'000 * number));
+    }
+  }
+
   void crash_thrice(const std::vector<std::uint64_t>& parts) {
     for (int number = 0; number < 3; ++number) {
       this->crash_at(200 * number, 10 + static_cast<std::uint64_t>(number), parts);
