Let engines turn cold in the soak, and check the rate of their requests

The soak played no cold endpoints and at most one caller for three gateways of a large site, so it could not see what many gateways send to a cold endpoint together.

--cold-starts COUNT adds moments at which engines start cold as new ones, crash and start again cold, or turn cold while they serve; some at once, some with gateways killed a second before or a silent store.

--- a/Tests/Soak/soak.cxx
+++ b/Tests/Soak/soak.cxx
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::array<option, 15> long_options{{
+constexpr std::array<option, 18> long_options{{
     {"seed", required_argument, nullptr, 's'},
     {"seeds", required_argument, nullptr, 'n'},
     {"length", required_argument, nullptr, 'l'},
@@ -30,6 +30,9 @@
     {"unframed", no_argument, nullptr, 'u'},
     {"releases", required_argument, nullptr, 'v'},
     {"split-writers", no_argument, nullptr, 'w'},
+    {"cold-starts", required_argument, nullptr, 'd'},
+    {"callers", required_argument, nullptr, 'a'},
+    {"engines", required_argument, nullptr, 'm'},
     {nullptr, 0, nullptr, 0},
 }};
 
@@ -142,6 +145,15 @@
     case 'w':
       options.split_writers = true;
       return true;
+    case 'd':
+      options.cold_starts = std::atoi(optarg);
+      return true;
+    case 'a':
+      options.callers = std::atoi(optarg);
+      return true;
+    case 'm':
+      options.engines = std::atoi(optarg);
+      return true;
     case 'r':
       line.shrink_failures = true;
       return true;
@@ -164,7 +176,8 @@
                    "[--gateway PROGRAM] [--gateways COUNT] [--folder FOLDER] "
                    "[--leave-out NUMBERS] [--shrink] [--store-copies COUNT] "
                    "[--silences COUNT] [--crashing-part] [--unframed] [--releases COUNT] "
-                   "[--split-writers]\n";
+                   "[--split-writers] [--cold-starts COUNT] [--callers COUNT] "
+                   "[--engines COUNT]\n";
       return 2;
     }
   }
--- a/Tests/Soak/soak_caller.cxx
+++ b/Tests/Soak/soak_caller.cxx
@@ -49,8 +49,8 @@
 
 soak_caller::soak_caller(traffic::event_loop& loop, const clock& source, std::string gateway_name,
                          const std::string& address, result_handler on_end)
-    : time(source),
-      gateway(std::move(gateway_name)),
+    : gateway(std::move(gateway_name)),
+      time(source),
       on_finished(std::move(on_end)),
       reader(traffic::http_kind::answer, *this),
       link(loop, address, *this) {}
--- a/Tests/Soak/soak_caller.h
+++ b/Tests/Soak/soak_caller.h
@@ -67,6 +67,8 @@
   /// Resets the connection. A request in progress is reported.
   void reset();
 
+  const std::string gateway;
+
   void on_open() override {}
   void on_bytes(std::string_view bytes) override;
   void on_end(traffic::link_end end) override;
@@ -78,7 +80,6 @@
   void report_result();
 
   const clock& time;
-  std::string gateway;
   result_handler on_finished;
   traffic::http_reader reader;
   traffic::tcp_link link;
--- a/Tests/Soak/soak_checks.cxx
+++ b/Tests/Soak/soak_checks.cxx
@@ -21,6 +21,9 @@
   return endpoint.substr(0, endpoint.find('-'));
 }
 
+/// Most requests that a cold endpoint bears in one second.
+constexpr std::size_t cold_bound = cold_rate * 3 / 2 + 5;
+
 /// Crashes after which gateways must recognise the part of the prompt that causes them.
 constexpr std::size_t crashes_until_known = 5;
 /// Time from that crash on until requests with the part are kept from endpoints, except a few.
@@ -106,6 +109,15 @@
       });
 }
 
+/// True if the gateway could not read the store within `cold_lag` before this time.
+bool lacked_store(const soak_history& history, const std::string& gateway, steady_time at) {
+  return std::any_of(history.disturbances.begin(), history.disturbances.end(),
+                     [&](const disturbance& one) {
+                       return one.process == gateway && one.part == disturbed_part::store_link &&
+                              one.from <= at && one.until > at - cold_lag;
+                     });
+}
+
 class history_checker {
  public:
   history_checker(const soak_history& soak_events, const execution_log& runs)
@@ -123,6 +135,7 @@
     }
     this->check_isolation();
     this->check_sound_requests();
+    this->check_cold_starts();
     add_writing_violations(this->history.writings, this->violations);
     return this->violations;
   }
@@ -357,6 +370,18 @@
     }
   }
 
+  /// All gateways together must keep to the rate of a cold endpoint.
+  void check_cold_starts() {
+    for (const cold_start& start : this->history.cold_starts) {
+      const std::size_t most = busiest_second(this->history, this->executions, start).size();
+      if (most > cold_bound) {
+        this->violations.push_back(start.endpoint + " got " + std::to_string(most) +
+                                   " requests in one second while cold, where " +
+                                   std::to_string(cold_bound) + " are allowed.");
+      }
+    }
+  }
+
   const soak_history& history;
   const execution_log& executions;
   std::vector<std::string> violations;
@@ -364,6 +389,32 @@
 
 }  // namespace
 
+std::vector<arrival> busiest_second(const soak_history& history, const execution_log& executions,
+                                    const cold_start& start) {
+  std::vector<arrival> arrivals;
+  for (const soak_request& request : history.requests) {
+    for (const execution& run : executions_of(executions, request.id)) {
+      // A gateway without the store can't know of an endpoint that turned cold while serving.
+      if (run.endpoint == start.endpoint && run.at >= start.counted_from && run.at < start.until &&
+          !(start.in_place && lacked_store(history, request.gateway, run.at))) {
+        arrivals.push_back({run.at, request.gateway, request.id});
+      }
+    }
+  }
+  std::sort(arrivals.begin(), arrivals.end(),
+            [](const arrival& one, const arrival& other) { return one.at < other.at; });
+  auto busiest = std::make_pair(arrivals.begin(), arrivals.begin());
+  for (auto first = arrivals.begin(), last = first; last != arrivals.end(); ++last) {
+    while (last->at - first->at >= std::chrono::seconds{1}) {
+      ++first;
+    }
+    if (last + 1 - first > busiest.second - busiest.first) {
+      busiest = {first, last + 1};
+    }
+  }
+  return {busiest.first, busiest.second};
+}
+
 std::vector<std::string> find_violations(const soak_history& history,
                                          const execution_log& executions) {
   return history_checker(history, executions).check();
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -27,6 +27,12 @@
 /// Longest time until service has recovered after the last fault.
 inline constexpr std::chrono::milliseconds recovery_time{12'000};
 
+/// How long an endpoint is cold, and the requests a second that it then bears, as configured.
+inline constexpr std::chrono::seconds cold_time{3};
+inline constexpr int cold_rate = 14;
+/// Time until gateways have read the row of an endpoint that turns cold while it serves.
+inline constexpr std::chrono::milliseconds cold_lag{1'000};
+
 /// What a fault affected.
 enum class disturbed_part : std::uint8_t {
   /// The gateway's process.
@@ -48,6 +54,24 @@
   steady_time until{};
 };
 
+/// A period in which an endpoint is cold.
+struct cold_start {
+  std::string endpoint;
+  /// The endpoint goes on serving, and only its row says that it is cold.
+  bool in_place = false;
+  steady_time from{};
+  /// From here on its requests are limited.
+  steady_time counted_from{};
+  steady_time until{};
+};
+
+/// A request that reached an endpoint.
+struct arrival {
+  steady_time at{};
+  std::string gateway;
+  std::string request;
+};
+
 /// Requests, faults and changes of a run, as input for the checks.
 struct soak_history {
   std::vector<soak_request> requests;
@@ -70,8 +94,13 @@
   steady_time crashing_until{};
   std::vector<steady_time> crashes;
   std::deque<writing> writings;
+  std::vector<cold_start> cold_starts;
 };
 
+/// The requests of the second in which the cold endpoint got the most of those that count.
+std::vector<arrival> busiest_second(const soak_history& history, const execution_log& executions,
+                                    const cold_start& start);
+
 /// Returns all violated guarantees, one sentence each.
 std::vector<std::string> find_violations(const soak_history& history,
                                          const execution_log& executions);
--- a/Tests/Soak/soak_endpoint.cxx
+++ b/Tests/Soak/soak_endpoint.cxx
@@ -47,6 +47,11 @@
   return "id: " + std::to_string(number) + "\ndata: " + request + "\n\n";
 }
 
+std::chrono::milliseconds cold_time_left(const soak_endpoint& endpoint, steady_time now) {
+  return std::max(std::chrono::milliseconds{0},
+                  std::chrono::ceil<std::chrono::milliseconds>(endpoint.cold_until - now));
+}
+
 soak_endpoint::soak_endpoint(traffic::event_loop& loop, task_queue& queue, const clock& source,
                              execution_log& log, std::string endpoint_name, std::uint64_t seed)
     : name(std::move(endpoint_name)),
@@ -85,7 +90,9 @@
 
 void soak_endpoint::answer(scripted_endpoint::connection& caller, const traffic::http_head& head) {
   if (head.target == "/healthz") {
-    caller.send("HTTP/1.1 200 OK\r\nInstance-Id: " + this->name + "\r\nContent-Length: 0\r\n\r\n");
+    caller.send("HTTP/1.1 200 OK\r\nInstance-Id: " + this->name + "\r\nWarmup-Ms: " +
+                std::to_string(cold_time_left(*this, this->time.now()).count()) +
+                "\r\nContent-Length: 0\r\n\r\n");
     return;
   }
   if (header_value(head, "Expect-Instance") != this->name) {
--- a/Tests/Soak/soak_endpoint.h
+++ b/Tests/Soak/soak_endpoint.h
@@ -65,6 +65,9 @@
   /// The endpoint announces in its answers that it is leaving.
   bool leaving = false;
 
+  /// Until this time the endpoint is cold, which its row and its answers to health checks say.
+  steady_time cold_until{};
+
   const std::string name;
   [[nodiscard]] bool is_down() const {
     return this->front_proxy.down;
@@ -112,4 +115,7 @@
   fault_proxy front_proxy;
 };
 
+/// How long the endpoint stays cold; zero if it is warm.
+std::chrono::milliseconds cold_time_left(const soak_endpoint& endpoint, steady_time now);
+
 }  // namespace chestnuthead::soak
--- a/Tests/Soak/soak_faults.cxx
+++ b/Tests/Soak/soak_faults.cxx
@@ -22,7 +22,7 @@
 }
 
 soak_endpoint& soak_run::pick_endpoint() {
-  return *this->endpoints[next_below(this->fault_random, this->endpoints.size())];
+  return *this->endpoints[next_below(this->fault_random, this->first_endpoints)];
 }
 
 void soak_run::disturb_gateway(soak_gateway& gateway) {
@@ -158,7 +158,7 @@
   const auto scope = next_below(silence_random, 6);
   const auto first = next_below(silence_random, this->endpoints.size());
   const bool with_configuration = next_below(silence_random, 2) == 0;
-  for (std::size_t number = 0; number < this->endpoints.size(); ++number) {
+  for (std::size_t number = 0; number < this->first_endpoints; ++number) {
     const milliseconds length{shortest_ms + next_below(silence_random, range_ms)};
     soak_endpoint& endpoint = *this->endpoints[number];
     const bool chosen = scope == 0 || (scope <= 3 ? number % 2 == first % 2 : number == first);
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -11,6 +11,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds step_time{4};
+/// Interval at which callers may send if endpoints turn cold.
+constexpr milliseconds callers_pause{20};
 /// Consecutive requests that must be answered after the last fault.
 constexpr int answers_for_recovery = 60;
 /// Time for the gateways to start before faults begin.
@@ -20,7 +22,6 @@
 constexpr milliseconds release_restart_delay{1'000};
 /// Separates the random source of the unframed answers from those of the faults.
 constexpr std::uint64_t unframed_seeds = 1ULL << 60U;
-constexpr int engines = 4;
 constexpr int plain_endpoints = 2;
 
 const std::string chat_pool = "engines";
@@ -47,7 +48,11 @@
       crash_random(this->options.seed),
       release_random(this->options.seed),
       tasks(this->time),
-      started_at(this->time.now()) {}
+      started_at(this->time.now()) {
+  if (this->options.cold_starts > 0) {
+    this->options.callers = std::max(this->options.callers, this->options.gateways);
+  }
+}
 
 soak_gateway& soak_run::pick_gateway(random_source& source) {
   return *this->gateways[next_below(source, this->gateways.size())];
@@ -79,8 +84,12 @@
                                  const std::string& rest) {
     return route_to(prefix, R"("service":")" + pool + "\"", rest);
   };
-  const auto service = [](const std::string& pool) {
-    return R"({"name":")" + pool + R"(","health_check_path":"/healthz","max_connections":300})";
+  const auto service = [this](const std::string& pool) {
+    const bool may_be_cold = this->options.cold_starts > 0 && pool == chat_pool;
+    const std::string cold = R"(,"warmup_s":)" + std::to_string(cold_time.count()) +
+                             R"(,"warmup_per_s":)" + std::to_string(cold_rate);
+    return R"({"name":")" + pool + R"(","health_check_path":"/healthz","max_connections":300)" +
+           (may_be_cold ? cold : "") + "}";
   };
   std::string write_route;
   std::string write_service;
@@ -127,7 +136,8 @@
           "servers", endpoint,
           R"({"service":")" + pool_of(endpoint) + R"(","address":")" + one->proxy().address +
               R"(","zone":"north","batch_slots":64,"state":")" + state +
-              R"(","warmup_remaining_ms":0,"born":)" +
+              R"(","warmup_remaining_ms":)" +
+              std::to_string(cold_time_left(*one, this->time.now()).count()) + R"(,"born":)" +
               std::to_string(1 + this->endpoint_restarts[endpoint]) + R"(,"sequence":)" +
               std::to_string(++this->heartbeat_sequence) +
               (one->version.empty() ? "" : R"(,"version":")" + one->version + "\"") + "}");
@@ -137,7 +147,7 @@
 
 void soak_run::choose_unframed_endpoints() {
   seeded_random choice(this->options.seed ^ unframed_seeds);
-  const auto one_engine = next_below(choice, engines);
+  const auto one_engine = next_below(choice, static_cast<std::uint64_t>(this->options.engines));
   for (std::size_t number = 0; number < this->endpoints.size(); ++number) {
     const bool chosen = next_below(choice, 2) == 0 || number == one_engine;
     this->endpoints[number]->unframed = this->options.unframed && chosen;
@@ -148,6 +158,7 @@
   this->keys = {"key-0", "key-1", "key-2", "key-3", "key-4"};
   this->store = std::make_unique<row_store>(this->loop, this->tasks, this->time);
   this->write_configuration();
+  const int engines = this->options.engines;
   for (int number = 0; number < engines + plain_endpoints; ++number) {
     const std::string name = (number < engines ? "engine-" : "plain-") + std::to_string(number);
     this->endpoints.push_back(std::make_unique<soak_endpoint>(
@@ -156,6 +167,7 @@
   }
   this->set_up_writers();
   this->choose_unframed_endpoints();
+  this->first_endpoints = this->endpoints.size();
   for (int number = 0; number < this->options.gateways; ++number) {
     this->gateways.push_back(std::make_unique<soak_gateway>(
         "gateway-" + std::to_string(number), this->options.gateway_program, this->options.folder,
@@ -193,7 +205,29 @@
   caller.send_request(std::move(request));
 }
 
+soak_gateway& soak_run::choose_callers_gateway() {
+  if (this->options.cold_starts == 0) {
+    return this->pick_gateway(this->caller_random);
+  }
+  // Each gateway has to send requests to a cold endpoint, so none is without a caller.
+  std::map<std::string, int> counts;
+  for (const auto& caller : this->callers) {
+    ++counts[caller->gateway];
+  }
+  return **std::min_element(this->gateways.begin(), this->gateways.end(),
+                            [&counts](const auto& one, const auto& other) {
+                              return counts[one->name] < counts[other->name];
+                            });
+}
+
 void soak_run::keep_callers_busy() {
+  if (this->options.cold_starts > 0) {
+    // Many callers that never paused would ask for more than this machine can play.
+    if (this->time.now() < this->callers_wait_until) {
+      return;
+    }
+    this->callers_wait_until = this->time.now() + callers_pause;
+  }
   for (auto& caller : this->callers) {
     if (caller->is_closed()) {
       this->loop.dispose(std::move(caller));
@@ -201,7 +235,7 @@
   }
   std::erase(this->callers, nullptr);
   while (this->callers.size() < static_cast<std::size_t>(this->options.callers)) {
-    soak_gateway& gateway = this->pick_gateway(this->caller_random);
+    const soak_gateway& gateway = this->choose_callers_gateway();
     this->callers.push_back(std::make_unique<soak_caller>(
         this->loop, this->time, gateway.name, gateway.public_address,
         [this](const soak_request& request) {
@@ -219,10 +253,13 @@
 }
 
 void soak_run::run_step() {
+  const steady_time step_began = this->time.now();
   this->loop.run_once(step_time);
   this->tasks.run_due();
   this->restart_ended_gateways();
   this->keep_callers_busy();
+  this->longest_step = std::max(
+      this->longest_step, std::chrono::duration_cast<milliseconds>(this->time.now() - step_began));
 }
 
 bool soak_run::has_recovered() {
@@ -261,6 +298,7 @@
   this->tasks.after(start_time, [this] { this->schedule_store_restores(); });
   this->tasks.after(start_time, [this] { this->schedule_silences(); });
   this->tasks.after(start_time, [this] { this->schedule_crashing_part(); });
+  this->tasks.after(start_time, [this] { this->schedule_cold_starts(); });
   // The longest fault lasts this long, so all faults have ended by `faults_end`.
   constexpr milliseconds longest_fault{8'500};
   this->history.faults_from = this->time.now() + start_time;
@@ -289,6 +327,7 @@
       << violations.size() << "\n";
   this->write_unframed_summary();
   this->write_writing_summary();
+  this->write_cold_summary();
   return violations;
 }
 
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -27,6 +27,7 @@
   std::string folder;
   int gateways = 3;
   int callers = 24;
+  int engines = 4;
   /// Number of times that the store is restored from a copy, besides the scheduled faults.
   int store_copies = 0;
   /// Number of moments at which sound endpoints fall silent, besides the scheduled faults.
@@ -39,6 +40,8 @@
   int releases = 0;
   /// The writers' route is split over two pools.
   bool split_writers = false;
+  /// Number of moments at which engines turn cold, besides the scheduled faults.
+  int cold_starts = 0;
   /// Numbers of the scheduled faults that are skipped.
   std::set<std::size_t> left_out;
 };
@@ -81,6 +84,24 @@
   void crash_endpoint(soak_endpoint& endpoint, const std::string& request);
   /// Resets all connections of the endpoint and starts it anew after this time unless it has left.
   void take_down(soak_endpoint& endpoint, std::chrono::milliseconds absence, bool removes_row);
+  void schedule_cold_starts();
+  /// Kills each gateway, or each one in `every`.
+  void kill_gateways(std::size_t every);
+  /// The links of all gateways drop the store's bytes.
+  void silence_store(std::chrono::milliseconds length);
+  /// The first warm engine in service from this number on; nullptr if there is none.
+  soak_endpoint* find_warm_engine(std::size_t first);
+  void add_cold_endpoint(std::uint64_t seed);
+  /// Resets all connections of the endpoint and starts it later, cold.
+  void restart_cold(soak_endpoint& endpoint, std::chrono::milliseconds absence,
+                    std::chrono::milliseconds row_lag, bool removes_row);
+  /// The endpoint is cold from now on. Its row says so after `row_lag`.
+  void begin_cold_time(soak_endpoint& endpoint, std::chrono::milliseconds row_lag, bool in_place);
+  void list_cold(soak_endpoint& endpoint, std::size_t number);
+  /// Prints and adds the most requests that a cold endpoint got in one second.
+  void write_cold_summary();
+  /// The gateway of a new caller.
+  soak_gateway& choose_callers_gateway();
   /// Creates the endpoints of all versions that write streams and lists those of the first one.
   void set_up_writers();
   void schedule_releases();
@@ -137,6 +158,11 @@
   /// For the releases, their crashes and the callers of writers.
   seeded_random release_random;
   std::size_t fault_count = 0;
+  /// Endpoints of the start, to which other faults are limited.
+  std::size_t first_endpoints = 0;
+  steady_time callers_wait_until{};
+  /// Longest time that one step of the event loop took; requests seem to arrive together in it.
+  std::chrono::milliseconds longest_step{0};
   traffic::event_loop loop;
   task_queue tasks;
   execution_log executions;
