--- a/Tests/Soak/soak.cxx
+++ b/Tests/Soak/soak.cxx
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::array<option, 18> long_options{{
+constexpr std::array<option, 19> long_options{{
     {"seed", required_argument, nullptr, 's'},
     {"seeds", required_argument, nullptr, 'n'},
     {"length", required_argument, nullptr, 'l'},
@@ -31,6 +31,7 @@
     {"releases", required_argument, nullptr, 'v'},
     {"split-writers", no_argument, nullptr, 'w'},
     {"cold-starts", required_argument, nullptr, 'd'},
+    {"flood-crashes", no_argument, nullptr, 'x'},
     {"callers", required_argument, nullptr, 'a'},
     {"engines", required_argument, nullptr, 'm'},
     {nullptr, 0, nullptr, 0},
@@ -148,6 +149,9 @@
     case 'd':
       options.cold_starts = std::atoi(optarg);
       return true;
+    case 'x':
+      options.flood_crashes = true;
+      return true;
     case 'a':
       options.callers = std::atoi(optarg);
       return true;
@@ -176,7 +180,7 @@
                    "[--gateway PROGRAM] [--gateways COUNT] [--folder FOLDER] "
                    "[--leave-out NUMBERS] [--shrink] [--store-copies COUNT] "
                    "[--silences COUNT] [--crashing-part] [--unframed] [--releases COUNT] "
-                   "[--split-writers] [--cold-starts COUNT] [--callers COUNT] "
+                   "[--split-writers] [--cold-starts COUNT] [--flood-crashes] [--callers COUNT] "
                    "[--engines COUNT]\n";
       return 2;
     }
--- a/Tests/Soak/soak_checks.cxx
+++ b/Tests/Soak/soak_checks.cxx
@@ -21,9 +21,6 @@
   return endpoint.substr(0, endpoint.find('-'));
 }
 
-/// Most requests that a cold endpoint bears in one second.
-constexpr std::size_t cold_bound = cold_rate * 3 / 2 + 5;
-
 /// Crashes after which gateways must recognise the part of the prompt that causes them.
 constexpr std::size_t crashes_until_known = 5;
 /// Time from that crash on until requests with the part are kept from endpoints, except a few.
--- a/Tests/Soak/soak_checks.h
+++ b/Tests/Soak/soak_checks.h
@@ -30,6 +30,8 @@
 /// How long an endpoint is cold, and the requests a second that it then bears, as configured.
 inline constexpr std::chrono::seconds cold_time{3};
 inline constexpr int cold_rate = 14;
+/// Most requests that a cold endpoint bears in one second.
+inline constexpr std::size_t cold_bound = cold_rate * 3 / 2 + 5;
 /// Time until gateways have read the row of an endpoint that turns cold while it serves.
 inline constexpr std::chrono::milliseconds cold_lag{1'000};
 
--- a/Tests/Soak/soak_cold_starts.cxx
+++ b/Tests/Soak/soak_cold_starts.cxx
@@ -1,6 +1,7 @@
 // Endpoints of the engine pool that turn cold.
 #include <algorithm>
 #include <csignal>
+#include <deque>
 #include <fstream>
 #include <iostream>
 
@@ -14,6 +15,9 @@
 
 /// Separates the random source of the cold starts from those of other faults.
 constexpr std::uint64_t cold_seeds = 1ULL << 58U;
+/// How long a flooded engine is away, and how much later its row follows.
+constexpr milliseconds flood_absence{1'500};
+constexpr milliseconds flood_row_lag{300};
 
 }  // namespace
 
@@ -126,9 +130,32 @@
   endpoint.cold_until = now + cold_time;
   this->history.cold_starts.push_back(
       {endpoint.name, in_place, now, in_place ? endpoint.cold_until : now, endpoint.cold_until});
-  this->tasks.after(row_lag, [this, &endpoint, number = this->history.cold_starts.size() - 1] {
-    this->list_cold(endpoint, number);
-  });
+  const std::size_t number = this->history.cold_starts.size() - 1;
+  this->tasks.after(row_lag, [this, &endpoint, number] { this->list_cold(endpoint, number); });
+  if (this->options.flood_crashes) {
+    this->crash_when_flooded(endpoint, number);
+  }
+}
+
+void soak_run::crash_when_flooded(soak_endpoint& endpoint, std::size_t number) {
+  endpoint.on_request = [this, &endpoint, number, last = std::deque<steady_time>()]() mutable {
+    const steady_time now = this->time.now();
+    const cold_start& start = this->history.cold_starts[number];
+    if (now < start.counted_from || now >= start.until || endpoint.is_down()) {
+      return;
+    }
+    last.push_back(now);
+    while (now - last.front() >= std::chrono::seconds{1}) {
+      last.pop_front();
+    }
+    if (last.size() == cold_bound + 1) {
+      this->log_event(endpoint.name + " is flooded");
+      // Not at once: the connection of the request is being read.
+      this->tasks.after(milliseconds{1}, [this, &endpoint] {
+        this->restart_cold(endpoint, flood_absence, flood_row_lag, false);
+      });
+    }
+  };
 }
 
 void soak_run::list_cold(soak_endpoint& endpoint, std::size_t number) {
--- a/Tests/Soak/soak_endpoint.cxx
+++ b/Tests/Soak/soak_endpoint.cxx
@@ -80,6 +80,9 @@
   if (head.target != "/healthz" && header_value(head, "Expect-Instance") == this->name) {
     this->executions[header_value(head, "Attempt-Id")].push_back(
         {this->name, header_value(head, "Tenant"), this->time.now(), false, false, false});
+    if (this->on_request) {
+      this->on_request();
+    }
   }
   this->when_not_silent([this, &caller, head] {
     if (!caller.closed) {
--- a/Tests/Soak/soak_endpoint.h
+++ b/Tests/Soak/soak_endpoint.h
@@ -49,6 +49,9 @@
   /// is empty, no prompt crashes the endpoint.
   std::function<void(const std::string&)> on_crash;
 
+  /// Called, if set, when a request has arrived.
+  std::function<void()> on_request;
+
   /// Until this time the endpoint sends nothing, not even answers to health checks.
   steady_time silent_until{};
 
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -42,6 +42,8 @@
   bool split_writers = false;
   /// Number of moments at which engines turn cold, besides the scheduled faults.
   int cold_starts = 0;
+  /// Cold engines crash when they get more requests than they bear.
+  bool flood_crashes = false;
   /// Numbers of the scheduled faults that are skipped.
   std::set<std::size_t> left_out;
 };
@@ -97,6 +99,8 @@
                     std::chrono::milliseconds row_lag, bool removes_row);
   /// The endpoint is cold from now on. Its row says so after `row_lag`.
   void begin_cold_time(soak_endpoint& endpoint, std::chrono::milliseconds row_lag, bool in_place);
+  /// Crashes the endpoint if more requests than it bears arrive in a second of this cold start.
+  void crash_when_flooded(soak_endpoint& endpoint, std::size_t number);
   void list_cold(soak_endpoint& endpoint, std::size_t number);
   /// Prints and adds the most requests that a cold endpoint got in one second.
   void write_cold_summary();
