Refuse connections to cold engines that are away in the soak

The proxy of an engine that had crashed still accepted connections and closed them, so gateways saw broken answers where a process that has ended refuses connections.

The proxy now stops listening for that time, on a port that stays reserved. Gateways end with a soak that is aborted.

--- a/Tests/Soak/soak_cold_starts.cxx
+++ b/Tests/Soak/soak_cold_starts.cxx
@@ -112,12 +112,14 @@
                   " ms, its row " + (removes_row ? "is removed" : "stays"));
   this->record_disturbance(endpoint.name, disturbed_part::endpoint_link, absence);
   endpoint.proxy().down = true;
+  endpoint.proxy().stop_listening();
   endpoint.proxy().reset_all();
   if (removes_row) {
     this->write_to_store("servers", endpoint.name, "");
   }
   this->tasks.after(absence, [this, &endpoint, row_lag] {
     endpoint.proxy().down = false;
+    endpoint.proxy().listen();
     ++this->endpoint_restarts[endpoint.name];
     this->begin_cold_time(endpoint, row_lag, false);
   });
--- a/Tests/Soak/soak_gateway.cxx
+++ b/Tests/Soak/soak_gateway.cxx
@@ -6,21 +6,12 @@
 #include <utility>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "Fakes/local_address.h"
-
 namespace chestnuthead::soak {
 
-port_reservation::port_reservation()
-    : descriptor(traffic::open_bound_socket("127.0.0.1:0", SOCK_STREAM)),
-      address(local_address(descriptor)) {}
-
-port_reservation::~port_reservation() {
-  ::close(this->descriptor);
-}
-
 soak_gateway::soak_gateway(std::string gateway_name, std::string binary, std::string work_folder,
                            std::unique_ptr<fault_proxy> proxy, const std::string& more_settings)
     : name(std::move(gateway_name)),
@@ -49,6 +40,8 @@
     throw std::runtime_error("Can't fork the process of the gateway.");
   }
   if (this->process == 0) {
+    // An aborted soak leaves no gateways behind.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const std::string log = this->folder + "/" + this->name + ".log";
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(output, STDOUT_FILENO);
--- a/Tests/Soak/soak_gateway.h
+++ b/Tests/Soak/soak_gateway.h
@@ -9,22 +9,6 @@
 
 namespace chestnuthead::soak {
 
-/// A loopback port that the system gives to nobody else while this object lives. A process can
-/// listen on it if it sets SO_REUSEADDR, as gateways do.
-class port_reservation {
- public:
-  port_reservation();
-  ~port_reservation();
-  port_reservation(const port_reservation&) = delete;
-  port_reservation& operator=(const port_reservation&) = delete;
-
- private:
-  int descriptor;
-
- public:
-  const std::string address;
-};
-
 /// A gateway process that reaches the store through its own fault-injecting proxy.
 class soak_gateway {
  public:
--- a/Tests/Soak/soak_proxy.cxx
+++ b/Tests/Soak/soak_proxy.cxx
@@ -1,5 +1,7 @@
 #include "soak_proxy.h"
 
+#include <cerrno>
+#include <system_error>
 #include <utility>
 
 #include <sys/socket.h>
@@ -9,6 +11,14 @@
 
 namespace chestnuthead::soak {
 
+port_reservation::port_reservation()
+    : descriptor(traffic::open_bound_socket("127.0.0.1:0", SOCK_STREAM)),
+      address(local_address(descriptor)) {}
+
+port_reservation::~port_reservation() {
+  ::close(this->descriptor);
+}
+
 /// A proxied connection: a link to the caller and a link to the target.
 class fault_proxy::proxied_connection
     : public std::enable_shared_from_this<fault_proxy::proxied_connection> {
@@ -89,17 +99,32 @@
 };
 
 fault_proxy::fault_proxy(traffic::event_loop& io, task_queue& queue, std::string target_address)
-    : loop(io),
-      tasks(queue),
-      target(std::move(target_address)),
-      descriptor(traffic::listen_on("127.0.0.1:0")) {
-  this->address = local_address(this->descriptor);
-  this->loop.watch(this->descriptor, *this, {true, false});
+    : loop(io), tasks(queue), target(std::move(target_address)) {
+  this->listen();
 }
 
 fault_proxy::~fault_proxy() {
-  this->loop.unwatch(this->descriptor);
-  ::close(this->descriptor);
+  this->stop_listening();
+}
+
+void fault_proxy::listen() {
+  if (this->descriptor < 0) {
+    this->descriptor = traffic::listen_on(this->address);
+    if (this->descriptor < 0) {
+      throw std::system_error(errno, std::generic_category(), "Can't listen on " + this->address);
+    }
+    this->loop.watch(this->descriptor, *this, {true, false});
+  }
+}
+
+void fault_proxy::stop_listening() {
+  if (this->descriptor >= 0) {
+    this->loop.unwatch(this->descriptor);
+    // A child that has not started its program yet still holds a copy of the descriptor.
+    ::shutdown(this->descriptor, SHUT_RDWR);
+    ::close(this->descriptor);
+    this->descriptor = -1;
+  }
 }
 
 void fault_proxy::reset_all() {
--- a/Tests/Soak/soak_proxy.h
+++ b/Tests/Soak/soak_proxy.h
@@ -20,6 +20,22 @@
   bool refuse_connections = false;
 };
 
+/// A loopback port that the system gives to nobody else while this object lives. A process can
+/// listen on it if it sets SO_REUSEADDR, as gateways do.
+class port_reservation {
+ public:
+  port_reservation();
+  ~port_reservation();
+  port_reservation(const port_reservation&) = delete;
+  port_reservation& operator=(const port_reservation&) = delete;
+
+ private:
+  int descriptor;
+
+ public:
+  const std::string address;
+};
+
 /// A loopback TCP proxy to one target address that injects faults.
 class fault_proxy : public traffic::io_watcher {
  public:
@@ -30,10 +46,14 @@
 
   /// Resets all open connections.
   void reset_all();
+  /// Without listening, the system refuses connections, as it does for a process that has ended.
+  void listen();
+  void stop_listening();
   void on_ready(bool readable, bool writable) override;
 
+  const port_reservation port;
   /// Address that the proxy listens on.
-  std::string address;
+  const std::string& address = port.address;
   link_fault fault;
   /// The target is down: new connections are closed at once, whatever `fault` says.
   bool down = false;
@@ -44,7 +64,8 @@
   traffic::event_loop& loop;
   task_queue& tasks;
   std::string target;
-  int descriptor;
+  /// -1 while the proxy does not listen.
+  int descriptor = -1;
   std::vector<std::shared_ptr<proxied_connection>> connections;
 };
 
