--- a/Tests/Soak/soak_endpoint.h
+++ b/Tests/Soak/soak_endpoint.h
@@ -49,6 +49,9 @@
   /// is empty, no prompt crashes the endpoint.
   std::function<void(const std::string&)> on_crash;
 
+  /// Called, if set, when a request has arrived.
+  std::function<void()> on_request;
+
   /// Until this time the endpoint sends nothing, not even answers to health checks.
   steady_time silent_until{};
 
@@ -65,6 +68,9 @@
   /// The endpoint announces in its answers that it is leaving.
   bool leaving = false;
 
+  /// Until this time the endpoint is cold, which its row and its answers to health checks say.
+  steady_time cold_until{};
+
   const std::string name;
   [[nodiscard]] bool is_down() const {
     return this->front_proxy.down;
@@ -112,4 +118,7 @@
   fault_proxy front_proxy;
 };
 
+/// How long the endpoint stays cold; zero if it is warm.
+std::chrono::milliseconds cold_time_left(const soak_endpoint& endpoint, steady_time now);
+
 }  // namespace chestnuthead::soak
