Check the health of a cold endpoint only within its rate

Cause: health checks were not counted against the rate of a cold endpoint. Once two gateways report it as unreachable, all others check it at once. Change: while an endpoint is cold only its senders check it, and a check uses their share. Before: health_checks_of_many_gateways_flood_no_cold_endpoint counted 82 checks and requests of 68 gateways in one second, of 26 allowed.

--- a/Source/Gateway/cold_pacing.cxx
+++ b/Source/Gateway/cold_pacing.cxx
@@ -83,4 +83,11 @@
   }
 }
 
+void count_cold_check(endpoint& row, steady_time now) {
+  if (is_cold(row, now)) {
+    row.pacing.next_at = now + row.pacing.interval;
+    row.pacing.sent_at = now;
+  }
+}
+
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/cold_pacing.h
+++ b/Source/Gateway/cold_pacing.h
@@ -28,4 +28,7 @@
 /// may have sent a request, and one that takes the place of another sender does as well.
 void update_cold_pacing(gateway_state& state, steady_time now);
 
+/// Counts a health check against this gateway's share if the endpoint is cold.
+void count_cold_check(endpoint& row, steady_time now);
+
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/endpoint_health.cxx
+++ b/Source/Gateway/endpoint_health.cxx
@@ -122,8 +122,12 @@
 }
 
 bool check_due(const endpoint& row, steady_time now) {
+  // An endpoint handles a check like any request, so checks use the gateway's share of the cold
+  // rate.
+  const bool is_paced = is_cold(row, now) && row.pacing.is_decided;
+  const bool has_share = row.pacing.is_sender && now >= row.pacing.next_at;
   return row.listed && row.record.needs_check && now >= row.record.ejected_until &&
-         !is_paused(row, now);
+         !is_paused(row, now) && (!is_paced || has_share);
 }
 
 bool is_ejected(const endpoint& row, steady_time now) {
--- a/Source/Traffic/health_checks.cxx
+++ b/Source/Traffic/health_checks.cxx
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "Gateway/cold_pacing.h"
 #include "Gateway/endpoint_health.h"
 #include "Traffic/endpoint_notices.h"
 
@@ -90,6 +91,7 @@
     note_unhealthy(row, now);
     return;
   }
+  count_cold_check(row, now);
   auto made = std::make_unique<check>(this->context, row.listing.name, *link);
   link->start(
       {"GET " + pool->health_path + " HTTP/1.1\r\nHost: " + row.listing.address + "\r\n\r\n",
--- a/Tests/Gateway/cold_rate_test.cxx
+++ b/Tests/Gateway/cold_rate_test.cxx
@@ -1,11 +1,14 @@
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Gateway/cold_pacing.h"
+#include "Gateway/endpoint_health.h"
 #include "Gateway/gateway_fixture.h"
 #include "Gateway/peer_table.h"
 #include "Gateway/placement.h"
@@ -56,6 +59,49 @@
     }
   }
 
+  /// All gateways start anew when the list of gateways is empty, and each learns of each other
+  /// one within `lag`.
+  void start_with_empty_list(milliseconds lag) {
+    const auto range = static_cast<std::uint64_t>(lag.count()) + 1;
+    for (int number = 0; number < this->size(); ++number) {
+      this->start(number);
+      member& one = *this->members[static_cast<std::size_t>(number)];
+      for (const auto& [name, row] : std::exchange(one.state.peers.rows, {})) {
+        one.unread.emplace(this->now + milliseconds{next_below(this->random, range)}, name);
+      }
+    }
+  }
+
+  /// The gateway begins a graceful shutdown. The others learn it at once.
+  void begin_stop(int number) {
+    this->members[static_cast<std::size_t>(number)]->state.stopping = true;
+    for (const auto& one : this->members) {
+      one->state.peers.rows.erase(gateway_name(number));
+    }
+  }
+
+  /// True if the gateway may send to the endpoint while that is cold.
+  [[nodiscard]] bool is_sender(int number) const {
+    return row_of(*this->members[static_cast<std::size_t>(number)]).pacing.is_sender;
+  }
+
+  /// All gateways learn now that the endpoint has started anew and is cold.
+  void restart_endpoint() {
+    for (const auto& one : this->members) {
+      endpoint_listing listing = row_of(*one).listing;
+      ++listing.started;
+      listing.cold_for = warm_up;
+      list_endpoint(one->state.endpoints, listing, this->now);
+    }
+  }
+
+  /// All gateways lose the endpoint and have to check it.
+  void lose_endpoint() {
+    for (const auto& one : this->members) {
+      note_loss_report(row_of(*one), this->now);
+    }
+  }
+
   /// The gateway does not know of a share of the others.
   void hide_peers(int number, double share) {
     peer_table& peers = this->members[static_cast<std::size_t>(number)]->state.peers;
@@ -74,6 +120,7 @@
     for (; this->now < end; this->now += step) {
       for (const auto& one : this->members) {
         this->tick(*one);
+        this->check(*one);
         this->send(*one);
       }
     }
@@ -106,6 +153,8 @@
     milliseconds offset{0};
     steady_time cold_at{};
     steady_time next_wanted{};
+    /// Gateways that this one has not learnt of yet, by the time at which it does.
+    std::multimap<steady_time, node_id> unread;
   };
 
   void tick(member& one) {
@@ -113,11 +162,25 @@
       one.cold_at = {};
       row_of(one).cold_until = this->now + warm_up;
     }
+    while (!one.unread.empty() && one.unread.begin()->first <= this->now) {
+      list_peer(one.state.peers, one.unread.begin()->second, "10.0.0.2:7340", this->now);
+      one.unread.erase(one.unread.begin());
+    }
     update_cold_pacing(one.state, this->now);
     const std::uint32_t known = count_gateways(one.state.peers, this->now);
     one.state.fleet.gateways = one.state.peers_known ? known : std::max(known, gateways_assumed);
   }
 
+  /// Checks the endpoint's health if that is due. Checks count as requests.
+  void check(member& one) {
+    endpoint& row = row_of(one);
+    if (check_due(row, this->now)) {
+      count_cold_check(row, this->now);
+      this->sent.push_back(this->now);
+      note_healthy(row, this->now);
+    }
+  }
+
   void send(member& one) {
     endpoint& row = row_of(one);
     if (!is_cold(row, this->now) || this->now < one.next_wanted) {
@@ -167,6 +230,8 @@
   CPPUNIT_TEST(gateways_that_know_no_others_flood_no_cold_endpoint);
   CPPUNIT_TEST(gateways_that_miss_a_third_of_the_others_flood_no_cold_endpoint);
   CPPUNIT_TEST(an_endpoint_that_turns_cold_again_is_not_flooded);
+  CPPUNIT_TEST(an_endpoint_that_starts_again_while_cold_is_not_flooded);
+  CPPUNIT_TEST(health_checks_of_many_gateways_flood_no_cold_endpoint);
   CPPUNIT_TEST(a_cold_endpoint_is_used_up_to_its_rate);
   CPPUNIT_TEST_SUITE_END();
 
@@ -223,6 +288,58 @@
     check_bound(fleet);
   }
 
+  void gateways_that_start_before_the_others_are_listed_flood_no_cold_endpoint() {
+    for (const int gateways : {5, 68, 350}) {
+      cold_fleet fleet(gateways);
+      fleet.start_with_empty_list(milliseconds{4'250});
+      for (int times = 0; times < 3; ++times) {
+        fleet.turn_cold();
+        fleet.run_for(warm_up);
+      }
+      check_bound(fleet);
+    }
+  }
+
+  void stopping_gateways_and_their_successors_flood_no_cold_endpoint() {
+    cold_fleet fleet(68);
+    fleet.turn_cold();
+    fleet.run_for(milliseconds{1'000});
+    for (int number = 0; number < fleet.size(); ++number) {
+      if (fleet.is_sender(number)) {
+        fleet.begin_stop(number);
+      }
+    }
+    fleet.run_for(milliseconds{2'000});
+    check_bound(fleet);
+  }
+
+  void an_endpoint_that_starts_again_while_cold_is_not_flooded() {
+    cold_fleet fleet(68);
+    for (int number = 0; number < fleet.size(); ++number) {
+      fleet.start(number);
+    }
+    fleet.turn_cold();
+    // The first requests of all senders fall together here: each waited since its start.
+    while (fleet.requests() == 0) {
+      fleet.run_for(step);
+    }
+    fleet.run_for(milliseconds{50});
+    fleet.restart_endpoint();
+    fleet.run_for(warm_up);
+    check_bound(fleet);
+  }
+
+  void health_checks_of_many_gateways_flood_no_cold_endpoint() {
+    for (const int gateways : {5, 68, 350}) {
+      cold_fleet fleet(gateways);
+      fleet.turn_cold();
+      fleet.run_for(milliseconds{1'000});
+      fleet.lose_endpoint();
+      fleet.run_for(milliseconds{1'500});
+      check_bound(fleet);
+    }
+  }
+
   /// Each gateway wants to send twice a second, as one does before a pool that is short.
   void a_cold_endpoint_is_used_up_to_its_rate() {
     for (const int gateways : {1, 5, 29, 68, 350}) {
