Send nothing to cold endpoints from a gateway that shuts down

Cause: the others drop a gateway that shuts down from their lists and take its place, while it still sends what its callers and resends bring. Change: a gateway that shuts down is no sender. Before: stopping_gateways_and_their_successors_flood_no_cold_endpoint counted 28 requests in one second, of 26 allowed, when the senders of 68 gateways shut down together.

--- a/Source/Gateway/cold_pacing.cxx
+++ b/Source/Gateway/cold_pacing.cxx
@@ -45,7 +45,7 @@
   const bool was_sender = pacing.is_sender;
   const bool turned_cold = !pacing.is_decided;
   pacing.is_decided = true;
-  pacing.is_sender = state.peers_known && rank < senders;
+  pacing.is_sender = state.peers_known && !state.stopping && rank < senders;
   pacing.interval = cold_interval(cold_rate, senders);
   if (pacing.is_sender && !was_sender) {
     const milliseconds delay = turned_cold ? pacing.interval * rank / senders : pacing.interval;
--- a/Source/Gateway/cold_pacing.h
+++ b/Source/Gateway/cold_pacing.h
@@ -23,7 +23,8 @@
 std::chrono::milliseconds cold_interval(double cold_rate, std::uint32_t senders);
 
 /// Decides for each cold endpoint whether this gateway may send requests to it. A gateway that
-/// has not read the list of gateways may not. The first requests of all senders are spread over
+/// has not read the list of gateways may not, nor one that shuts down, since the others no longer
+/// count it. The first requests of all senders are spread over
 /// the interval. A sender that has just started waits for one more interval, since its predecessor
 /// may have sent a request, and one that takes the place of another sender does as well.
 void update_cold_pacing(gateway_state& state, steady_time now);
--- a/Tests/Gateway/cold_rate_test.cxx
+++ b/Tests/Gateway/cold_rate_test.cxx
@@ -230,6 +230,7 @@
   CPPUNIT_TEST(gateways_that_know_no_others_flood_no_cold_endpoint);
   CPPUNIT_TEST(gateways_that_miss_a_third_of_the_others_flood_no_cold_endpoint);
   CPPUNIT_TEST(an_endpoint_that_turns_cold_again_is_not_flooded);
+  CPPUNIT_TEST(stopping_gateways_and_their_successors_flood_no_cold_endpoint);
   CPPUNIT_TEST(an_endpoint_that_starts_again_while_cold_is_not_flooded);
   CPPUNIT_TEST(health_checks_of_many_gateways_flood_no_cold_endpoint);
   CPPUNIT_TEST(a_cold_endpoint_is_used_up_to_its_rate);
