Count listed gateways until they could have renewed their entries

Shared limits are divided by the number of gateways, and a gateway that is not heard counts for 20 s after its entry was last written. But from 128 gateways on entries are renewed every 24 s or less often, and not at all while the store is away. If messages between the gateways did not arrive, 128 were counted as 106, and 3 as 1 while the store was away: each gateway then took a larger part of every limit.

An entry now counts for the interval of renewals and 8 s, 20 s at least, measured by the time for which the list has been confirmed. peer_table_test: 3, 68, 128 and 350 listed gateways that are not heard are all counted for 300 s, and 3, 68 and 350 through 100 s without the store.

--- a/Source/Gateway/peer_table.cxx
+++ b/Source/Gateway/peer_table.cxx
@@ -33,8 +33,11 @@
          (message.start == known.start && message.sequence > known.sequence);
 }
 
-bool is_gone(const peer& row, steady_time now) {
-  const bool recently_listed = row.listed && now - row.listed_at < peer_lifetime;
+bool is_gone(const peer_table& table, const peer& row, std::chrono::milliseconds entry_lifetime,
+             steady_time now) {
+  const steady_time list_as_of = table.list_confirmed_at.value_or(now);
+  const steady_time listed_at = std::max(row.listed_at, table.list_confirmed_since);
+  const bool recently_listed = row.listed && list_as_of - listed_at < entry_lifetime;
   const bool recently_received = now - row.received_at < peer_lifetime && !row.message.leaving;
   return !recently_listed && !recently_received;
 }
@@ -81,8 +84,28 @@
   return true;
 }
 
+std::chrono::milliseconds entry_renewal_interval(std::uint32_t gateways) {
+  constexpr std::chrono::milliseconds shortest{12'000};
+  constexpr std::uint32_t gateways_at_shortest = 64;
+  return shortest * std::max(1U, gateways / gateways_at_shortest);
+}
+
+void note_list_confirmed(peer_table& table, steady_time now) {
+  // Gateways confirm the list every 4 s at least while the store answers.
+  constexpr std::chrono::seconds interruption{8};
+  if (!table.list_confirmed_at || now - *table.list_confirmed_at >= interruption) {
+    table.list_confirmed_since = now;
+  }
+  table.list_confirmed_at = now;
+}
+
 std::uint32_t count_gateways(peer_table& table, steady_time now) {
-  std::erase_if(table.rows, [now](const auto& entry) { return is_gone(entry.second, now); });
+  const auto gateways = static_cast<std::uint32_t>(table.rows.size()) + 1;
+  const std::chrono::milliseconds entry_lifetime = std::max<std::chrono::milliseconds>(
+      peer_lifetime, entry_renewal_interval(gateways) + entry_renewal_margin);
+  std::erase_if(table.rows, [&](const auto& entry) {
+    return is_gone(table, entry.second, entry_lifetime, now);
+  });
   return static_cast<std::uint32_t>(table.rows.size()) + 1;
 }
 
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -84,6 +85,10 @@
 
 struct peer_table {
   std::map<node_id, peer> rows;
+  /// Since when the list in the store has been confirmed without interruption, and when last. While
+  /// the store is away, gateways can't renew their entries.
+  steady_time list_confirmed_since{};
+  std::optional<steady_time> list_confirmed_at;
 };
 
 /// A peer's report that it has lost an endpoint.
@@ -103,6 +108,16 @@
 /// A gateway is no longer counted once it has neither been listed in the store nor sent a
 /// message for this long. Counting one too many only makes limits stricter.
 inline constexpr std::chrono::seconds peer_lifetime{20};
+/// The same for its entry in a large fleet, whose entries are renewed less often: the interval and
+/// this margin for the write and for reading it.
+inline constexpr std::chrono::seconds entry_renewal_margin{8};
+
+/// Interval at which each gateway renews its entry in the store. It grows with the fleet, because
+/// each renewal is sent to all gateways.
+std::chrono::milliseconds entry_renewal_interval(std::uint32_t gateways);
+
+/// Records that the list in the store was confirmed to be complete.
+void note_list_confirmed(peer_table& table, steady_time now);
 /// Number of gateways assumed until their list was read: about the size of the largest
 /// current fleet, so that shared limits are kept from the first request on.
 inline constexpr std::uint32_t gateways_assumed = 32;
--- a/Tests/Gateway/peer_table_test.cxx
+++ b/Tests/Gateway/peer_table_test.cxx
@@ -1,5 +1,9 @@
 #include "Gateway/peer_table.h"
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Gateway/crash_suspects.h"
@@ -9,10 +13,54 @@
 
 using std::chrono::seconds;
 
+namespace {
+
+/// One gateway's table of peers that are known only by their entries in the store, which they
+/// renew in turn.
+struct renewed_list {
+  explicit renewed_list(std::uint32_t fleet) : gateways(fleet), fewest(fleet) {
+    const auto interval = entry_renewal_interval(fleet);
+    for (std::uint32_t peer = 1; peer < fleet; ++peer) {
+      this->renewed_at.push_back(this->now + peer * interval / fleet);
+      list_peer(this->table, {"g" + std::to_string(peer)}, "10.0.0.1:9", this->now);
+    }
+  }
+
+  /// The list is read every 4 s if the store answers; writes fail otherwise.
+  void run(seconds length, bool store_answers) {
+    const steady_time end = this->now + length;
+    for (; this->now < end; this->now += seconds{1}) {
+      const bool reads = store_answers && (this->now - test_start) % seconds{4} == seconds{0};
+      for (std::size_t peer = 0; reads && peer < this->renewed_at.size(); ++peer) {
+        steady_time& next = this->renewed_at[peer];
+        if (this->now >= next) {
+          next = std::max(next + entry_renewal_interval(this->gateways), this->now);
+          list_peer(this->table, {"g" + std::to_string(peer + 1)}, "10.0.0.1:9", this->now);
+        }
+      }
+      if (reads) {
+        note_list_confirmed(this->table, this->now);
+      }
+      this->fewest = std::min(this->fewest, count_gateways(this->table, this->now));
+    }
+  }
+
+  std::uint32_t gateways;
+  std::uint32_t fewest;
+  peer_table table;
+  steady_time now = test_start;
+  std::vector<steady_time> renewed_at;
+};
+
+}  // namespace
+
 class peer_table_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(peer_table_test);
   CPPUNIT_TEST(a_gateway_both_listed_and_heard_counts_once);
   CPPUNIT_TEST(a_silent_gateway_counts_until_it_expires);
+  CPPUNIT_TEST(gateways_that_are_listed_but_not_heard_are_counted);
+  CPPUNIT_TEST(gateways_are_counted_while_the_store_is_away);
+  CPPUNIT_TEST(a_gateway_that_does_not_renew_its_entry_is_not_counted);
   CPPUNIT_TEST(a_leaving_gateway_counts_while_it_is_listed);
   CPPUNIT_TEST(old_messages_are_dropped);
   CPPUNIT_TEST(loads_of_all_peers_are_summed);
@@ -40,6 +88,34 @@
     CPPUNIT_ASSERT_EQUAL(1U, count_gateways(table, test_start + peer_lifetime));
   }
 
+  /// Guards against limits that grow because messages between the gateways do not arrive.
+  void gateways_that_are_listed_but_not_heard_are_counted() {
+    for (const std::uint32_t gateways : {3U, 68U, 128U, 350U}) {
+      renewed_list list(gateways);
+      list.run(seconds{300}, true);
+      CPPUNIT_ASSERT_EQUAL(gateways, list.fewest);
+    }
+  }
+
+  /// Guards against limits that grow because no gateway can renew its entry.
+  void gateways_are_counted_while_the_store_is_away() {
+    for (const std::uint32_t gateways : {3U, 68U, 350U}) {
+      renewed_list list(gateways);
+      list.run(seconds{100}, true);
+      list.run(seconds{100}, false);
+      list.run(seconds{100}, true);
+      CPPUNIT_ASSERT_EQUAL(gateways, list.fewest);
+    }
+  }
+
+  void a_gateway_that_does_not_renew_its_entry_is_not_counted() {
+    renewed_list list(3);
+    list.run(seconds{30}, true);
+    list_peer(list.table, {"lost"}, "10.0.0.1:9", list.now);
+    list.run(seconds{30}, true);
+    CPPUNIT_ASSERT_EQUAL(3U, count_gateways(list.table, list.now));
+  }
+
   void a_leaving_gateway_counts_while_it_is_listed() {
     peer_table table;
     list_peer(table, {"a"}, "10.0.0.1:9", test_start);
