Count resends for the whole window of the budget

Resends are counted per second, and those of the ten latest ones, the present one included, were added up: 9 to 10 s. Resends at the end of one second and 9 s later each used up the allowance, and both lie in one window of 10 s: one gateway with 182 requests in it made 232 resends where 0.2 x 182 + 176 = 212.4 are allowed.

Resends now count for one second more, requests as before. attempt_rules_test: 1, 3, 68 and 350 gateways that resend as soon as they may stay within the rule's bound in each window.

--- a/Source/Gateway/attempt_rules.cxx
+++ b/Source/Gateway/attempt_rules.cxx
@@ -28,8 +28,7 @@
 resend_budget::second_count& this_second(resend_budget& budget, const resend_terms& terms,
                                          steady_time now) {
   const std::int64_t second = second_of(now);
-  while (!budget.seconds.empty() &&
-         budget.seconds.front().second <= second - terms.window.count()) {
+  while (!budget.seconds.empty() && budget.seconds.front().second < second - terms.window.count()) {
     budget.seconds.pop_front();
   }
   if (budget.seconds.empty() || budget.seconds.back().second != second) {
@@ -38,16 +37,16 @@
   return budget.seconds.back();
 }
 
-/// Requests and resends within the window.
+/// Requests and resends within the window. Resends count for one more second: otherwise those of
+/// the end of one second and those of the start of the tenth after it, which lie less than a window
+/// apart, could each use up the allowance.
 resend_budget::second_count sum_of_window(const resend_budget& budget, const resend_terms& terms,
                                           steady_time now) {
   const std::int64_t oldest = second_of(now) - terms.window.count();
   resend_budget::second_count sum;
   for (const resend_budget::second_count& count : budget.seconds) {
-    if (count.second > oldest) {
-      sum.requests += count.requests;
-      sum.resends += count.resends;
-    }
+    sum.requests += count.second > oldest ? count.requests : 0;
+    sum.resends += count.second >= oldest ? count.resends : 0;
   }
   return sum;
 }
--- a/Tests/Gateway/attempt_rules_test.cxx
+++ b/Tests/Gateway/attempt_rules_test.cxx
@@ -1,5 +1,9 @@
 #include "Gateway/attempt_rules.h"
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Gateway/gateway_fixture.h"
@@ -16,6 +20,7 @@
   CPPUNIT_TEST(no_request_runs_more_often_than_its_route_allows);
   CPPUNIT_TEST(resends_after_rejections_are_limited);
   CPPUNIT_TEST(all_gateways_together_stay_within_the_budget);
+  CPPUNIT_TEST(resends_of_two_seconds_a_window_apart_stay_within_the_budget);
   CPPUNIT_TEST(resends_leave_the_window);
   CPPUNIT_TEST(plain_calls_are_resent_before_the_caller_times_out);
   CPPUNIT_TEST_SUITE_END();
@@ -88,6 +93,35 @@
     }
   }
 
+  /// Guards against a window that is shorter than the rule's: the allowance was used twice in it.
+  void resends_of_two_seconds_a_window_apart_stay_within_the_budget() {
+    const resend_terms terms{0.2, 176.0, std::chrono::seconds{10}};
+    for (const std::uint32_t gateways : {1U, 3U, 68U, 350U}) {
+      std::vector<resend_budget> budgets(gateways);
+      std::vector<steady_time> requests;
+      std::vector<steady_time> resends;
+      for (int number = 0; number < 600; ++number) {
+        const steady_time now = test_start + milliseconds{950 + number * 50};
+        count_request(budgets[static_cast<std::size_t>(number) % gateways], terms, now);
+        requests.push_back(now);
+        for (resend_budget& budget : budgets) {
+          while (resend_allowed(budget, terms, gateways, now)) {
+            count_resend(budget, terms, now);
+            resends.push_back(now);
+          }
+        }
+        const auto within = [now, &terms](const std::vector<steady_time>& times) {
+          const auto first = std::upper_bound(times.begin(), times.end(), now - terms.window);
+          return static_cast<double>(times.end() - first);
+        };
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(gateways) + " gateways made " +
+                                   std::to_string(within(resends)) + " resends, " +
+                                   std::to_string(within(requests)) + " requests",
+                               within(resends) <= 0.2 * within(requests) + 176.0);
+      }
+    }
+  }
+
   void resends_leave_the_window() {
     const resend_terms terms{0.0, 10.0, std::chrono::seconds{10}};
     resend_budget budget;
