Hold the ports of the soak's gateways, and answer stray requests to its store

Cause: ports of gateways were found by binding and closing a socket, so the system gave some of them out again, to another gateway or to the proxy of a store. A caller of that gateway then sent its request to the store, which read wait_ms from a path that has none.

Now a bound socket holds each port while its gateway lives, and the store answers 404 to paths that it does not know.

--- a/Tests/Soak/soak_gateway.cxx
+++ b/Tests/Soak/soak_gateway.cxx
@@ -13,31 +13,25 @@
 
 namespace chestnuthead::soak {
 
-namespace {
+port_reservation::port_reservation()
+    : descriptor(traffic::open_bound_socket("127.0.0.1:0", SOCK_STREAM)),
+      address(local_address(descriptor)) {}
 
-/// An address whose port was just free. Another process may take it before it is used.
-std::string free_address() {
-  const int descriptor = traffic::listen_on("127.0.0.1:0");
-  std::string address = local_address(descriptor);
-  ::close(descriptor);
-  return address;
+port_reservation::~port_reservation() {
+  ::close(this->descriptor);
 }
 
-}  // namespace
-
 soak_gateway::soak_gateway(std::string gateway_name, std::string binary, std::string work_folder,
                            std::unique_ptr<fault_proxy> proxy, const std::string& more_settings)
     : name(std::move(gateway_name)),
-      public_address(free_address()),
-      ready_address(free_address()),
       store_proxy(std::move(proxy)),
       program(std::move(binary)),
       folder(std::move(work_folder)),
       settings_file(folder + "/" + name + ".json") {
   std::ofstream file(this->settings_file);
   file << R"({"node":")" << this->name << R"(","failure_domain":"north","public_address":")"
-       << this->public_address << R"(","ready_address":")" << this->ready_address
-       << R"(","peer_address":")" << free_address() << R"(","store_address":")"
+       << this->public_port.address << R"(","ready_address":")" << this->ready_port.address
+       << R"(","peer_address":")" << this->peer_port.address << R"(","store_address":")"
        << this->store_proxy->address << '"' << more_settings << '}';
 }
 
--- a/Tests/Soak/soak_gateway.h
+++ b/Tests/Soak/soak_gateway.h
@@ -9,6 +9,22 @@
 
 namespace chestnuthead::soak {
 
+/// A loopback port that the system gives to nobody else while this object lives. A process can
+/// listen on it if it sets SO_REUSEADDR, as gateways do.
+class port_reservation {
+ public:
+  port_reservation();
+  ~port_reservation();
+  port_reservation(const port_reservation&) = delete;
+  port_reservation& operator=(const port_reservation&) = delete;
+
+ private:
+  int descriptor;
+
+ public:
+  const std::string address;
+};
+
 /// A gateway process that reaches the store through its own fault-injecting proxy.
 class soak_gateway {
  public:
@@ -31,8 +47,10 @@
   }
 
   const std::string name;
-  std::string public_address;
-  std::string ready_address;
+  const port_reservation public_port;
+  const port_reservation ready_port;
+  const port_reservation peer_port;
+  const std::string& public_address = public_port.address;
   std::unique_ptr<fault_proxy> store_proxy;
   /// True from a SIGTERM until the next start.
   bool stopping = false;
--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -111,6 +111,9 @@
       rows += (rows.empty() ? "" : ",") + this->format(table, key);
     }
     this->answer(caller, 200, "{\"rows\":[" + rows + this->page_end());
+  } else if (!target.starts_with("/-/rows-feed")) {
+    // A stray request must not end the soak.
+    this->answer(caller, 404, "{}");
   } else {
     const auto wait = std::chrono::milliseconds{std::stoll(query_value(target, "wait_ms"))};
     this->answer_feed(caller, table, std::stoull(query_value(target, "after")),
