Do not read configurations once a stopping gateway admits no requests

Cause: a stopping gateway went on following the operators' table until its end. A configuration of 4 MB that arrived 6 s after SIGTERM held the loop of a VM with 0.09 of a core for about 2 s, so that the last answers were not sent and the process was killed with requests whose endpoint had finished.

Endpoints are followed to the end, as requests may still be sent again.

--- a/Source/Traffic/http_client.cxx
+++ b/Source/Traffic/http_client.cxx
@@ -63,6 +63,15 @@
   this->present->link.send(bytes);
 }
 
+void http_client::cancel() {
+  if (this->present != nullptr) {
+    this->present->link.discard();
+  }
+  this->drop();
+  this->done = nullptr;
+  this->reply = {};
+}
+
 void http_client::tick() {
   if (!this->busy()) {
     return;
--- a/Source/Traffic/http_client.h
+++ b/Source/Traffic/http_client.h
@@ -77,6 +77,8 @@
   [[nodiscard]] bool busy() const {
     return this->done != nullptr;
   }
+  /// Resets the connection and forgets a call that is in progress.
+  void cancel();
   /// Ends a call that has timed out or whose connection could not be opened.
   void tick();
 
--- a/Tests/Platform/table_follower_test.cxx
+++ b/Tests/Platform/table_follower_test.cxx
@@ -129,6 +129,7 @@
   CPPUNIT_TEST(pages_of_different_eras_are_not_merged);
   CPPUNIT_TEST(a_slow_answer_that_makes_progress_does_not_time_out);
   CPPUNIT_TEST(a_stalled_answer_times_out);
+  CPPUNIT_TEST(a_stopped_follower_drops_the_answer_in_progress_and_later_updates);
   CPPUNIT_TEST(repeated_failures_are_logged_at_each_doubling);
   CPPUNIT_TEST_SUITE_END();
 
@@ -237,6 +238,23 @@
                          bench.follower.traffic().failures.begin()->first);
   }
 
+  /// A gateway that stops would spend its last seconds on a configuration that it does not need.
+  void a_stopped_follower_drops_the_answer_in_progress_and_later_updates() {
+    follower_fixture bench({answers(answer_text(row_text("a", 3), false, 10, 5))});
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.changes.size() == 1; }));
+    bench.store.scripts = {
+        bench.slowly([](const std::string&) { return answer_text(large_row(11), false, 11, 5); })};
+    CPPUNIT_ASSERT(bench.run_until([&] { return bench.link.receiver != nullptr; }));
+    bench.follower.stop();
+    const std::size_t polls = bench.store.requests.size();
+    const steady_time end = bench.time.now() + std::chrono::seconds{3};
+    bench.run_until([&] { return bench.time.now() >= end; });
+    bench.follower.handle_update({"t", 11, 10, milliseconds{50'012}, 10, {{"c", "x", false}}, 5});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.changes.size());
+    CPPUNIT_ASSERT_EQUAL(polls, bench.store.requests.size());
+    CPPUNIT_ASSERT(bench.link.receiver->closed);
+  }
+
   void repeated_failures_are_logged_at_each_doubling() {
     follower_fixture bench({answers(answer_text(row_text("a", 3), false, 10)),
                             answers("HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n")});
