Refuse requests from the moment a stop admits none, not from the next tick

Cause: whether a stopping gateway admits requests was noted by the periodic timer. An event loop that was held up, as by a configuration of 4 MB with 0.09 of a core (1.6 to 3 s), handled the requests that had arrived meanwhile before that timer and passed them on. A stream that was sent over 3 s after SIGTERM could so be cut at the end of the grace period.

Change: admission compares the time with the moment from which no requests are admitted.

The new test request_that_arrives_late_in_a_stop_before_the_next_tick_is_not_passed_on failed before (2 requests at the endpoint, 1 expected).

--- a/Source/Gateway/admission.cxx
+++ b/Source/Gateway/admission.cxx
@@ -41,7 +41,7 @@
 
 admission_result admit(const gateway_state& state, const caller_request& request,
                        random_source& random, steady_time now) {
-  if (state.closed) {
+  if (is_closed(state, now)) {
     return refuse_at_stop(state, random);
   }
   if (state.services == nullptr || !state.endpoints_known) {
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "chestnuthead/clock.h"
@@ -66,11 +67,16 @@
   bool endpoints_known = false;
   /// A graceful shutdown has begun.
   bool stopping = false;
-  /// The graceful shutdown no longer accepts requests.
-  bool closed = false;
+  /// From when on a graceful shutdown admits no requests, also if no tick has run since.
+  std::optional<steady_time> closes_at;
   std::uint64_t requests_in_flight = 0;
   /// What is held for callers and endpoints. It must outlive all connections.
   overload::memory_account memory;
 };
 
+/// True once a graceful shutdown admits no requests any more.
+inline bool is_closed(const gateway_state& state, steady_time now) {
+  return state.closes_at && now >= *state.closes_at;
+}
+
 }  // namespace chestnuthead::gateway
--- a/Source/Traffic/gateway_server.cxx
+++ b/Source/Traffic/gateway_server.cxx
@@ -205,11 +205,10 @@
   for (const auto& [key, link] : this->links) {
     present.push_back(key);
   }
-  this->context.state.closed = this->stopping && now >= this->close_idle_at;
   const bool is_ending = this->stopping && now >= this->end_requests_at;
   for (caller_link* link : present) {
     link->tick(now);
-    if (this->context.state.closed) {
+    if (is_closed(this->context.state, now)) {
       link->close_if_idle();
     }
     if (is_ending) {
@@ -243,6 +242,7 @@
   this->end_requests_at = this->stop_at - last_answers_margin;
   // Requests that arrive after the last ones were ended are refused.
   this->close_idle_at = std::min({now + balancer_lag, now + grace / 2, this->end_requests_at});
+  this->context.state.closes_at = this->close_idle_at;
   for (const auto& [key, link] : this->links) {
     link->stop_when_idle();
   }
--- a/Tests/Gateway/admission_test.cxx
+++ b/Tests/Gateway/admission_test.cxx
@@ -89,7 +89,7 @@
     state.stopping = true;
     CPPUNIT_ASSERT(!is_ready(state, test_start));
     CPPUNIT_ASSERT(std::holds_alternative<admission>(ask(state, chat_request(1))));
-    state.closed = true;
+    state.closes_at = test_start;
     const auto refused = std::get<refusal>(ask(state, chat_request(1)));
     CPPUNIT_ASSERT(refused.kind == error_kind::stopping);
   }
--- a/Tests/Traffic/answer_delivery_test.cxx
+++ b/Tests/Traffic/answer_delivery_test.cxx
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(unsent_bytes_outlast_the_timeout_of_the_next_request);
   CPPUNIT_TEST(request_that_waits_at_the_end_of_a_stop_is_answered);
   CPPUNIT_TEST(late_end_of_a_stop_reports_that_the_outcome_is_unknown);
+  CPPUNIT_TEST(request_that_arrives_late_in_a_stop_before_the_next_tick_is_not_passed_on);
   CPPUNIT_TEST(stream_goes_on_while_the_last_requests_of_a_stop_are_ended);
   CPPUNIT_TEST(request_pipelined_behind_a_stream_is_answered_during_a_stop);
   CPPUNIT_TEST(request_in_the_socket_behind_a_stream_is_answered_during_a_stop);
@@ -177,6 +178,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.plain->requests.size());
   }
 
+  /// The event loop was held up, so that no tick has noted that no requests are admitted any more.
+  void request_that_arrives_late_in_a_stop_before_the_next_tick_is_not_passed_on() {
+    traffic_harness harness;
+    harness.plain->scripts = {
+        [](connection& open) { open.send(traffic_harness::answer_bytes("p1", "paid")); },
+        [](connection& open) { open.send(traffic_harness::answer_bytes("p2", "paid")); }};
+    const auto caller = harness.connect();
+    caller->send(traffic_harness::payment_bytes("p1"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->has_answers(1); }));
+    const std::size_t before = harness.plain->requests.size();
+    harness.server->begin_stop(std::chrono::seconds{8}, harness.time.now() - milliseconds{3'500});
+    caller->send(traffic_harness::payment_bytes("p2"));
+    for (int round = 0; round < 20; ++round) {
+      harness.loop.run_once(milliseconds{10});
+    }
+    CPPUNIT_ASSERT_EQUAL(before, harness.plain->requests.size());
+    CPPUNIT_ASSERT(caller->has_answers(2));
+    CPPUNIT_ASSERT(caller->bytes.find("HTTP/1.1 503 ") != std::string::npos);
+  }
+
   void stream_goes_on_while_the_last_requests_of_a_stop_are_ended() {
     traffic_harness harness;
     connection* chat = nullptr;
