Send nothing to cold endpoints in the first seconds after a start

Gateways that start together, as after a planned stop of all, find an empty list of gateways in the store. Each took itself for the only one and sent a cold endpoint its whole rate, also after the wait of one interval, which is then 72 ms.

A gateway now sends nothing to cold endpoints for 5 s from its start, in which it reads the list again after 4.25 s at most. Before, the test gateways_that_start_before_the_others_are_listed_flood_no_cold_endpoint counted 46 requests of 5 gateways in one second, where 26 are allowed. The gateways of the other cases count as having run for a minute, and those of restarted gateways are played for 9 s instead of 3 s, as the wait would hide them otherwise.

--- a/Source/Gateway/cold_pacing.cxx
+++ b/Source/Gateway/cold_pacing.cxx
@@ -12,6 +12,11 @@
 
 using std::chrono::milliseconds;
 
+/// Time from a gateway's start until it sends to cold endpoints. Its predecessor may have sent
+/// requests in the last second, and gateways that start together know each other only once they
+/// have read their list again, which takes 4.25 s at most.
+constexpr std::chrono::seconds start_wait{5};
+
 /// Hashes of the names of this gateway and its peers.
 struct fleet_members {
   std::uint64_t self = 0;
@@ -43,13 +48,14 @@
   const std::uint32_t senders =
       cold_senders(cold_rate, static_cast<std::uint32_t>(members.peers.size()) + 1);
   const bool was_sender = pacing.is_sender;
-  const bool turned_cold = !pacing.is_decided;
+  const bool is_first_decision = !pacing.is_decided;
   pacing.is_decided = true;
   pacing.is_sender = state.peers_known && !state.stopping && rank < senders;
   pacing.interval = cold_interval(cold_rate, senders);
   if (pacing.is_sender && !was_sender) {
-    const milliseconds delay = turned_cold ? pacing.interval * rank / senders : pacing.interval;
-    pacing.next_at = std::max({pacing.next_at, now + delay, state.started_at + pacing.interval});
+    const milliseconds delay =
+        is_first_decision ? pacing.interval * rank / senders : pacing.interval;
+    pacing.next_at = std::max({pacing.next_at, now + delay, state.started_at + start_wait});
   }
 }
 
@@ -77,7 +83,9 @@
     }
     const pool* found = find_pool(*state.services, row.listing.pool);
     if (found != nullptr && found->cold_rate > 0.0) {
-      members = members ? members : members_of(state);
+      if (!members) {
+        members = members_of(state);
+      }
       update_pacing(row, found->cold_rate, state, *members, now);
     }
   }
--- a/Source/Gateway/cold_pacing.h
+++ b/Source/Gateway/cold_pacing.h
@@ -12,8 +12,8 @@
 /// Only as many gateways send to a cold endpoint as it supports requests per second: the first
 /// ones in its rendezvous order. If all of them sent, a share would be less than one request in
 /// the whole time that the endpoint is cold, and their first requests could arrive together. Each
-/// gateway derives the order from its own list of gateways. One that misses some of the others
-/// takes itself for a sender too often, but in proportion to those that it misses only.
+/// gateway derives the order from its own list of gateways. If a share p of the others is missing
+/// in all lists, there are 1 / (1 - p) times as many senders.
 namespace chestnuthead::gateway {
 
 /// Number of gateways that send to a cold endpoint.
@@ -22,11 +22,10 @@
 /// Minimum time between two requests of one sender.
 std::chrono::milliseconds cold_interval(double cold_rate, std::uint32_t senders);
 
-/// Decides for each cold endpoint whether this gateway may send requests to it. A gateway that
-/// has not read the list of gateways may not, nor one that shuts down, since the others no longer
-/// count it. The first requests of all senders are spread over
-/// the interval. A sender that has just started waits for one more interval, since its predecessor
-/// may have sent a request, and one that takes the place of another sender does as well.
+/// Decides for each cold endpoint whether this gateway may send requests to it. A gateway that does
+/// not know the others may not, nor one that shuts down, since the others no longer count it. The
+/// first requests of all senders are spread over the interval. A sender that takes the place of
+/// another one waits for one interval, and one that has just started for some seconds.
 void update_cold_pacing(gateway_state& state, steady_time now);
 
 /// Counts a health check against this gateway's share if the endpoint is cold.
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -63,7 +63,7 @@
   std::chrono::milliseconds key_trust{0};
   /// True once the list of gateways was read, or if this gateway has no peers.
   bool peers_known = false;
-  /// When this process started.
+  /// When this process started; not set if it has no peers.
   steady_time started_at{};
   /// True once the list of endpoints was read.
   bool endpoints_known = false;
--- a/Tests/Gateway/cold_rate_test.cxx
+++ b/Tests/Gateway/cold_rate_test.cxx
@@ -41,6 +41,8 @@
     }
     for (int number = 0; number < gateways; ++number) {
       this->start(number);
+      // The gateways have run for longer than any wait after a start.
+      this->members[static_cast<std::size_t>(number)]->state.started_at -= std::chrono::minutes{1};
     }
   }
 
@@ -230,6 +232,7 @@
   CPPUNIT_TEST(gateways_that_know_no_others_flood_no_cold_endpoint);
   CPPUNIT_TEST(gateways_that_miss_a_third_of_the_others_flood_no_cold_endpoint);
   CPPUNIT_TEST(an_endpoint_that_turns_cold_again_is_not_flooded);
+  CPPUNIT_TEST(gateways_that_start_before_the_others_are_listed_flood_no_cold_endpoint);
   CPPUNIT_TEST(stopping_gateways_and_their_successors_flood_no_cold_endpoint);
   CPPUNIT_TEST(an_endpoint_that_starts_again_while_cold_is_not_flooded);
   CPPUNIT_TEST(health_checks_of_many_gateways_flood_no_cold_endpoint);
@@ -254,8 +257,10 @@
       for (int number = 0; number < gateways; ++number) {
         fleet.start(number);
       }
-      fleet.turn_cold();
-      fleet.run_for(warm_up);
+      for (int times = 0; times < 3; ++times) {
+        fleet.turn_cold();
+        fleet.run_for(warm_up);
+      }
       check_bound(fleet);
     }
   }
@@ -319,6 +324,7 @@
     for (int number = 0; number < fleet.size(); ++number) {
       fleet.start(number);
     }
+    fleet.run_for(seconds{4});
     fleet.turn_cold();
     // The first requests of all senders fall together here: each waited since its start.
     while (fleet.requests() == 0) {
