--- a/Tests/Soak/soak_gateway.h
+++ b/Tests/Soak/soak_gateway.h
@@ -31,8 +31,10 @@
   }
 
   const std::string name;
-  std::string public_address;
-  std::string ready_address;
+  const port_reservation public_port;
+  const port_reservation ready_port;
+  const port_reservation peer_port;
+  const std::string& public_address = public_port.address;
   std::unique_ptr<fault_proxy> store_proxy;
   /// True from a SIGTERM until the next start.
   bool stopping = false;
