--- a/review/stage-2/stage.cxx
+++ b/review/stage-2/stage.cxx
@@ -35,11 +35,12 @@
   return address;
 }
 
+/// Binds a socket to the port, or to a free one if that is 0.
 int bound_socket(int& port) {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  sockaddr_in address = loopback(0);
+  sockaddr_in address = loopback(port);
   if (::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
     throw std::runtime_error("no free port");
   }
@@ -49,6 +50,12 @@
   return socket;
 }
 
+std::int64_t now_ms() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string lower(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
                  [](unsigned char byte) { return static_cast<char>(std::tolower(byte)); });
@@ -237,7 +244,7 @@
   return std::make_unique<connection>(socket);
 }
 
-int listen_on_free_port(int& port) {
+int listen_on_port(int& port) {
   const int socket = bound_socket(port);
   ::listen(socket, 1'024);
   return socket;
@@ -332,8 +339,8 @@
   return true;
 }
 
-server::server(handler serve_one)
-    : listener(listen_on_free_port(this->port)), handle(std::move(serve_one)) {
+server::server(handler serve_one, int wanted_port)
+    : port(wanted_port), listener(listen_on_port(this->port)), handle(std::move(serve_one)) {
   this->accepting = std::thread([this] {
     while (true) {
       const int socket = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
@@ -375,7 +382,7 @@
 }
 
 std::string replica::address() const {
-  return "127.0.0.1:" + std::to_string(this->listening->port);
+  return "127.0.0.1:" + std::to_string(this->port);
 }
 
 void replica::exit() {
@@ -519,10 +526,9 @@
       listed(has_entry),
       list(entries),
       handle(std::move(serve_request)),
-      born(std::chrono::duration_cast<milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-               .count()),
+      born(now_ms()),
       listening(std::make_unique<server>([this](connection& caller) { this->serve(caller); })) {
+  this->port = this->listening->port;
   if (has_entry) {
     this->write_entry();
   }
@@ -548,8 +554,23 @@
   this->list.write("servers", this->id,
                    R"({"service":)" + quote(this->service) + R"(,"address":")" + this->address() +
                        R"(","zone":"bole","version":"v1","batch_slots":64,"state":"ready",)" +
-                       R"("warmup_remaining_ms":0,"born":)" + std::to_string(this->born) +
-                       R"(,"sequence":)" + std::to_string(++this->sequence) + "}");
+                       R"("warmup_remaining_ms":)" +
+                       std::to_string(std::max<std::int64_t>(0, this->cold_until - elapsed())) +
+                       R"(,"born":)" + std::to_string(this->born) + R"(,"sequence":)" +
+                       std::to_string(++this->sequence) + "}");
+}
+
+void replica::start_again(milliseconds cold_for) {
+  this->born = now_ms();
+  this->sequence = 0;
+  this->cold_until = elapsed() + cold_for.count();
+  this->exited = false;
+  this->listening =
+      std::make_unique<server>([this](connection& caller) { this->serve(caller); }, this->port);
+}
+
+bool replica::is_cold() const {
+  return elapsed() < this->cold_until;
 }
 
 void replica::unlist() {
@@ -561,7 +582,10 @@
   message request;
   while (!this->exited && read_message(caller, request, milliseconds{600'000})) {
     if (request.target() == "/healthz") {
-      this->answer(caller, request, 200, "ok", "Instance-Id: " + this->id + "\r\n");
+      const std::string cold =
+          this->is_cold() ? "Warmup-Ms: " + std::to_string(this->cold_until - elapsed()) + "\r\n"
+                          : std::string();
+      this->answer(caller, request, 200, "ok", "Instance-Id: " + this->id + "\r\n" + cold);
       continue;
     }
     if (request.field("expect-instance") != this->id) {
--- a/review/stage-2/stage.h
+++ b/review/stage-2/stage.h
@@ -55,8 +55,8 @@
 
 /// Connects to a loopback port; nullptr if that fails.
 std::unique_ptr<connection> connect_to(int port);
-/// A listening socket on a free loopback port.
-int listen_on_free_port(int& port);
+/// A listening socket on the loopback port, or on a free one if that is 0.
+int listen_on_port(int& port);
 /// A free loopback port.
 int free_port();
 
@@ -81,7 +81,8 @@
  public:
   using handler = std::function<void(connection&)>;
 
-  explicit server(handler handle);
+  /// Listens on a free port if none is given.
+  explicit server(handler handle, int port = 0);
   ~server();
   server(const server&) = delete;
   server& operator=(const server&) = delete;
@@ -153,6 +154,9 @@
   void write_entry();
   /// Ends as a process does: resets all connections and refuses new ones.
   void exit();
+  /// Starts again under its id and at its address, cold for so long.
+  void start_again(milliseconds cold_for);
+  [[nodiscard]] bool is_cold() const;
 
   [[nodiscard]] std::string address() const;
 
@@ -162,6 +166,7 @@
   /// It says so in all answers.
   std::atomic<bool> leaving = false;
   std::atomic<bool> exited = false;
+  std::atomic<std::int64_t> cold_until = 0;
   std::atomic<int> runs = 0;
 
  private:
@@ -170,6 +175,7 @@
   store& list;
   handler handle;
   std::int64_t born;
+  int port = 0;
   std::uint64_t sequence = 0;
   std::atomic<bool> ending = false;
   std::unique_ptr<server> listening;
