Fail answers without framing whose connection failed under the upload

What callers saw: an endpoint answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection. The caller got that part as a complete answer, with a Content-Length. The same happened without a reset when the endpoint sent a part and then took nothing more: after three seconds the kernel ended the connection (TCP_USER_TIMEOUT), and the caller got the part as a 200.

Cause: the kernel reports the error of a connection once, to whichever call on the socket comes first. With bytes of the request still waiting, that was send(), whose error tcp_link ignored in the belief that the next read fails too. recv() then returned 0, tcp_link reported a graceful close, and the end of the connection ended the answer.

Change: tcp_link records the error of every call that can receive it (send, recv, also when it only peeks) and reports a connection that has failed as broken once the bytes that have arrived were read. EPIPE is no such error: the kernel sets it when the peer had closed gracefully before it reset, and an answer that ended so is whole.

--- a/Source/Traffic/tcp_link.cxx
+++ b/Source/Traffic/tcp_link.cxx
@@ -106,15 +106,40 @@
   this->close();
 }
 
+void tcp_link::note_error() const {
+  const bool is_temporary = errno == EAGAIN || errno == EINTR;
+  // EPIPE: the peer had closed the connection gracefully before it failed, or the failure is
+  // recorded already.
+  this->has_failed = this->has_failed || (!is_temporary && errno != EPIPE);
+}
+
+std::size_t tcp_link::write(std::string_view bytes) {
+  const ssize_t count = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  if (count < 0) {
+    this->note_error();
+    return 0;
+  }
+  this->sent_total += static_cast<std::uint64_t>(count);
+  return static_cast<std::size_t>(count);
+}
+
+ssize_t tcp_link::receive(char* buffer, std::size_t size, int flags) const {
+  const ssize_t count = ::recv(this->descriptor, buffer, size, flags);
+  if (count < 0) {
+    this->note_error();
+  }
+  return count;
+}
+
 bool tcp_link::is_closed_by_peer() const {
   char byte = 0;
-  const ssize_t count = ::recv(this->descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t count = this->receive(&byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
   return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
 
 bool tcp_link::has_unread_input() const {
   char byte = 0;
-  return ::recv(this->descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+  return this->receive(&byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 std::size_t tcp_link::undelivered() const {
@@ -141,11 +166,9 @@
   }
   std::size_t sent = 0;
   if (this->open && this->unsent() == 0) {
-    const ssize_t count = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    // An error is ignored here: the next read fails too and reports it.
-    sent = count > 0 ? static_cast<std::size_t>(count) : 0;
+    // An error ends the connection when the bytes that have arrived are read.
+    sent = this->write(bytes);
   }
-  this->sent_total += sent;
   if (sent < bytes.size()) {
     this->out.append(bytes.substr(sent));
     this->count_buffer();
@@ -211,13 +234,11 @@
 
 void tcp_link::flush() {
   while (this->unsent() > 0) {
-    const ssize_t count =
-        ::send(this->descriptor, this->out.data() + this->out_sent, this->unsent(), MSG_NOSIGNAL);
-    if (count <= 0) {
+    const std::size_t sent = this->write(std::string_view(this->out).substr(this->out_sent));
+    if (sent == 0) {
       break;
     }
-    this->out_sent += static_cast<std::size_t>(count);
-    this->sent_total += static_cast<std::uint64_t>(count);
+    this->out_sent += sent;
   }
   // The sent part is dropped before it is the larger one: a peer that always lags a little would
   // otherwise make the buffer grow with all that was ever sent.
@@ -238,12 +259,11 @@
 
 void tcp_link::read_some() {
   static thread_local std::array<char, max_read_bytes> buffer;
-  const ssize_t count =
-      ::recv(this->descriptor, buffer.data(), std::min(buffer.size(), this->read_limit), 0);
+  const ssize_t count = this->receive(buffer.data(), std::min(buffer.size(), this->read_limit), 0);
   if (count > 0) {
     this->listener.on_bytes({buffer.data(), static_cast<std::size_t>(count)});
   } else if (count == 0) {
-    this->end(link_end::closed);
+    this->end(this->has_failed ? link_end::broken : link_end::closed);
   } else if (errno != EAGAIN && errno != EINTR) {
     this->end(link_end::broken);
   }
--- a/Source/Traffic/tcp_link.h
+++ b/Source/Traffic/tcp_link.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include <sys/types.h>
+
 #include "Overload/memory_account.h"
 #include "Traffic/event_loop.h"
 
@@ -20,9 +22,9 @@
 
 /// How a connection ended.
 enum class link_end : std::uint8_t {
-  /// The peer closed it gracefully.
+  /// The peer closed it gracefully, and all bytes that it sent were received.
   closed,
-  /// The peer reset it, or it timed out.
+  /// The peer reset it, or it timed out. Bytes that the peer sent may be missing.
   broken,
   /// It could not be established.
   not_opened,
@@ -107,6 +109,12 @@
 
  private:
   void finish_opening();
+  /// Passes bytes to the socket; returns how many it has accepted.
+  std::size_t write(std::string_view bytes);
+  /// Reads bytes from the socket like `recv`.
+  ssize_t receive(char* buffer, std::size_t size, int flags) const;
+  /// Records an error that a system call on the socket has returned in `errno`.
+  void note_error() const;
   void flush();
   void read_some();
   void end(link_end how);
@@ -119,6 +127,9 @@
   bool open = false;
   bool paused = false;
   bool sending_finished = false;
+  /// The connection has failed. The kernel reports this once, to whichever call comes first; after
+  /// that, reading shows the same as a graceful close by the peer.
+  mutable bool has_failed = false;
   io_interest interest;
   std::string out;
   std::size_t out_sent = 0;
--- a/Tests/Fakes/scripted_endpoint.cxx
+++ b/Tests/Fakes/scripted_endpoint.cxx
@@ -32,9 +32,19 @@
 
 bool scripted_endpoint::connection::on_head(traffic::http_head& head) {
   this->current_request = {head, {}};
+  if (this->owner.on_request_head) {
+    this->stop_reading();
+    this->owner.on_request_head(*this);
+  }
   return true;
 }
 
+void scripted_endpoint::connection::stop_reading() {
+  constexpr int smallest_buffer_bytes = 4'096;
+  this->link.bound_receive_buffer(smallest_buffer_bytes);
+  this->link.pause(true);
+}
+
 void scripted_endpoint::connection::on_body(std::string_view bytes) {
   this->current_request.body.append(bytes);
 }
--- a/Tests/Fakes/scripted_endpoint.h
+++ b/Tests/Fakes/scripted_endpoint.h
@@ -60,6 +60,9 @@
     traffic::link_end end = traffic::link_end::closed;
 
    private:
+    /// Leaves what follows in the sender's hands, except for a small buffer.
+    void stop_reading();
+
     scripted_endpoint& owner;
     traffic::http_reader reader;
     traffic::tcp_link link;
@@ -77,6 +80,9 @@
   std::string address;
   /// Scripts for the next requests, in order. The last one is used for all further requests.
   std::deque<script> scripts;
+  /// If set, called when a request's head has been received, and nothing more is read from its
+  /// connection.
+  script on_request_head;
   /// Requests that were received completely.
   std::vector<request> requests;
   std::vector<std::unique_ptr<connection>> connections;
