Fail answers whose status line is not one of HTTP/1.1

What callers saw: an answer with status 000, or any other below 100, was skipped as an interim one. After a 101, which no request asks for, the caller waited for an answer until its deadline.

Cause: the parser reads the digits of a status as a number of up to 999 and ignores the version, empty lines and the reason phrase; the connection took any status below 200 for an interim one.

Change: head_check compares the bytes of an answer with the grammar of the status line before the parser gets them. What does not match is malformed, and the request ends at once as one whose outcome is unknown. The space before an empty reason phrase may be missing, as RFC 9112 lets a reader allow.

Evidence: broken_answer_test, over loopback sockets, for a payment, with the connection left open and closed.

--- /dev/null
+++ b/Source/Traffic/head_check.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace chestnuthead::traffic {
+
+/// Checks the head of an HTTP/1.1 answer against the grammar of RFC 9112 while its bytes arrive.
+/// The parser behind `http_reader` accepts more than the grammar allows, and drops what would show
+/// this later, such as the digits of the status.
+class head_check {
+ public:
+  /// The head of another message begins.
+  void restart();
+
+  /// Checks the next bytes of a message. Returns how many of them are valid; all that follow the
+  /// status line are.
+  std::size_t check(std::string_view bytes);
+
+  /// The bytes are not the head of an answer.
+  [[nodiscard]] bool failed() const {
+    return this->present == place::invalid;
+  }
+
+ private:
+  enum class place : std::uint8_t { status, reason, after_status_line, invalid };
+
+  [[nodiscard]] place after(char byte);
+
+  place present = place::status;
+  /// Bytes of the status line before the reason phrase.
+  std::size_t status_bytes = 0;
+};
+
+}  // namespace chestnuthead::traffic
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -8,6 +8,8 @@
 #include <http_parser.h>
 #include <strings.h>
 
+#include "Traffic/head_check.h"
+
 namespace chestnuthead::traffic {
 
 namespace {
@@ -48,6 +50,9 @@
 struct http_reader::parser_state {
   http_parser parser{};
   http_listener* listener = nullptr;
+  http_kind kind = http_kind::request;
+  /// Checks the head of the present message, if it is an answer.
+  head_check check;
   http_head head;
   /// The last header callback delivered a value, so the next name starts a new field.
   bool value_seen = true;
@@ -158,9 +163,11 @@
 
 template <class State>
 int on_head_complete(http_parser* parser) {
+  // No request asks for another protocol.
+  constexpr unsigned int switching_protocols = 101;
   auto& state = state_of<State>(parser);
   http_head& head = state.head;
-  if (!is_well_formed(head)) {
+  if (!is_well_formed(head) || parser->status_code == switching_protocols) {
     return -1;
   }
   head.status = static_cast<int>(parser->status_code);
@@ -230,20 +237,30 @@
   http_parser_init(&this->state->parser, kind == http_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
   this->state->parser.data = this->state.get();
   this->state->listener = &listener;
+  this->state->kind = kind;
 }
 
 http_reader::~http_reader() = default;
 
 std::size_t http_reader::feed(std::string_view bytes) {
+  if (this->fault() != http_fault::none) {
+    return 0;
+  }
   http_parser& parser = this->state->parser;
   if (HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED) {
     http_parser_pause(&parser, 0);
   }
   if (!this->state->in_message) {
     this->state->present_head_bytes = this->state->next_head_bytes;
+    this->state->check.restart();
+  }
+  const std::size_t valid =
+      this->state->kind == http_kind::answer ? this->state->check.check(bytes) : bytes.size();
+  if (valid == 0) {
+    return 0;
   }
   const scoped_head_limit limit(this->state->present_head_bytes);
-  return http_parser_execute(&parser, &callbacks<parser_state>(), bytes.data(), bytes.size());
+  return http_parser_execute(&parser, &callbacks<parser_state>(), bytes.data(), valid);
 }
 
 bool http_reader::feed_end() {
@@ -265,7 +282,7 @@
 http_fault http_reader::fault() const {
   const http_errno error = HTTP_PARSER_ERRNO(&this->state->parser);
   if (error == HPE_OK || error == HPE_PAUSED) {
-    return http_fault::none;
+    return this->state->check.failed() ? http_fault::malformed : http_fault::none;
   }
   return error == HPE_HEADER_OVERFLOW ? http_fault::header_too_large : http_fault::malformed;
 }
--- /dev/null
+++ b/Tests/Traffic/broken_answer_test.cxx
@@ -0,0 +1,104 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Traffic/traffic_harness.h"
+
+namespace chestnuthead {
+
+using std::chrono::milliseconds;
+using connection = scripted_endpoint::connection;
+
+namespace {
+
+/// The headers of an answer to the payment `p1`, without a length.
+const std::string own_fields = "Attempt-Id: p1\r\nResponse-Signature: s1\r\n";
+const std::string framed_fields = own_fields + "Content-Length: 4\r\n";
+
+std::string answer_with(const std::string& fields, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body;
+}
+
+/// What the caller of one payment sees.
+struct payment_result {
+  std::string bytes;
+  milliseconds time{0};
+  std::size_t requests = 0;
+};
+
+/// Plays one payment whose endpoint sends `answer` and then leaves its connection open, or closes
+/// it gracefully.
+payment_result pay(const std::string& answer, bool closes) {
+  traffic_harness harness;
+  harness.plain->scripts = {[&](connection& endpoint) {
+    endpoint.send(answer);
+    if (closes) {
+      endpoint.finish();
+    }
+  }};
+  const auto caller = harness.connect();
+  const steady_time began = harness.time.now();
+  caller->send(traffic_harness::payment_bytes("p1"));
+  harness.run_until([&] { return caller->has_answers(1); });
+  const auto time = std::chrono::duration_cast<milliseconds>(harness.time.now() - began);
+  return {caller->bytes, time, harness.plain->requests.size()};
+}
+
+/// The outcome of the payment is unknown, and its caller learns this long before its deadline.
+void check_rejected(const std::string& answer) {
+  for (const bool closes : {false, true}) {
+    const payment_result got = pay(answer, closes);
+    const std::string what = answer + (closes ? "\n[closed]\n" : "\n[open]\n") + got.bytes;
+    CPPUNIT_ASSERT_MESSAGE(what, got.bytes.starts_with("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT_MESSAGE(what, got.time < milliseconds{1'000});
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{1}, got.requests);
+  }
+}
+
+void check_paid(const std::string& answer) {
+  const payment_result got = pay(answer, false);
+  CPPUNIT_ASSERT_MESSAGE(answer + "\n" + got.bytes, got.bytes.starts_with("HTTP/1.1 200 "));
+  CPPUNIT_ASSERT_MESSAGE(answer + "\n" + got.bytes, got.bytes.ends_with("\r\n\r\npaid"));
+}
+
+}  // namespace
+
+/// Tests answers of endpoints that HTTP/1.1 does not allow.
+class broken_answer_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(broken_answer_test);
+  CPPUNIT_TEST(invalid_status_line_is_no_answer);
+  CPPUNIT_TEST(unusual_status_line_is_read);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void invalid_status_line_is_no_answer() {
+    for (const char* line :
+         {// Statuses that there are none of.
+          "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+          // Not three digits.
+          "HTTP/1.1 0 OK", "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 1000 OK",
+          "HTTP/1.1 2 00 OK", "HTTP/1.1 200OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 OK",
+          "HTTP/1.1",
+          // Another protocol or version.
+          "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/1.10 200 OK", "http/1.1 200 OK", "ICY 200 OK",
+          // A change to a protocol that nobody asked for.
+          "HTTP/1.1 101 Switching Protocols",
+          // Bytes that are not allowed, or not there.
+          "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1 200 O\x01K",
+          "HTTP/1.1 200 O\x7FK", "HTTP/1.1 200 O\rK", " HTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK", "",
+          "\r\n"}) {
+      check_rejected(std::string(line) + "\r\n" + framed_fields + "\r\npaid");
+    }
+  }
+
+  void unusual_status_line_is_read() {
+    for (const char* line : {"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.2 200 OK",
+                             "HTTP/1.1 200 \xE9\tOK"}) {
+      check_paid(std::string(line) + "\r\n" + framed_fields + "\r\npaid");
+    }
+    check_paid("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" +
+               answer_with(framed_fields, "paid"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(broken_answer_test);
+
+}  // namespace chestnuthead
