Fail answers with field lines that begin with a blank

What callers saw: an answer with the line " Transfer-Encoding: chunked" was passed on with that text at the end of the header before it, and its body was the chunked bytes, sizes included, with a Content-Length (on a connection that stayed open: a 504 at the deadline). Any other line that began with a blank or a tab was added to the header before it. A CR in the place of a line end made the byte after it disappear: "OK<CR>XY: 1" became the header "Y: 1", and "<CR>X" ended a head.

Cause: the parser joins folded lines and, as Debian builds it, takes any byte after a CR for the LF.

Change: head_check goes on after the status line to the end of the head. A line that begins with a blank and a CR without LF make the answer malformed; RFC 9112 lets a gateway answer 502 for a folded line. Lines that end with LF alone are accepted as before.

Evidence: broken_answer_test, over loopback sockets, with each line first and last in the head, and the connection left open and closed.

--- a/Source/Traffic/head_check.cxx
+++ b/Source/Traffic/head_check.cxx
@@ -34,26 +34,66 @@
   this->status_bytes = 0;
 }
 
-head_check::place head_check::after(char byte) {
-  if (this->present == place::reason) {
-    if (byte == '\r' || byte == '\n') {
-      return place::after_status_line;
-    }
-    return is_text_byte(byte) ? place::reason : place::invalid;
+head_check::place head_check::end_of_line(char byte) {
+  // A reader may accept a line that ends with LF alone, but not one with CR alone (RFC 9112, 2.2).
+  switch (byte) {
+    case '\r':
+      return place::line_end;
+    case '\n':
+      return place::line_start;
+    default:
+      return place::invalid;
+  }
+}
+
+head_check::place head_check::start_of_line(char byte) {
+  switch (byte) {
+    case '\r':
+      return place::head_end;
+    case '\n':
+      return place::after_head;
+    case ' ':
+    case '\t':
+      // A folded line, or a name that begins with a blank. A gateway may reject both (RFC
+      // 9112, 5.2).
+      return place::invalid;
+    default:
+      return place::field;
   }
+}
+
+head_check::place head_check::after_in_status(char byte) {
   if (this->status_bytes < status_pattern.size()) {
     return matches(status_pattern[this->status_bytes++], byte) ? place::status : place::invalid;
   }
   // Servers may leave out the space before an empty reason phrase.
-  if (byte == '\r' || byte == '\n') {
-    return place::after_status_line;
+  return byte == ' ' ? place::reason : end_of_line(byte);
+}
+
+head_check::place head_check::after(char byte) {
+  switch (this->present) {
+    case place::status:
+      return this->after_in_status(byte);
+    case place::reason:
+      return is_text_byte(byte) ? place::reason : end_of_line(byte);
+    case place::field:
+      return byte == '\r' || byte == '\n' ? end_of_line(byte) : place::field;
+    case place::line_end:
+      return byte == '\n' ? place::line_start : place::invalid;
+    case place::line_start:
+      return start_of_line(byte);
+    case place::head_end:
+      return byte == '\n' ? place::after_head : place::invalid;
+    case place::after_head:
+    case place::invalid:
+      break;
   }
-  return byte == ' ' ? place::reason : place::invalid;
+  return this->present;
 }
 
 std::size_t head_check::check(std::string_view bytes) {
   std::size_t valid = 0;
-  while (valid < bytes.size() && this->present != place::after_status_line) {
+  while (valid < bytes.size() && this->present != place::after_head) {
     this->present = this->after(bytes[valid]);
     if (this->failed()) {
       return valid;
--- a/Tests/Traffic/broken_answer_test.cxx
+++ b/Tests/Traffic/broken_answer_test.cxx
@@ -66,6 +66,8 @@
   CPPUNIT_TEST_SUITE(broken_answer_test);
   CPPUNIT_TEST(invalid_status_line_is_no_answer);
   CPPUNIT_TEST(unusual_status_line_is_read);
+  CPPUNIT_TEST(invalid_field_line_is_no_answer);
+  CPPUNIT_TEST(unusual_field_line_is_read);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -97,6 +99,37 @@
     check_paid("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" +
                answer_with(framed_fields, "paid"));
   }
+
+  void invalid_field_line_is_no_answer() {
+    for (const std::string line :
+         {// A name that holds a blank, a control byte or another byte that is not allowed.
+          "X Y: 1", "X\tY: 1", "X : 1", "X\t: 1", "X\x01: 1", "X\x7F: 1", "X\r: 1", "X\xE9: 1",
+          "X(: 1", ": 1", "X", "Content-Length : 9", "Transfer-Encoding : chunked",
+          // A value that holds a control byte.
+          "X: 1\x01", "X: \x7F", "X: 1\rY: 2", "X: 1\r",
+          // A name that begins with a blank, or a folded line.
+          " X: 1", "\tX: 1", " Content-Length: 9", " Transfer-Encoding: chunked", "X: 1\r\n 2",
+          "X:\r\n\t1", "X: 1\r\n ", "X: 1\n 2"}) {
+      check_rejected(answer_with(line + "\r\n" + framed_fields, "paid"));
+      check_rejected(answer_with(framed_fields + line + "\r\n", "paid"));
+    }
+    check_rejected(answer_with(std::string("X\0: 1\r\n", 8) + framed_fields, "paid"));
+    check_rejected(answer_with(std::string("X: \0\r\n", 6) + framed_fields, "paid"));
+    check_rejected("HTTP/1.1 200 OK\rXY: 1\r\n" + framed_fields + "\r\npaid");
+    check_rejected("HTTP/1.1 200 OK\r\n" + framed_fields + "\rXpaid");
+    const std::string chunks = "4\r\npaid\r\n0\r\n\r\n";
+    check_rejected(answer_with(own_fields + " Transfer-Encoding: chunked\r\n", chunks));
+    check_rejected(answer_with(own_fields + "\tTransfer-Encoding: chunked\r\n", chunks));
+    check_rejected(answer_with(own_fields + "Transfer-Encoding : chunked\r\n", chunks));
+  }
+
+  void unusual_field_line_is_read() {
+    for (const char* line : {"X:1", "X:", "X: \xE9\t1", "!#$%&'*+-.^_`|~: 1"}) {
+      check_paid(answer_with(std::string(line) + "\r\n" + framed_fields, "paid"));
+    }
+    check_paid(
+        "HTTP/1.1 200 OK\nAttempt-Id: p1\nResponse-Signature: s1\nContent-Length: 4\n\npaid");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_answer_test);
