Fail messages with a transfer coding other than chunked

What callers saw: an answer with "Transfer-Encoding: gzip, chunked" came out as its compressed bytes under a Content-Length and without any coding. With "gzip", "identity", "chunked, chunked", ", chunked", an empty value or any other that did not end in a plain "chunked", the caller got the bytes as they stood on the connection, chunk sizes included, or a 504 while it stayed open.

Cause: the parser knows no coding but chunked. It undoes this one if it comes last and reads everything else up to the end of the connection, and the header is not passed on, as it concerns one connection only.

Change: http_reader accepts a transfer coding only if it is chunked alone, given once, and the message is not of HTTP/1.0. This holds for requests too, whose bodies reached endpoints without their coding in the same way; they get the 400 of a malformed request.

Evidence: broken_answer_test, over loopback sockets, connection left open and closed. Before, the table failed at its first line (gzip: 504 at the deadline; closed: 200 with "4 paid 0" as the body); after: 502 in under a second and one request for each line. Lengths that are no number or given twice, and a length beside chunks, gave 502 before and stay in the table.

--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -117,6 +117,10 @@
   return 0;
 }
 
+bool equal_ignoring_case(std::string_view one, std::string_view other) {
+  return one.size() == other.size() && strncasecmp(one.data(), other.data(), one.size()) == 0;
+}
+
 /// True for the bytes allowed in a field name (RFC 9110, `token`).
 bool is_token_byte(char byte) {
   constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
@@ -161,13 +165,25 @@
   });
 }
 
+/// True if the body's transfer coding, if it has one, is chunked and nothing else. No peer was told
+/// that another one is accepted, and HTTP/1.0 has none (RFC 9112, 6.1 and 7.4).
+bool has_known_coding(const http_head& head, bool is_http_1_0) {
+  constexpr std::string_view name = "Transfer-Encoding";
+  const auto lines =
+      std::count_if(head.fields.begin(), head.fields.end(),
+                    [name](const auto& field) { return equal_ignoring_case(field.first, name); });
+  return lines == 0 ||
+         (lines == 1 && !is_http_1_0 && equal_ignoring_case(*find_field(head, name), "chunked"));
+}
+
 template <class State>
 int on_head_complete(http_parser* parser) {
   // No request asks for another protocol.
   constexpr unsigned int switching_protocols = 101;
   auto& state = state_of<State>(parser);
   http_head& head = state.head;
-  if (!is_well_formed(head) || parser->status_code == switching_protocols) {
+  if (!is_well_formed(head) || !has_known_coding(head, parser->http_minor == 0) ||
+      parser->status_code == switching_protocols) {
     return -1;
   }
   head.status = static_cast<int>(parser->status_code);
@@ -225,7 +241,7 @@
 
 const std::string* find_field(const http_head& head, std::string_view name) {
   for (const auto& [field, value] : head.fields) {
-    if (field.size() == name.size() && strncasecmp(field.data(), name.data(), name.size()) == 0) {
+    if (equal_ignoring_case(field, name)) {
       return &value;
     }
   }
--- a/Tests/Traffic/broken_answer_test.cxx
+++ b/Tests/Traffic/broken_answer_test.cxx
@@ -12,6 +12,7 @@
 /// The headers of an answer to the payment `p1`, without a length.
 const std::string own_fields = "Attempt-Id: p1\r\nResponse-Signature: s1\r\n";
 const std::string framed_fields = own_fields + "Content-Length: 4\r\n";
+const std::string chunked_fields = own_fields + "Transfer-Encoding: chunked\r\n";
 
 std::string answer_with(const std::string& fields, const std::string& body) {
   return "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body;
@@ -68,6 +69,8 @@
   CPPUNIT_TEST(unusual_status_line_is_read);
   CPPUNIT_TEST(invalid_field_line_is_no_answer);
   CPPUNIT_TEST(unusual_field_line_is_read);
+  CPPUNIT_TEST(unknown_framing_is_no_answer);
+  CPPUNIT_TEST(known_framing_is_read);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -130,6 +133,33 @@
     check_paid(
         "HTTP/1.1 200 OK\nAttempt-Id: p1\nResponse-Signature: s1\nContent-Length: 4\n\npaid");
   }
+
+  void unknown_framing_is_no_answer() {
+    const std::string chunks = "4\r\npaid\r\n0\r\n\r\n";
+    for (const std::string coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", "", ", chunked",
+          "chunked;a=1", "xchunked", "chunked x", "chunked\r\nTransfer-Encoding: chunked",
+          "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nContent-Length: 4"}) {
+      check_rejected(answer_with(own_fields + "Transfer-Encoding: " + coding + "\r\n", chunks));
+    }
+    check_rejected(answer_with(framed_fields + "Transfer-Encoding: chunked\r\n", chunks));
+    check_rejected("HTTP/1.0 200 OK\r\n" + chunked_fields + "\r\n" + chunks);
+    for (const std::string length :
+         {"", "+4", "-4", "4a", "0x4", "4 4", "4, 4", "4;", "4.0", "4\r\nContent-Length: 4",
+          "5\r\nContent-Length: 4", "99999999999999999999"}) {
+      check_rejected(answer_with(own_fields + "Content-Length: " + length + "\r\n", "paid"));
+    }
+  }
+
+  void known_framing_is_read() {
+    for (const std::string coding : {"chunked", "Chunked", "\tchunked"}) {
+      check_paid(answer_with(own_fields + "Transfer-Encoding: " + coding + "\r\n",
+                             "4\r\npaid\r\n0\r\n\r\n"));
+    }
+    for (const std::string length : {"4", "004", "\t4 "}) {
+      check_paid(answer_with(own_fields + "Content-Length: " + length + "\r\n", "paid"));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_answer_test);
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -509,7 +509,8 @@
           "Transfer-Encoding : chunked\r\n", "Transfer-Encodingt: a\r\nContent-Length: 3\r\n",
           "Content-Length: 3\r\nTransfer_Encoding: chunked\r\n",
           "Content-Length: 3\r\ncontent_length: 9\r\n",
-          "Content-Length: 3\r\nContent-Length-2: 9\r\n"}) {
+          "Content-Length: 3\r\nContent-Length-2: 9\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"}) {
       traffic_harness harness;
       harness.plain->scripts = {
           [](connection& caller) { caller.send(traffic_harness::answer_bytes("p1", "paid")); }};
