Fail messages whose chunks are not framed as HTTP requires

What callers saw: an answer in chunks whose chunk was longer than its size said ("4", then "paidXY") came out as a whole one, without the last bytes. Two bytes of any kind in the place of the CRLF after a chunk, any byte after a CR, text behind the size ("4 x") and trailer fields with blanks in their names or control bytes were accepted alike. On the other hand a sound answer with "Transfer-Encoding: chunked" and a blank behind it was read up to the end of its connection, chunk sizes included.

Cause: the parser, as Debian builds it, does not compare the bytes after a chunk with CRLF, and it does not know the coding with a blank behind it.

Change: http_reader uses the parser for heads and for bodies with a length or none, and chunk_decoder for chunks. Requests with such chunks get a 400: the endpoint got their bodies without the bytes that were dropped.

Evidence: broken_answer_test, over loopback sockets, connection left open and closed: before, the table failed with "200 OK" and "paid" for "4", "paidXY"; after, 502 in under a second and one request for each form. In exchange_test a request with such a chunk reached the endpoint before. Sizes that are no number, too long or too small gave 502 before and stay in the table.

--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -8,7 +8,9 @@
 #include <http_parser.h>
 #include <strings.h>
 
+#include "Traffic/chunk_decoder.h"
 #include "Traffic/head_check.h"
+#include "Traffic/http_bytes.h"
 
 namespace chestnuthead::traffic {
 
@@ -53,6 +55,8 @@
   http_kind kind = http_kind::request;
   /// Checks the head of the present message, if it is an answer.
   head_check check;
+  /// Decodes the present message's body, if it is chunked and its head was read.
+  std::optional<chunk_decoder> chunks;
   http_head head;
   /// The last header callback delivered a value, so the next name starts a new field.
   bool value_seen = true;
@@ -121,21 +125,6 @@
   return one.size() == other.size() && strncasecmp(one.data(), other.data(), one.size()) == 0;
 }
 
-/// True for the bytes allowed in a field name (RFC 9110, `token`).
-bool is_token_byte(char byte) {
-  constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-  return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') ||
-         (byte >= 'A' && byte <= 'Z') || marks.find(byte) != std::string_view::npos;
-}
-
-/// True for the bytes not allowed in a field value.
-bool is_control_byte(char byte) {
-  constexpr unsigned char first_printable = 0x20;
-  constexpr unsigned char delete_mark = 0x7F;
-  const auto number = static_cast<unsigned char>(byte);
-  return (number < first_printable && byte != '\t') || number == delete_mark;
-}
-
 /// True for a name that some HTTP parsers treat as `framing` although it differs: it has a
 /// suffix, or underscores in place of hyphens. Such a parser downstream would see another end
 /// of the message (request smuggling).
@@ -155,16 +144,26 @@
   return resembles(name, "content-length") || resembles(name, "transfer-encoding");
 }
 
+bool has_framing_look_alike(const http_head& head) {
+  return std::any_of(head.fields.begin(), head.fields.end(),
+                     [](const auto& field) { return resembles_framing(field.first); });
+}
+
 /// Rejects invalid names and values. The parser accepts "Content-Length : 5" as a length, but
 /// keeps the space in the name, so that the next parser would see a field of another name.
-bool is_well_formed(const http_head& head) {
+bool has_valid_bytes(const http_head& head) {
   return std::all_of(head.fields.begin(), head.fields.end(), [](const auto& field) {
-    return !field.first.empty() && !resembles_framing(field.first) &&
+    return !field.first.empty() &&
            std::all_of(field.first.begin(), field.first.end(), is_token_byte) &&
-           std::none_of(field.second.begin(), field.second.end(), is_control_byte);
+           std::all_of(field.second.begin(), field.second.end(), is_text_byte);
   });
 }
 
+std::string_view without_blanks_at_end(std::string_view text) {
+  const std::size_t last = text.find_last_not_of(" \t");
+  return text.substr(0, last == std::string_view::npos ? 0 : last + 1);
+}
+
 /// True if the body's transfer coding, if it has one, is chunked and nothing else. No peer was told
 /// that another one is accepted, and HTTP/1.0 has none (RFC 9112, 6.1 and 7.4).
 bool has_known_coding(const http_head& head, bool is_http_1_0) {
@@ -173,7 +172,8 @@
       std::count_if(head.fields.begin(), head.fields.end(),
                     [name](const auto& field) { return equal_ignoring_case(field.first, name); });
   return lines == 0 ||
-         (lines == 1 && !is_http_1_0 && equal_ignoring_case(*find_field(head, name), "chunked"));
+         (lines == 1 && !is_http_1_0 &&
+          equal_ignoring_case(without_blanks_at_end(*find_field(head, name)), "chunked"));
 }
 
 template <class State>
@@ -182,7 +182,10 @@
   constexpr unsigned int switching_protocols = 101;
   auto& state = state_of<State>(parser);
   http_head& head = state.head;
-  if (!is_well_formed(head) || !has_known_coding(head, parser->http_minor == 0) ||
+  // Answers were checked before they were parsed.
+  const bool is_valid = state.kind == http_kind::answer || has_valid_bytes(head);
+  if (!is_valid || has_framing_look_alike(head) ||
+      !has_known_coding(head, parser->http_minor == 0) ||
       parser->status_code == switching_protocols) {
     return -1;
   }
@@ -191,10 +194,11 @@
     head.method = http_method_str(static_cast<http_method>(parser->method));
   }
   head.keeps_open = http_should_keep_alive(parser) != 0;
-  head.chunked = (parser->flags & F_CHUNKED) != 0;
+  head.chunked = find_field(head, "Transfer-Encoding") != nullptr;
   if (!head.chunked && parser->content_length != no_length) {
     head.length = parser->content_length;
   }
+  const bool has_chunks = head.chunked && !state.no_body;
   const bool accepted = state.listener->on_head(head);
   // Not kept while the body is read.
   drop_head(state);
@@ -202,7 +206,11 @@
     state.refused = true;
     return -1;
   }
-  return state.no_body ? 1 : 0;
+  if (has_chunks) {
+    state.chunks.emplace(state.present_head_bytes);
+  }
+  // For the parser, the message ends here if it has no body that the parser reads.
+  return has_chunks || state.no_body ? 1 : 0;
 }
 
 template <class State>
@@ -212,10 +220,17 @@
 }
 
 template <class State>
-int on_complete(http_parser* parser) {
-  auto& state = state_of<State>(parser);
+void end_message(State& state) {
   state.in_message = false;
   state.listener->on_message_end();
+}
+
+template <class State>
+int on_complete(http_parser* parser) {
+  auto& state = state_of<State>(parser);
+  if (!state.chunks) {
+    end_message(state);
+  }
   http_parser_pause(parser, 1);
   return 0;
 }
@@ -262,13 +277,24 @@
   if (this->fault() != http_fault::none) {
     return 0;
   }
+  std::size_t taken = 0;
+  if (!this->state->chunks) {
+    taken = this->feed_parser(bytes);
+  }
+  if (this->state->chunks) {
+    taken += this->feed_chunks(bytes.substr(taken));
+  }
+  return taken;
+}
+
+std::size_t http_reader::feed_parser(std::string_view bytes) {
   http_parser& parser = this->state->parser;
   if (HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED) {
     http_parser_pause(&parser, 0);
   }
   if (!this->state->in_message) {
     this->state->present_head_bytes = this->state->next_head_bytes;
-    this->state->check.restart();
+    this->state->check = {};
   }
   const std::size_t valid =
       this->state->kind == http_kind::answer ? this->state->check.check(bytes) : bytes.size();
@@ -279,6 +305,15 @@
   return http_parser_execute(&parser, &callbacks<parser_state>(), bytes.data(), valid);
 }
 
+std::size_t http_reader::feed_chunks(std::string_view bytes) {
+  const std::size_t taken = this->state->chunks->feed(bytes, *this->state->listener);
+  if (this->state->chunks->is_complete()) {
+    this->state->chunks.reset();
+    end_message(*this->state);
+  }
+  return taken;
+}
+
 bool http_reader::feed_end() {
   if (!this->state->in_message) {
     return false;
@@ -298,6 +333,9 @@
 http_fault http_reader::fault() const {
   const http_errno error = HTTP_PARSER_ERRNO(&this->state->parser);
   if (error == HPE_OK || error == HPE_PAUSED) {
+    if (this->state->chunks) {
+      return this->state->chunks->fault();
+    }
     return this->state->check.failed() ? http_fault::malformed : http_fault::none;
   }
   return error == HPE_HEADER_OVERFLOW ? http_fault::header_too_large : http_fault::malformed;
--- a/Source/Traffic/http_reader.h
+++ b/Source/Traffic/http_reader.h
@@ -84,6 +84,10 @@
  private:
   struct parser_state;
 
+  /// Both return how many bytes were consumed.
+  std::size_t feed_parser(std::string_view bytes);
+  std::size_t feed_chunks(std::string_view bytes);
+
   std::unique_ptr<parser_state> state;
 };
 
--- a/Tests/Traffic/broken_answer_test.cxx
+++ b/Tests/Traffic/broken_answer_test.cxx
@@ -1,3 +1,6 @@
+#include <string>
+#include <vector>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Traffic/traffic_harness.h"
@@ -71,6 +74,8 @@
   CPPUNIT_TEST(unusual_field_line_is_read);
   CPPUNIT_TEST(unknown_framing_is_no_answer);
   CPPUNIT_TEST(known_framing_is_read);
+  CPPUNIT_TEST(invalid_chunk_is_no_answer);
+  CPPUNIT_TEST(unusual_chunk_is_read);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -152,7 +157,7 @@
   }
 
   void known_framing_is_read() {
-    for (const std::string coding : {"chunked", "Chunked", "\tchunked"}) {
+    for (const std::string coding : {"chunked", "Chunked", "\tchunked", "chunked \t"}) {
       check_paid(answer_with(own_fields + "Transfer-Encoding: " + coding + "\r\n",
                              "4\r\npaid\r\n0\r\n\r\n"));
     }
@@ -160,6 +165,39 @@
       check_paid(answer_with(own_fields + "Content-Length: " + length + "\r\n", "paid"));
     }
   }
+
+  void invalid_chunk_is_no_answer() {
+    const std::string last = "0\r\n\r\n";
+    for (const std::string& body : std::vector<std::string>{
+             // No size.
+             "paid" + last, "\r\npaid\r\n" + last, ";a\r\npaid\r\n" + last, " 4\r\npaid\r\n" + last,
+             "+4\r\npaid\r\n" + last, "-4\r\npaid\r\n" + last, "0x4\r\npaid\r\n" + last,
+             "10000000000000004\r\npaid\r\n" + last,
+             // Not the size of the chunk.
+             "3\r\npaid\r\n" + last, "5\r\npaid\r\n" + last, "4\r\npaidXY" + last,
+             "4\r\npaid" + last,
+             // Other bytes behind the size.
+             "4 x\r\npaid\r\n" + last, "4 4\r\npaid\r\n" + last, "4;a\nb\r\npaid\r\n" + last,
+             "4;\x01\r\npaid\r\n" + last,
+             // Lines that do not end with CR and LF.
+             "4\rXpaid\r\n" + last, "4\npaid\r\n" + last, "4\r\npaid\rX" + last,
+             "4\r\npaid\n" + last, "4\r\npaid\r\n0\rX\r\n", "4\r\npaid\r\n0\r\n\rX",
+             // Trailer fields.
+             "4\r\npaid\r\n0\r\nX Y: 1\r\n\r\n", "4\r\npaid\r\n0\r\nX : 1\r\n\r\n",
+             "4\r\npaid\r\n0\r\nX\x01: 1\r\n\r\n", "4\r\npaid\r\n0\r\nX: \x01\r\n\r\n",
+             "4\r\npaid\r\n0\r\n X: 1\r\n\r\n", "4\r\npaid\r\n0\r\nX: 1\r\n 2\r\n\r\n",
+             "4\r\npaid\r\n0\r\nX\r\n\r\n"}) {
+      check_rejected(answer_with(chunked_fields, body));
+    }
+  }
+
+  void unusual_chunk_is_read() {
+    for (const char* body : {"4;a=b\r\npaid\r\n0\r\n\r\n", "4 ; a=\"b\"\r\npaid\r\n0\r\n\r\n",
+                             "4 \r\npaid\r\n0\r\n\r\n", "0004\r\npaid\r\n000;a\r\n\r\n",
+                             "1\r\np\r\n3\r\naid\r\n0\r\nX: 1\r\nContent-Length: 9\r\n\r\n"}) {
+      check_paid(answer_with(chunked_fields, body));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_answer_test);
--- a/Tests/Traffic/exchange_test.cxx
+++ b/Tests/Traffic/exchange_test.cxx
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(concurrent_health_checks_are_limited);
   CPPUNIT_TEST(missing_endpoint_is_reported_at_once);
   CPPUNIT_TEST(request_smuggling_is_rejected);
+  CPPUNIT_TEST(request_with_an_invalid_chunk_is_rejected);
   CPPUNIT_TEST(graceful_shutdown_finishes_requests_in_progress);
   CPPUNIT_TEST(callers_during_graceful_shutdown_get_an_answer);
   CPPUNIT_TEST(pending_request_is_read_before_the_idle_timeout);
@@ -501,6 +502,17 @@
     CPPUNIT_ASSERT(contains(caller->bytes, "Retry-After: "));
   }
 
+  void request_with_an_invalid_chunk_is_rejected() {
+    traffic_harness harness;
+    const auto caller = harness.connect();
+    caller->send(
+        "POST /pay/1 HTTP/1.1\r\nHost: chats.example\r\nApi-Key: key-1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\npayXY0\r\n\r\n");
+    CPPUNIT_ASSERT(harness.run_until([&] { return caller->ended; }));
+    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 400 "));
+    CPPUNIT_ASSERT(harness.plain->requests.empty());
+  }
+
   void request_smuggling_is_rejected() {
     for (const char* framing :
          {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
