End answers whose status allows no body with their heads

A 304 with the length that a 200 would have, which is valid, was waited for until the deadline and ended as a 504. A 204 without a body got "Content-Length: 0" on the way, which HTTP forbids, and a 304 one that was wrong.

Cause: the parser lets the length and the coding decide where a message ends, also for statuses that end it with the head, and the gateway wrote a length for every status.

Change: http_reader ends answers with 1xx, 204 and 304 with their heads. A 1xx or 204 that announces a body is malformed, as a server must not send one; a length of 0 is let pass. No length is written for 204 and 304.

Evidence: broken_answer_test, over loopback sockets. After: 502 for a 204 or 103 with a body, in under a second and with one request; 204 and 304 without body and length at once, also where four bytes follow on the connection.

--- a/Source/Traffic/caller_link.cxx
+++ b/Source/Traffic/caller_link.cxx
@@ -271,7 +271,10 @@
 void caller_link::send_whole(int status, std::string_view headers, std::string_view bytes) {
   this->close_if_others_better();
   std::string out = this->head_of(status, headers);
-  out += "Content-Length: " + std::to_string(bytes.size()) + "\r\n\r\n";
+  if (!is_bodiless(status)) {
+    out += "Content-Length: " + std::to_string(bytes.size()) + "\r\n";
+  }
+  out += "\r\n";
   out += bytes;
   this->link.send(out);
 }
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -176,6 +176,15 @@
           equal_ignoring_case(without_blanks_at_end(*find_field(head, name)), "chunked"));
 }
 
+/// True if the head announces a body although its status does not allow one (RFC 9110, 8.6, and
+/// RFC 9112, 6.1).
+bool has_forbidden_body(const http_head& head) {
+  constexpr int not_modified = 304;
+  const bool announces_body = head.chunked || head.length.value_or(0) > 0;
+  // A 304 tells the length that the body of a 200 would have.
+  return announces_body && is_bodiless(head.status) && head.status != not_modified;
+}
+
 template <class State>
 int on_head_complete(http_parser* parser) {
   // No request asks for another protocol.
@@ -198,7 +207,11 @@
   if (!head.chunked && parser->content_length != no_length) {
     head.length = parser->content_length;
   }
-  const bool has_chunks = head.chunked && !state.no_body;
+  if (has_forbidden_body(head)) {
+    return -1;
+  }
+  const bool has_no_body = state.no_body || is_bodiless(head.status);
+  const bool has_chunks = head.chunked && !has_no_body;
   const bool accepted = state.listener->on_head(head);
   // Not kept while the body is read.
   drop_head(state);
@@ -210,7 +223,7 @@
     state.chunks.emplace(state.present_head_bytes);
   }
   // For the parser, the message ends here if it has no body that the parser reads.
-  return has_chunks || state.no_body ? 1 : 0;
+  return has_chunks || has_no_body ? 1 : 0;
 }
 
 template <class State>
@@ -263,6 +276,13 @@
   return nullptr;
 }
 
+bool is_bodiless(int status) {
+  constexpr int first_final = 200;
+  constexpr int no_content = 204;
+  constexpr int not_modified = 304;
+  return (status > 0 && status < first_final) || status == no_content || status == not_modified;
+}
+
 http_reader::http_reader(http_kind kind, http_listener& listener)
     : state(std::make_unique<parser_state>()) {
   http_parser_init(&this->state->parser, kind == http_kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
--- a/Source/Traffic/http_reader.h
+++ b/Source/Traffic/http_reader.h
@@ -38,6 +38,9 @@
 /// The value of the first field of that name (case-insensitive), or nullptr.
 const std::string* find_field(const http_head& head, std::string_view name);
 
+/// True for the statuses whose answers end with their heads, whatever their headers say.
+bool is_bodiless(int status);
+
 /// Receives the parts of a message, in order.
 class http_listener {
  public:
--- a/Tests/Traffic/broken_answer_test.cxx
+++ b/Tests/Traffic/broken_answer_test.cxx
@@ -76,6 +76,8 @@
   CPPUNIT_TEST(known_framing_is_read);
   CPPUNIT_TEST(invalid_chunk_is_no_answer);
   CPPUNIT_TEST(unusual_chunk_is_read);
+  CPPUNIT_TEST(answer_without_a_body_ends_with_its_head);
+  CPPUNIT_TEST(forbidden_body_is_no_answer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -198,6 +200,29 @@
       check_paid(answer_with(chunked_fields, body));
     }
   }
+
+  void answer_without_a_body_ends_with_its_head() {
+    for (const std::string& answer :
+         std::vector<std::string>{"HTTP/1.1 204 No Content\r\n" + own_fields,
+                                  "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n" + own_fields,
+                                  "HTTP/1.1 304 Not Modified\r\n" + framed_fields,
+                                  "HTTP/1.1 304 Not Modified\r\n" + chunked_fields}) {
+      for (const char* surplus : {"", "paid"}) {
+        const payment_result got = pay(answer + "\r\n" + surplus, false);
+        CPPUNIT_ASSERT_MESSAGE(answer, got.bytes.starts_with(answer.substr(0, 13)));
+        CPPUNIT_ASSERT_MESSAGE(got.bytes, got.bytes.ends_with("\r\n\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(got.bytes, got.bytes.find("Content-Length") == std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(answer, got.time < milliseconds{1'000});
+      }
+    }
+  }
+
+  void forbidden_body_is_no_answer() {
+    for (const std::string line : {"HTTP/1.1 204 No Content\r\n", "HTTP/1.1 103 Early Hints\r\n"}) {
+      check_rejected(line + framed_fields + "\r\npaid");
+      check_rejected(line + chunked_fields + "\r\n4\r\npaid\r\n0\r\n\r\n");
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_answer_test);
