Skip interim answers in every reader of answers

What a reader saw: the client of the store took "100 Continue" or "103 Early Hints" for the reply to its call, with status 100 and no body, and dropped the real one as bytes that nobody had asked for.

Cause: only the connections to endpoints skipped answers below 200.

Change: http_reader skips them, so that each of its users sees final answers only, and the connections to endpoints no longer need a rule of their own.

--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -123,13 +123,11 @@
 }
 
 bool endpoint_link::on_head(http_head& head) {
-  constexpr int first_final_status = 200;
   gateway::endpoint_answer answer = this->owner.dialect.decode_answer(head);
-  this->interim = head.status < first_final_status;
-  this->skipping = this->interim || (!answer.request_id.empty() && !this->request_id.empty() &&
-                                     answer.request_id != this->request_id);
+  this->skipping = !answer.request_id.empty() && !this->request_id.empty() &&
+                   answer.request_id != this->request_id;
   if (this->skipping) {
-    this->reusable = this->reusable && this->interim;
+    this->reusable = false;
     return true;
   }
   this->answer_started = true;
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -137,10 +137,8 @@
   bool has_answered = false;
   /// It has carried one that did not bear the ID of its request.
   bool has_unidentified_answer = false;
-  /// The message being read is an interim answer or belongs to another request, and is
-  /// dropped.
+  /// The message being read belongs to another request, and is dropped.
   bool skipping = false;
-  bool interim = false;
   bool gone = false;
   steady_time began_at{};
   steady_time idle_until{};
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -16,6 +16,8 @@
 
 namespace {
 
+/// Answers with a lower status are interim: another one follows.
+constexpr int first_final_status = 200;
 /// The parser's `content_length` for a message without that header.
 constexpr std::uint64_t no_length = std::numeric_limits<std::uint64_t>::max();
 
@@ -63,6 +65,8 @@
   /// Bytes of the names and values in `head`.
   std::size_t head_text = 0;
   bool no_body = false;
+  /// The message being read is an interim answer.
+  bool is_interim = false;
   bool refused = false;
   bool in_message = false;
   /// Largest head of the present message, and of those that follow.
@@ -210,6 +214,11 @@
   if (has_forbidden_body(head)) {
     return -1;
   }
+  state.is_interim = state.kind == http_kind::answer && head.status < first_final_status;
+  if (state.is_interim) {
+    drop_head(state);
+    return 1;
+  }
   const bool has_no_body = state.no_body || is_bodiless(head.status);
   const bool has_chunks = head.chunked && !has_no_body;
   const bool accepted = state.listener->on_head(head);
@@ -235,7 +244,9 @@
 template <class State>
 void end_message(State& state) {
   state.in_message = false;
-  state.listener->on_message_end();
+  if (!state.is_interim) {
+    state.listener->on_message_end();
+  }
 }
 
 template <class State>
@@ -277,10 +288,10 @@
 }
 
 bool is_bodiless(int status) {
-  constexpr int first_final = 200;
   constexpr int no_content = 204;
   constexpr int not_modified = 304;
-  return (status > 0 && status < first_final) || status == no_content || status == not_modified;
+  return (status > 0 && status < first_final_status) || status == no_content ||
+         status == not_modified;
 }
 
 http_reader::http_reader(http_kind kind, http_listener& listener)
--- a/Tests/Traffic/broken_answer_test.cxx
+++ b/Tests/Traffic/broken_answer_test.cxx
@@ -1,8 +1,10 @@
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Traffic/http_client.h"
 #include "Traffic/traffic_harness.h"
 
 namespace chestnuthead {
@@ -78,6 +80,7 @@
   CPPUNIT_TEST(unusual_chunk_is_read);
   CPPUNIT_TEST(answer_without_a_body_ends_with_its_head);
   CPPUNIT_TEST(forbidden_body_is_no_answer);
+  CPPUNIT_TEST(reply_to_http_client_follows_interim_answers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -223,6 +226,30 @@
       check_rejected(line + chunked_fields + "\r\n4\r\npaid\r\n0\r\n\r\n");
     }
   }
+
+  void reply_to_http_client_follows_interim_answers() {
+    for (const bool at_once : {true, false}) {
+      const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n";
+      const std::string final = answer_with("Content-Length: 4\r\n", "rows");
+      traffic_harness harness;
+      connection* open = nullptr;
+      harness.plain->scripts = {[&](connection& endpoint) {
+        open = &endpoint;
+        endpoint.send(at_once ? interim + final : interim);
+      }};
+      traffic::http_client client(harness.loop, harness.time, harness.plain->address);
+      std::optional<traffic::http_reply> reply;
+      client.call({"GET", "/rows", {}}, [&reply](const traffic::http_reply& got) { reply = got; });
+      CPPUNIT_ASSERT(harness.run_until([&] { return open != nullptr; }));
+      if (!at_once) {
+        harness.run_for(milliseconds{50});
+        open->send(final);
+      }
+      CPPUNIT_ASSERT(harness.run_until([&] { return reply.has_value(); }));
+      CPPUNIT_ASSERT_EQUAL(200, reply->status);
+      CPPUNIT_ASSERT_EQUAL(std::string("rows"), reply->body);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_answer_test);
