Answer no request with bytes that arrived before it was sent

What callers saw: an endpoint sent more than its answer, an answer without an Attempt-Id. The next request on the caller's connection, another payment, got these bytes as its answer without having been sent. The same happened when such bytes came while the connection was idle and the request was handled before them, and to calls of the store's client.

Cause: the end of an answer gave the connection free and told this while bytes were left to parse, so the next request could start on it and the rest was parsed as its answer. A connection that was taken from the idle ones was not looked at: bytes that waited there were read after the request was sent.

Change: http_reader reports the end of a message after it knows whether bytes follow, and a connection with such bytes is closed instead of kept. A kept connection is used only if nothing waits to be read on it, which is one recv() with MSG_PEEK; it also finds a connection that was closed meanwhile.

--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -156,7 +156,9 @@
 
 void endpoint_link::finish() {
   call_listener* receiver = std::exchange(this->listener, nullptr);
-  if (this->reusable && this->link.unsent() == 0) {
+  // Bytes that are there already are no answer to the next request.
+  const bool is_clean = this->link.unsent() == 0 && !this->reader.has_surplus();
+  if (this->reusable && is_clean) {
     this->owner.release(*this);
   } else {
     this->owner.remove(*this);
@@ -240,7 +242,7 @@
 
 bool endpoint_links::is_fresh(const endpoint_link& link, const std::string& address) const {
   const steady_time now = this->time.now();
-  return link.address == address && now < link.idle_until &&
+  return link.is_silent() && link.address == address && now < link.idle_until &&
          (now - link.idle_since < reduced_idle_limit || !this->is_idle_time_reduced(link.name));
 }
 
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -108,6 +108,11 @@
   [[nodiscard]] bool is_open() const {
     return this->link.is_open();
   }
+  /// True if the endpoint has sent nothing since its last answer, not even the end of the
+  /// connection.
+  [[nodiscard]] bool is_silent() const {
+    return !this->link.has_unread_input_or_end();
+  }
 
   void on_open() override;
   void on_bytes(std::string_view bytes) override;
--- a/Source/Traffic/http_client.cxx
+++ b/Source/Traffic/http_client.cxx
@@ -42,6 +42,10 @@
 }
 
 void http_client::call(const http_call& wanted, std::function<void(http_reply)> callback) {
+  if (this->present != nullptr && this->present->link.has_unread_input_or_end()) {
+    // What has arrived is no reply to this call.
+    this->drop();
+  }
   if (this->present == nullptr) {
     this->present = std::make_unique<connection>(this->loop, this->address, *this);
   }
@@ -91,19 +95,21 @@
 void http_client::on_bytes(std::string_view bytes) {
   this->answer_started = true;
   this->last_bytes_at = this->time.now();
+  // The end of a call may start another one on a new connection.
+  connection* const source = this->present.get();
   std::string_view rest = bytes;
-  while (!rest.empty() && this->present != nullptr && this->busy()) {
-    rest.remove_prefix(std::min(rest.size(), this->present->reader.feed(rest)));
+  while (!rest.empty() && this->present.get() == source && this->busy()) {
+    rest.remove_prefix(std::min(rest.size(), source->reader.feed(rest)));
     if (this->too_long) {
       this->abort_call(call_outcome::too_long);
       return;
     }
-    if (this->present != nullptr && this->present->reader.fault() != http_fault::none) {
+    if (this->present.get() == source && source->reader.fault() != http_fault::none) {
       this->abort_call(call_outcome::broken);
       return;
     }
   }
-  if (!rest.empty()) {
+  if (!rest.empty() && this->present.get() == source) {
     this->drop();
   }
 }
@@ -127,7 +133,7 @@
   if (this->too_long) {
     return;
   }
-  if (!this->reply.head.keeps_open) {
+  if (!this->reply.head.keeps_open || this->present->reader.has_surplus()) {
     this->drop();
   }
   this->finish(call_outcome::answered);
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -69,6 +69,9 @@
   bool is_interim = false;
   bool refused = false;
   bool in_message = false;
+  /// The last byte of the present message was read.
+  bool is_complete = false;
+  bool has_surplus = false;
   /// Largest head of the present message, and of those that follow.
   std::size_t present_head_bytes = usual_head_bytes;
   std::size_t next_head_bytes = usual_head_bytes;
@@ -241,20 +244,10 @@
   return 0;
 }
 
-template <class State>
-void end_message(State& state) {
-  state.in_message = false;
-  if (!state.is_interim) {
-    state.listener->on_message_end();
-  }
-}
-
 template <class State>
 int on_complete(http_parser* parser) {
   auto& state = state_of<State>(parser);
-  if (!state.chunks) {
-    end_message(state);
-  }
+  state.is_complete = !state.chunks;
   http_parser_pause(parser, 1);
   return 0;
 }
@@ -315,9 +308,21 @@
   if (this->state->chunks) {
     taken += this->feed_chunks(bytes.substr(taken));
   }
+  this->state->has_surplus = taken < bytes.size();
+  this->end_if_complete();
   return taken;
 }
 
+void http_reader::end_if_complete() {
+  if (!std::exchange(this->state->is_complete, false)) {
+    return;
+  }
+  this->state->in_message = false;
+  if (!this->state->is_interim) {
+    this->state->listener->on_message_end();
+  }
+}
+
 std::size_t http_reader::feed_parser(std::string_view bytes) {
   http_parser& parser = this->state->parser;
   if (HTTP_PARSER_ERRNO(&parser) == HPE_PAUSED) {
@@ -340,7 +345,7 @@
   const std::size_t taken = this->state->chunks->feed(bytes, *this->state->listener);
   if (this->state->chunks->is_complete()) {
     this->state->chunks.reset();
-    end_message(*this->state);
+    this->state->is_complete = true;
   }
   return taken;
 }
@@ -350,6 +355,8 @@
     return false;
   }
   http_parser_execute(&this->state->parser, &callbacks<parser_state>(), nullptr, 0);
+  this->state->has_surplus = false;
+  this->end_if_complete();
   return !this->state->in_message;
 }
 
@@ -378,6 +385,10 @@
          2 * this->state->head_text;
 }
 
+bool http_reader::has_surplus() const {
+  return this->state->has_surplus;
+}
+
 bool http_reader::between_messages() const {
   return !this->state->in_message;
 }
--- a/Source/Traffic/http_reader.h
+++ b/Source/Traffic/http_reader.h
@@ -79,6 +79,8 @@
   void limit_heads(std::size_t bytes);
 
   [[nodiscard]] http_fault fault() const;
+  /// In `on_message_end`: true if the bytes that ended the message hold more, which `feed` leaves.
+  [[nodiscard]] bool has_surplus() const;
   /// Memory of the head that is being read, which many short fields make larger than its bytes.
   [[nodiscard]] std::size_t head_memory() const;
   /// True if no message is partly parsed.
@@ -90,6 +92,7 @@
   /// Both return how many bytes were consumed.
   std::size_t feed_parser(std::string_view bytes);
   std::size_t feed_chunks(std::string_view bytes);
+  void end_if_complete();
 
   std::unique_ptr<parser_state> state;
 };
--- a/Source/Traffic/standby_link.h
+++ b/Source/Traffic/standby_link.h
@@ -21,9 +21,9 @@
   standby_link& operator=(const standby_link&) = delete;
 
   [[nodiscard]] bool is_open() const;
-  /// The connection could not be opened, or has ended.
+  /// The connection could not be opened, has ended, or has bytes that no request asked for.
   [[nodiscard]] bool has_failed() const {
-    return this->link == nullptr;
+    return this->link == nullptr || !this->link->is_silent();
   }
   /// The connection could not be opened.
   [[nodiscard]] bool is_unreachable() const {
--- a/Source/Traffic/tcp_link.cxx
+++ b/Source/Traffic/tcp_link.cxx
@@ -142,6 +142,13 @@
   return this->receive(&byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool tcp_link::has_unread_input_or_end() const {
+  char byte = 0;
+  // A connection that is being established must keep its error for `finish_opening`.
+  return this->open && (this->receive(&byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+                        (errno != EAGAIN && errno != EINTR));
+}
+
 std::size_t tcp_link::undelivered() const {
   int queued = 0;
   if (this->descriptor < 0 || ::ioctl(this->descriptor, SIOCOUTQ, &queued) != 0 || queued <= 0) {
--- a/Source/Traffic/tcp_link.h
+++ b/Source/Traffic/tcp_link.h
@@ -83,6 +83,8 @@
   [[nodiscard]] bool is_closed_by_peer() const;
   /// True if bytes of the peer have arrived that were not read yet.
   [[nodiscard]] bool has_unread_input() const;
+  /// The same, or true if the end of an established connection was not read yet.
+  [[nodiscard]] bool has_unread_input_or_end() const;
 
   [[nodiscard]] bool is_open() const {
     return this->open;
--- a/Tests/Traffic/broken_answer_test.cxx
+++ b/Tests/Traffic/broken_answer_test.cxx
@@ -9,6 +9,7 @@
 
 namespace chestnuthead {
 
+using namespace std::string_literals;
 using std::chrono::milliseconds;
 using connection = scripted_endpoint::connection;
 
@@ -23,6 +24,11 @@
   return "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body;
 }
 
+std::string with_field(const std::string& name, const std::string& value) {
+  std::string fields = own_fields;
+  return fields.append(name).append(": ").append(value).append("\r\n");
+}
+
 /// What the caller of one payment sees.
 struct payment_result {
   std::string bytes;
@@ -123,11 +129,12 @@
           // A name that begins with a blank, or a folded line.
           " X: 1", "\tX: 1", " Content-Length: 9", " Transfer-Encoding: chunked", "X: 1\r\n 2",
           "X:\r\n\t1", "X: 1\r\n ", "X: 1\n 2"}) {
-      check_rejected(answer_with(line + "\r\n" + framed_fields, "paid"));
-      check_rejected(answer_with(framed_fields + line + "\r\n", "paid"));
+      const std::string whole_line = line + "\r\n";
+      check_rejected(answer_with(whole_line + framed_fields, "paid"));
+      check_rejected(answer_with(framed_fields + whole_line, "paid"));
     }
-    check_rejected(answer_with(std::string("X\0: 1\r\n", 8) + framed_fields, "paid"));
-    check_rejected(answer_with(std::string("X: \0\r\n", 6) + framed_fields, "paid"));
+    check_rejected(answer_with("X\0: 1\r\n"s + framed_fields, "paid"));
+    check_rejected(answer_with("X: \0\r\n"s + framed_fields, "paid"));
     check_rejected("HTTP/1.1 200 OK\rXY: 1\r\n" + framed_fields + "\r\npaid");
     check_rejected("HTTP/1.1 200 OK\r\n" + framed_fields + "\rXpaid");
     const std::string chunks = "4\r\npaid\r\n0\r\n\r\n";
@@ -150,24 +157,23 @@
          {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", "", ", chunked",
           "chunked;a=1", "xchunked", "chunked x", "chunked\r\nTransfer-Encoding: chunked",
           "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nContent-Length: 4"}) {
-      check_rejected(answer_with(own_fields + "Transfer-Encoding: " + coding + "\r\n", chunks));
+      check_rejected(answer_with(with_field("Transfer-Encoding", coding), chunks));
     }
     check_rejected(answer_with(framed_fields + "Transfer-Encoding: chunked\r\n", chunks));
     check_rejected("HTTP/1.0 200 OK\r\n" + chunked_fields + "\r\n" + chunks);
     for (const std::string length :
          {"", "+4", "-4", "4a", "0x4", "4 4", "4, 4", "4;", "4.0", "4\r\nContent-Length: 4",
           "5\r\nContent-Length: 4", "99999999999999999999"}) {
-      check_rejected(answer_with(own_fields + "Content-Length: " + length + "\r\n", "paid"));
+      check_rejected(answer_with(with_field("Content-Length", length), "paid"));
     }
   }
 
   void known_framing_is_read() {
     for (const std::string coding : {"chunked", "Chunked", "\tchunked", "chunked \t"}) {
-      check_paid(answer_with(own_fields + "Transfer-Encoding: " + coding + "\r\n",
-                             "4\r\npaid\r\n0\r\n\r\n"));
+      check_paid(answer_with(with_field("Transfer-Encoding", coding), "4\r\npaid\r\n0\r\n\r\n"));
     }
     for (const std::string length : {"4", "004", "\t4 "}) {
-      check_paid(answer_with(own_fields + "Content-Length: " + length + "\r\n", "paid"));
+      check_paid(answer_with(with_field("Content-Length", length), "paid"));
     }
   }
 
