Read answers to the older programs with the same parser

What was seen: the calls of agents, routers and tools (run_http_call) took answers with status 000, 20 or 600, with names that held a blank or a control byte, with lines that began with a blank or had no colon, with a length of -3, and of HTTP/2.0. "Transfer-Encoding : chunked", a folded "Transfer-Encoding: chunked" and "gzip, chunked" gave a body that was not the endpoint's: the chunked bytes as they stood on the connection. A 101 counted as an answer.

Cause: these programs read answers with Poco's HTTPClientSession, which checks little of a head, so each rule would have to be written again behind it.

A call whose answer is malformed ends as no_answer: the endpoint may have run it. As in tcp_link, a send that fails means that an answer with neither length nor chunks is not complete, and an end of the connection that cancelling the call has caused completes no answer. Threads share the parser's limit of a head, so it is written only when it changes.

Evidence: http_endpoint_test, over loopback sockets. After: no_answer for each.

--- a/Source/Net/http_call.h
+++ b/Source/Net/http_call.h
@@ -9,8 +9,10 @@
 #include <variant>
 #include <vector>
 
-/// HTTP/1.1 calls with Poco::Net::HTTPClientSession, each over its own
-/// connection.
+#include "Traffic/http_reader.h"
+
+/// Blocking HTTP/1.1 calls, each over its own connection. Answers are read by
+/// `traffic::http_reader`, as those to the gateway are.
 namespace chestnuthead {
 
 struct http_header {
@@ -45,12 +47,15 @@
   no_answer,
 };
 
+/// The Content-Type of an answer; empty if it has none.
+std::string content_type_of(const traffic::http_head& head);
+
 /// True if no byte of the request was sent to the peer.
 bool nothing_sent(http_failure failure);
 
 /// Callbacks that receive an answer while it arrives.
 struct http_reader {
-  std::function<void(int status, const std::string& content_type)> head;
+  std::function<void(const traffic::http_head& head)> head;
   /// Returns false to stop the call.
   std::function<bool(std::string_view piece)> piece;
 };
--- a/Source/Net/http_endpoint.cxx
+++ b/Source/Net/http_endpoint.cxx
@@ -122,11 +122,11 @@
   engine_answer reading;
   bool fault = false;
   bool stopped = false;
-  const http_reader reader{[&](int status, const std::string& content_type) {
-                             fault = is_fault(status, this->settings.kind, call.facts.rule);
+  const http_reader reader{[&](const traffic::http_head& head) {
+                             fault = is_fault(head.status, this->settings.kind, call.facts.rule);
                              if (!fault) {
-                               reading.begin(content_type);
-                               listener.head(status, content_type);
+                               reading.begin(content_type_of(head));
+                               listener.head(head.status, content_type_of(head));
                              }
                            },
                            [&](std::string_view piece) {
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -1,6 +1,7 @@
 #include "Traffic/http_reader.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cctype>
 #include <limits>
 #include <utility>
@@ -30,20 +31,26 @@
 /// A listener may let another reader parse meanwhile.
 class scoped_head_limit {
  public:
-  explicit scoped_head_limit(std::size_t bytes) : outer(std::exchange(present(), bytes)) {
-    http_parser_set_max_header_size(static_cast<std::uint32_t>(bytes));
-  }
+  explicit scoped_head_limit(std::size_t bytes) : outer(set(bytes)) {}
   ~scoped_head_limit() {
-    present() = this->outer;
-    http_parser_set_max_header_size(static_cast<std::uint32_t>(this->outer));
+    set(this->outer);
   }
   scoped_head_limit(const scoped_head_limit&) = delete;
   scoped_head_limit& operator=(const scoped_head_limit&) = delete;
 
  private:
-  static std::size_t& present() {
-    static std::size_t bytes = usual_head_bytes;
-    return bytes;
+  /// Returns the limit before. The parser's variable is written only if the limit changes, since
+  /// other threads may read it.
+  static std::size_t set(std::size_t bytes) {
+    static std::atomic<std::size_t> present = [] {
+      http_parser_set_max_header_size(usual_head_bytes);
+      return usual_head_bytes;
+    }();
+    const std::size_t before = present.exchange(bytes);
+    if (before != bytes) {
+      http_parser_set_max_header_size(static_cast<std::uint32_t>(bytes));
+    }
+    return before;
   }
 
   std::size_t outer;
--- a/Source/Traffic/http_reader.h
+++ b/Source/Traffic/http_reader.h
@@ -55,8 +55,8 @@
 /// Why bytes could not be read as a message.
 enum class http_fault : std::uint8_t { none, header_too_large, malformed };
 
-/// Parses the successive messages of one connection. Interim answers (1xx) are skipped. All readers
-/// of a process belong to one thread.
+/// Parses the successive messages of one connection. Interim answers (1xx) are skipped. Readers of
+/// several threads must all have the usual limit of a head.
 class http_reader {
  public:
   http_reader(http_kind kind, http_listener& listener);
--- a/Tests/Net/http_endpoint_test.cxx
+++ b/Tests/Net/http_endpoint_test.cxx
@@ -5,6 +5,7 @@
 #include <string>
 #include <thread>
 #include <variant>
+#include <vector>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
@@ -105,6 +106,9 @@
   CPPUNIT_TEST_SUITE(http_endpoint_test);
   CPPUNIT_TEST(complete_answers_are_returned);
   CPPUNIT_TEST(truncated_answers_are_failures);
+  CPPUNIT_TEST(answers_that_http_does_not_allow_are_failures);
+  CPPUNIT_TEST(bodies_end_as_http_says);
+  CPPUNIT_TEST(an_unframed_answer_is_not_complete_when_the_upload_is_reset);
   CPPUNIT_TEST(a_silent_server_times_out);
   CPPUNIT_TEST(a_refused_connection_counts_as_never_sent);
   CPPUNIT_TEST(health_distinguishes_closed_from_silent_endpoints);
@@ -133,6 +137,66 @@
     }
   }
 
+  void answers_that_http_does_not_allow_are_failures() {
+    const std::string fields = "Content-Length: 3\r\n\r\nabc";
+    const std::string chunks = "\r\n3\r\nabc\r\n0\r\n\r\n";
+    const std::string good = "HTTP/1.1 200 OK\r\n";
+    for (const std::string& answer : std::vector<std::string>{
+             "HTTP/1.1 000 OK\r\n" + fields, "HTTP/1.1 20 OK\r\n" + fields,
+             "HTTP/1.1 0200 OK\r\n" + fields, "HTTP/1.1 600 OK\r\n" + fields,
+             "HTTP/2.0 200 OK\r\n" + fields, "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+             good + "X Y: 1\r\n" + fields, good + "X\x01: 1\r\n" + fields,
+             good + "X: \x01\r\n" + fields, good + " X: 1\r\n" + fields, good + "X\r\n" + fields,
+             good + "Content-Length : 9\r\n" + fields, good + "Content-Length: -3\r\n\r\nabc",
+             good + "Content-Length: 3, 4\r\n\r\nabc",
+             good + "Transfer-Encoding : chunked\r\n" + chunks,
+             good + "A: 1\r\n Transfer-Encoding: chunked\r\n" + chunks,
+             good + "Transfer-Encoding: gzip, chunked\r\n" + chunks,
+             good + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n",
+             good + "Transfer-Encoding: chunked\r\n\r\nx\r\nabc\r\n0\r\n\r\n"}) {
+      const auto result = fetch(answer);
+      const auto* failure = std::get_if<http_failure>(&result);
+      CPPUNIT_ASSERT_MESSAGE(answer, failure != nullptr);
+      CPPUNIT_ASSERT_MESSAGE(answer, *failure == http_failure::no_answer);
+    }
+  }
+
+  void bodies_end_as_http_says() {
+    const auto unframed = fetch("HTTP/1.1 200 OK\r\n\r\nabc");
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), std::get<http_answer>(unframed).body);
+    const auto after_interim =
+        fetch("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+    CPPUNIT_ASSERT_EQUAL(200, std::get<http_answer>(after_interim).status);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), std::get<http_answer>(after_interim).body);
+    const auto bodiless = fetch("HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(304, std::get<http_answer>(bodiless).status);
+  }
+
+  void an_unframed_answer_is_not_complete_when_the_upload_is_reset() {
+    Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+    server.setReceiveBufferSize(4'096);
+    std::thread answering([&server] {
+      Poco::Net::StreamSocket caller = server.acceptConnection();
+      const std::string part = "HTTP/1.1 200 OK\r\n\r\n" + std::string(1'000, 'a');
+      caller.sendBytes(part.data(), static_cast<int>(part.size()));
+      std::this_thread::sleep_for(std::chrono::milliseconds(150));
+      caller.setLinger(true, 0);
+      caller.close();
+    });
+    http_request request;
+    request.address = server.address().toString();
+    request.method = "POST";
+    request.path = "/";
+    // More than the buffers of both sockets hold.
+    request.body = std::string(12'000'000, 'x');
+    request.read_timeout = event_timeout;
+    const auto result = fetch_http(request);
+    answering.join();
+    const auto* failure = std::get_if<http_failure>(&result);
+    CPPUNIT_ASSERT(failure != nullptr);
+    CPPUNIT_ASSERT(*failure == http_failure::no_answer);
+  }
+
   void a_silent_server_times_out() {
     // The kernel completes the connection, but nothing answers. Guards against
     // a read timeout that is not applied to the socket: the call would then
