Count answers that are cut or invalid as such in the load tool

What was seen: the load tool counted an answer in chunks that ended without its last chunk, or inside one, as complete, and status 000 or 600 and names with blanks or control bytes as answers. An answer whose text was all there was good even if it had been cut.

Cause: it read answers with Poco's HTTPClientSession, which reports the end of the connection inside a body like the end of the body, and it compared only bodies with a length.

Change: it makes its calls with run_http_call, whose parser knows when an answer is complete, and an answer that was cut is never good.

Evidence: exchange_test and verdict_test. The process tests that use the tool pass.

--- a/Source/Load/exchange.cxx
+++ b/Source/Load/exchange.cxx
@@ -1,15 +1,12 @@
 #include "Load/exchange.h"
 
-#include <array>
+#include <string_view>
+#include <variant>
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <Poco/String.h>
 
+#include "Net/http_call.h"
+
 namespace chestnuthead {
 
 namespace {
@@ -20,51 +17,20 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(stopwatch::now() - start);
 }
 
-void send(Poco::Net::HTTPClientSession& session, const std::string& address,
-          const exchange_request& request) {
-  Poco::Net::HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
-  head.setHost(address);
+http_request call_of(const std::string& address, const exchange_request& request,
+                     std::chrono::milliseconds timeout) {
+  http_request call;
+  call.address = address;
+  call.method = request.method;
+  call.path = request.path;
   for (const auto& [name, value] : request.headers) {
-    head.set(name, value);
-  }
-  if (!request.body.empty()) {
-    head.setContentType(request.content_type);
-    head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
-  }
-  session.sendRequest(head) << request.body << std::flush;
-}
-
-void read_body(std::istream& stream, stopwatch::time_point start, exchange_reply& reply) {
-  std::array<char, 4096> buffer{};
-  while (true) {
-    // Reads one byte and then whatever is buffered, so that the time to the
-    // first byte is measured exactly.
-    const int first = stream.get();
-    if (first == std::istream::traits_type::eof()) {
-      return;
-    }
-    if (reply.body.empty()) {
-      reply.first_byte = since(start);
-    }
-    reply.body += static_cast<char>(first);
-    const std::streamsize more = stream.readsome(buffer.data(), buffer.size());
-    reply.body.append(buffer.data(), static_cast<std::size_t>(more));
-  }
-}
-
-void receive(Poco::Net::HTTPClientSession& session, stopwatch::time_point start,
-             exchange_reply& reply) {
-  Poco::Net::HTTPResponse head;
-  std::istream& stream = session.receiveResponse(head);
-  reply.answered = true;
-  reply.status = head.getStatus();
-  for (const auto& [name, value] : head) {
-    reply.headers[Poco::toLower(name)] = value;
-  }
-  read_body(stream, start, reply);
-  if (head.hasContentLength()) {
-    reply.cut = static_cast<Poco::Int64>(reply.body.size()) != head.getContentLength64();
+    call.headers.push_back({name, value});
   }
+  call.content_type = request.body.empty() ? std::string() : request.content_type;
+  call.body = request.body;
+  call.connect_timeout = timeout;
+  call.read_timeout = timeout;
+  return call;
 }
 
 }  // namespace
@@ -73,23 +39,24 @@
                         std::chrono::milliseconds timeout) {
   const stopwatch::time_point start = stopwatch::now();
   exchange_reply reply;
-  reply.never_sent = true;
-  try {
-    const Poco::Timespan limit(std::chrono::microseconds(timeout).count());
-    Poco::Net::StreamSocket socket;
-    socket.connect(Poco::Net::SocketAddress(address), limit);
-    // The session's timeout settings do not apply to a socket that is already
-    // connected.
-    socket.setReceiveTimeout(limit);
-    socket.setSendTimeout(limit);
-    reply.never_sent = false;
-    Poco::Net::HTTPClientSession session(socket);
-    session.setKeepAlive(false);
-    send(session, address, request);
-    receive(session, start, reply);
-  } catch (const Poco::Exception&) {
-    reply.cut = true;
-  }
+  const http_reader reader{[&reply](const traffic::http_head& head) {
+                             reply.answered = true;
+                             reply.status = head.status;
+                             for (const auto& [name, value] : head.fields) {
+                               reply.headers[Poco::toLower(name)] = value;
+                             }
+                           },
+                           [&reply, start](std::string_view piece) {
+                             if (reply.body.empty()) {
+                               reply.first_byte = since(start);
+                             }
+                             reply.body.append(piece);
+                             return true;
+                           }};
+  const http_outcome outcome = run_http_call(call_of(address, request, timeout), reader);
+  const auto* failure = std::get_if<http_failure>(&outcome);
+  reply.cut = failure != nullptr;
+  reply.never_sent = failure != nullptr && nothing_sent(*failure);
   reply.total_time = since(start);
   return reply;
 }
--- a/Source/Load/exchange.h
+++ b/Source/Load/exchange.h
@@ -16,14 +16,14 @@
 };
 
 struct exchange_reply {
-  /// False if no status line was received.
+  /// False if no valid head was received.
   bool answered = false;
   /// True if nothing was sent because no connection could be opened.
   bool never_sent = false;
   int status = 0;
   std::map<std::string, std::string> headers;
   std::string body;
-  /// True if the body ended before its Content-Length or the exchange failed.
+  /// True if no complete answer was received.
   bool cut = false;
   std::chrono::microseconds first_byte{0};
   std::chrono::microseconds total_time{0};
--- a/Source/Load/verdict.cxx
+++ b/Source/Load/verdict.cxx
@@ -207,7 +207,7 @@
         reply.body, expected_service_answer(service_method(caller), service_path(caller, options),
                                             service_body(caller)));
   }
-  if (reply.cut && result.kind == verdict_kind::incomplete) {
+  if (reply.cut && result.kind != verdict_kind::wrong) {
     result.kind = verdict_kind::cut;
   }
   return result;
--- a/Tests/StandIns/verdict_test.cxx
+++ b/Tests/StandIns/verdict_test.cxx
@@ -68,6 +68,9 @@
   void detects_a_truncated_stream() {
     CPPUNIT_ASSERT(this->judge(make_reply(200, make_stream(this->whole, false))).kind ==
                    verdict_kind::cut);
+    exchange_reply reply = make_reply(200, make_stream(this->whole, true));
+    reply.cut = true;
+    CPPUNIT_ASSERT(this->judge(reply).kind == verdict_kind::cut);
   }
 
   void parses_an_error() {
