--- a/Tests/Traffic/broken_answer_test.cxx
+++ b/Tests/Traffic/broken_answer_test.cxx
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(answer_without_a_body_ends_with_its_head);
   CPPUNIT_TEST(forbidden_body_is_no_answer);
   CPPUNIT_TEST(reply_to_http_client_follows_interim_answers);
+  CPPUNIT_TEST(broken_reply_to_http_client_has_no_status);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -256,6 +257,35 @@
       CPPUNIT_ASSERT_EQUAL(std::string("rows"), reply->body);
     }
   }
+
+  void broken_reply_to_http_client_has_no_status() {
+    for (const std::string& sent : std::vector<std::string>{
+             "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nrows",
+             answer_with("X Y: 1\r\nContent-Length: 4\r\n", "rows"),
+             answer_with("X: 1\r\n 2\r\nContent-Length: 4\r\n", "rows"),
+             answer_with("Transfer-Encoding: gzip, chunked\r\n", "4\r\nrows\r\n0\r\n\r\n"),
+             answer_with("Transfer-Encoding: chunked\r\n", "4\r\nrowsXY0\r\n\r\n"),
+             answer_with("Content-Length: 5\r\n", "rows"), answer_with("X: 1\r\n", "rows")}) {
+      for (const bool resets : {false, true}) {
+        traffic_harness harness;
+        harness.plain->scripts = {[&](connection& store) {
+          store.send(sent);
+          if (resets) {
+            store.reset();
+          } else {
+            store.finish();
+          }
+        }};
+        traffic::http_client client(harness.loop, harness.time, harness.plain->address);
+        std::optional<traffic::http_reply> reply;
+        client.call({"GET", "/rows", {}},
+                    [&reply](const traffic::http_reply& got) { reply = got; });
+        CPPUNIT_ASSERT(harness.run_until([&] { return reply.has_value(); }));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(sent, 0, reply->status);
+        CPPUNIT_ASSERT_MESSAGE(sent, reply->outcome == traffic::call_outcome::broken);
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(broken_answer_test);
