--- a/Source/Net/http_call.cxx
+++ b/Source/Net/http_call.cxx
@@ -96,6 +96,7 @@
     if (count >= 0) {
       bytes.remove_prefix(static_cast<std::size_t>(count));
     } else if (errno == EPIPE) {
+      // The peer had closed the connection gracefully before it failed.
       return transfer_end::done;
     } else if (errno != EINTR) {
       return end_for_error();
--- a/Source/Traffic/http_reader.cxx
+++ b/Source/Traffic/http_reader.cxx
@@ -199,35 +199,45 @@
   return announces_body && is_bodiless(head.status) && head.status != not_modified;
 }
 
+/// Completes the head with what the parser has found out.
+void complete_head(http_head& head, const http_parser& parser) {
+  head.status = static_cast<int>(parser.status_code);
+  if (parser.type == HTTP_REQUEST) {
+    head.method = http_method_str(static_cast<http_method>(parser.method));
+  }
+  head.keeps_open = http_should_keep_alive(&parser) != 0;
+  head.chunked = find_field(head, "Transfer-Encoding") != nullptr;
+  if (!head.chunked && parser.content_length != no_length) {
+    head.length = parser.content_length;
+  }
+}
+
+/// True if a complete head follows the rules that the parser does not check.
+bool is_allowed(const http_head& head, http_kind kind, bool is_http_1_0) {
+  // No request asks for another protocol.
+  constexpr int switching_protocols = 101;
+  // The bytes of answers were checked before they were parsed.
+  const bool has_valid_fields = kind == http_kind::answer || has_valid_bytes(head);
+  return has_valid_fields && !has_framing_look_alike(head) && has_known_coding(head, is_http_1_0) &&
+         !has_forbidden_body(head) && head.status != switching_protocols;
+}
+
 template <class State>
 int on_head_complete(http_parser* parser) {
-  // No request asks for another protocol.
-  constexpr unsigned int switching_protocols = 101;
+  // Results for the parser.
+  constexpr int reject = -1;
+  constexpr int read_body = 0;
+  constexpr int end_message = 1;
   auto& state = state_of<State>(parser);
   http_head& head = state.head;
-  // Answers were checked before they were parsed.
-  const bool is_valid = state.kind == http_kind::answer || has_valid_bytes(head);
-  if (!is_valid || has_framing_look_alike(head) ||
-      !has_known_coding(head, parser->http_minor == 0) ||
-      parser->status_code == switching_protocols) {
-    return -1;
-  }
-  head.status = static_cast<int>(parser->status_code);
-  if (parser->type == HTTP_REQUEST) {
-    head.method = http_method_str(static_cast<http_method>(parser->method));
-  }
-  head.keeps_open = http_should_keep_alive(parser) != 0;
-  head.chunked = find_field(head, "Transfer-Encoding") != nullptr;
-  if (!head.chunked && parser->content_length != no_length) {
-    head.length = parser->content_length;
-  }
-  if (has_forbidden_body(head)) {
-    return -1;
+  complete_head(head, *parser);
+  if (!is_allowed(head, state.kind, parser->http_minor == 0)) {
+    return reject;
   }
   state.is_interim = state.kind == http_kind::answer && head.status < first_final_status;
   if (state.is_interim) {
     drop_head(state);
-    return 1;
+    return end_message;
   }
   const bool has_no_body = state.no_body || is_bodiless(head.status);
   const bool has_chunks = head.chunked && !has_no_body;
@@ -236,13 +246,12 @@
   drop_head(state);
   if (!accepted) {
     state.refused = true;
-    return -1;
+    return reject;
   }
   if (has_chunks) {
     state.chunks.emplace(state.present_head_bytes);
   }
-  // For the parser, the message ends here if it has no body that the parser reads.
-  return has_chunks || has_no_body ? 1 : 0;
+  return has_chunks || has_no_body ? end_message : read_body;
 }
 
 template <class State>
@@ -358,7 +367,7 @@
 }
 
 bool http_reader::feed_end() {
-  if (!this->state->in_message) {
+  if (!this->state->in_message || this->fault() != http_fault::none) {
     return false;
   }
   http_parser_execute(&this->state->parser, &callbacks<parser_state>(), nullptr, 0);
