Keep what is known of an endpoint's incarnation after its row

What callers saw: an endpoint leaves; its entry is removed and its answers say Server-Leaving. The store performs its last heartbeat 3 s later.

Cause: the report that an endpoint leaves was a field of its row, and the row ends with the last request in flight after the removal. The same holds for a pause that the endpoint asked for, its ejection, its cold time and misplacement. A delayed entry, an entry that could not be read for a moment and an entry of an earlier incarnation each made a blank row. A heartbeat 1.5 s late did no harm, since payments of 0.9 s still held the row. Besides, a report that arrived after the removal was not sent to the peers, and peers dropped one on an endpoint without a row.

Change: the row of a removed endpoint is kept in endpoint_table::gone, and list_endpoint takes it from there if the same incarnation is listed again: one place for all that is known of it. A later start ends it; entries of an earlier start, or with an earlier heartbeat, are outdated as for listed endpoints. Reports are sent for 10 s after the removal, 64 at most, and reach remembered endpoints too. Entries without a start time can't tell incarnations apart and begin anew as before.

--- a/Source/Gateway/endpoint_reports.cxx
+++ b/Source/Gateway/endpoint_reports.cxx
@@ -47,18 +47,35 @@
 
 std::vector<leaving_report> leaving_reports(const endpoint_table& table, steady_time now) {
   std::vector<leaving_report> reports;
-  for (const auto& [name, row] : table.rows) {
-    if (row.listed && row.reported_leaving_at && is_leaving(row, now)) {
+  const auto add_report = [&reports, now](const endpoint& row) {
+    const bool is_reported = row.reported_leaving_at && is_leaving(row, now);
+    if (is_reported) {
       reports.push_back({row.hash, row.listing.started});
     }
+    return is_reported;
+  };
+  for (const auto& [name, row] : table.rows) {
+    add_report(row);
+  }
+  std::size_t removed = 0;
+  for (const auto& [hash, gone] : table.gone) {
+    if (removed < max_removed_reports && now - gone.gone_at < removed_report_time &&
+        !table.by_hash.contains(hash)) {
+      removed += add_report(gone.last) ? 1 : 0;
+    }
   }
   return reports;
 }
 
 void apply_leaving_report(endpoint_table& table, const leaving_report& report, steady_time now) {
-  const auto place = table.by_hash.find(report.endpoint);
-  if (place != table.by_hash.end() && place->second->listing.started == report.started) {
-    place->second->peer_reported_leaving_at = now;
+  endpoint* row = nullptr;
+  if (const auto listed = table.by_hash.find(report.endpoint); listed != table.by_hash.end()) {
+    row = listed->second;
+  } else if (const auto gone = table.gone.find(report.endpoint); gone != table.gone.end()) {
+    row = &gone->second.last;
+  }
+  if (row != nullptr && row->listing.started == report.started) {
+    row->peer_reported_leaving_at = now;
   }
 }
 
--- a/Source/Gateway/endpoint_reports.h
+++ b/Source/Gateway/endpoint_reports.h
@@ -37,11 +37,16 @@
   auto operator<=>(const leaving_report&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
+/// How long reports on removed endpoints are forwarded, as a delayed entry may list them again at
+/// the peers too, and most such reports in one message.
+inline constexpr std::chrono::seconds removed_report_time{10};
+inline constexpr std::size_t max_removed_reports = 64;
+
 /// The endpoints that have reported to this gateway directly that they are leaving.
 std::vector<leaving_report> leaving_reports(const endpoint_table& table, steady_time now);
 
-/// Applies a report that a peer has forwarded. Reports on another incarnation of the
-/// endpoint are ignored.
+/// Applies a report that a peer has forwarded, also to an endpoint that was removed. Reports on
+/// another incarnation of the endpoint are ignored.
 void apply_leaving_report(endpoint_table& table, const leaving_report& report, steady_time now);
 
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -29,8 +29,17 @@
   table.by_hash[row.hash] = &row;
 }
 
+void discard_oldest(std::unordered_map<std::uint64_t, gone_endpoint>& gone) {
+  gone.erase(std::min_element(gone.begin(), gone.end(), [](const auto& one, const auto& other) {
+    return one.second.gone_at < other.second.gone_at;
+  }));
+}
+
 void record_gone(endpoint_table& table, const endpoint& row, steady_time now) {
-  table.gone[row.listing.name] = {row.listing.started, row.listing.heartbeat, now, false, {}};
+  if (table.gone.size() >= max_gone_endpoints && !table.gone.contains(row.hash)) {
+    discard_oldest(table.gone);
+  }
+  table.gone[row.hash] = {row, row.listing.heartbeat, now, false, {}};
 }
 
 /// Records an entry with an earlier start than the known one. Returns true if it shows that the
@@ -50,13 +59,30 @@
          before.pool == after.pool;
 }
 
+/// Returns the endpoint's row as it was when the endpoint was removed, or an empty row if another
+/// incarnation is listed now.
+endpoint take_remembered(endpoint_table& table, const endpoint_listing& listing) {
+  const auto place = table.gone.find(hash_text(listing.name.value));
+  if (place == table.gone.end()) {
+    return {};
+  }
+  const bool is_known =
+      listing.started != 0 && is_same_incarnation(place->second.last.listing, listing);
+  endpoint row = is_known ? std::move(place->second.last) : endpoint{};
+  table.gone.erase(place);
+  return row;
+}
+
 }  // namespace
 
 bool list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now) {
   const auto place = table.rows.find(listing.name);
   const bool is_new = place == table.rows.end();
   endpoint& row = table.rows[listing.name];
-  const bool is_new_incarnation = is_new || !is_same_incarnation(row.listing, listing);
+  if (is_new) {
+    row = take_remembered(table, listing);
+  }
+  const bool is_new_incarnation = !is_same_incarnation(row.listing, listing);
   if (!is_new && is_new_incarnation) {
     const std::uint32_t in_flight = row.in_flight;
     row = endpoint{};
@@ -90,19 +116,22 @@
     return (has_starts || may_be_copied) && latest.started == listing.started &&
            listing.heartbeat < latest.heartbeat;
   }
-  const auto gone = table.gone.find(listing.name);
-  if (!may_be_copied || gone == table.gone.end() || listing.started > gone->second.started ||
-      now - gone->second.gone_at >= gone_retention) {
+  const auto place = table.gone.find(hash_text(listing.name.value));
+  if (place == table.gone.end() || listing.started > place->second.last.listing.started) {
     return false;
   }
-  if (listing.started < gone->second.started) {
-    return has_starts && !is_running(gone->second.earlier, listing, copied_at, now);
+  gone_endpoint& gone = place->second;
+  if (listing.started < gone.last.listing.started) {
+    return has_starts && !is_running(gone.earlier, listing, copied_at, now);
+  }
+  if (!may_be_copied || now - gone.gone_at >= gone_retention) {
+    return has_starts && listing.heartbeat < gone.heartbeat;
   }
   // The first copied entry may carry a later heartbeat than the one recorded, as this gateway
   // may have missed the last heartbeats before the removal.
-  const bool lives = gone->second.in_copy && listing.heartbeat > gone->second.heartbeat;
-  gone->second.in_copy = true;
-  gone->second.heartbeat = std::max(gone->second.heartbeat, listing.heartbeat);
+  const bool lives = gone.in_copy && listing.heartbeat > gone.heartbeat;
+  gone.in_copy = true;
+  gone.heartbeat = std::max(gone.heartbeat, listing.heartbeat);
   return !lives;
 }
 
@@ -139,10 +168,18 @@
 }
 
 void drop_unlisted(endpoint_table& table, steady_time now) {
-  std::erase_if(table.gone,
-                [now](const auto& entry) { return now - entry.second.gone_at >= gone_retention; });
-  const std::size_t erased = std::erase_if(table.rows, [](const auto& entry) {
-    return !entry.second.listed && entry.second.in_flight == 0;
+  std::erase_if(table.gone, [now](const auto& entry) {
+    return now - entry.second.gone_at >= incarnation_retention;
+  });
+  const std::size_t erased = std::erase_if(table.rows, [&table](const auto& entry) {
+    const endpoint& row = entry.second;
+    const bool is_dropped = !row.listed && row.in_flight == 0;
+    const auto gone = table.gone.find(row.hash);
+    if (is_dropped && gone != table.gone.end()) {
+      // Answers since the removal have added to what is known.
+      gone->second.last = row;
+    }
+    return is_dropped;
   });
   if (erased > 0) {
     rebuild_indexes(table);
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -119,9 +119,12 @@
   steady_time heard_at{};
 };
 
-/// The last entry of an endpoint that the platform no longer lists.
+/// An endpoint that the platform no longer lists. What is known of an incarnation holds until a
+/// later one starts: a delayed entry, or one of a restored copy, may list the endpoint again.
 struct gone_endpoint {
-  std::int64_t started = 0;
+  /// Its last row.
+  endpoint last;
+  /// Highest heartbeat seen, also in entries that were ignored.
   std::uint64_t heartbeat = 0;
   steady_time gone_at{};
   /// The entry has since appeared again, in an outdated copy of the platform's list.
@@ -131,29 +134,39 @@
 
 struct endpoint_table {
   std::map<endpoint_id, endpoint> rows;
-  /// Endpoints that were removed recently.
-  std::map<endpoint_id, gone_endpoint> gone;
+  /// Endpoints that were removed recently, by `endpoint::hash`.
+  std::unordered_map<std::uint64_t, gone_endpoint> gone;
   /// Rows by pool, in the order of their names.
   std::map<pool_id, std::vector<endpoint*>> by_pool;
   /// Rows by `endpoint::hash`.
   std::unordered_map<std::uint64_t, endpoint*> by_hash;
 };
 
-/// Applies the platform's entry for one endpoint. The state of an earlier incarnation is
-/// discarded. Returns true if the endpoint or its incarnation is new.
+/// How long a removed endpoint is remembered unless a later incarnation starts before: for longer
+/// than a leaving endpoint serves and than any pause that it can request.
+inline constexpr std::chrono::minutes incarnation_retention{10};
+/// Most removed endpoints that are remembered, about 700 bytes each. The oldest are discarded
+/// first.
+inline constexpr std::size_t max_gone_endpoints = 4'096;
+
+/// Applies the platform's entry for one endpoint. All that is known of its incarnation stays in
+/// force, also if the endpoint was removed in between; the state of an earlier incarnation is
+/// discarded. Without a start time in the entry, the incarnation ends with its removal. Returns
+/// true if the endpoint or its incarnation is new.
 bool list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now);
 
-/// How long the last entry of a removed endpoint is retained: longer than the age of a copy
-/// from which the platform is restored plus the time for which it then lists an endpoint
-/// that sends no heartbeats.
+/// How long a copy from which the platform was restored can list a removed endpoint: longer than
+/// the age of the copy plus the time for which the platform then lists an endpoint that sends no
+/// heartbeats.
 inline constexpr std::chrono::seconds gone_retention{20};
 
 /// True if the entry is older than the known state of the endpoint: a later start or a later
-/// heartbeat was seen, or the entry was removed. `copied_at` is when the platform's list was last
-/// restored from a copy, which may contain such entries. A removed entry counts again only once a
-/// heartbeat later than the one in the copy shows that the endpoint is running. The same holds for
-/// an entry with an earlier start, as the endpoint's clock may have been set back; entries whose
-/// heartbeats do not grow count after `gone_retention`, when no copy can contain them any more.
+/// heartbeat was seen, also before its removal. `copied_at` is when the platform's list was last
+/// restored from a copy, which may contain removed entries. In a copy a removed entry counts again
+/// only once a heartbeat later than the one in the copy shows that the endpoint is running. The
+/// same holds for any entry with an earlier start, as the endpoint's clock may have been set back;
+/// entries whose heartbeats do not grow count after `gone_retention`, when no copy can contain them
+/// any more.
 bool is_outdated(endpoint_table& table, const endpoint_listing& listing,
                  std::optional<steady_time> copied_at, steady_time now);
 
@@ -173,8 +186,8 @@
 /// Removes endpoints whose entries are still missing at the end of their grace period.
 void expire_missing(endpoint_table& table, steady_time now);
 
-/// Discards unlisted endpoints without requests in flight, and records in `gone` that are
-/// older than `gone_retention`.
+/// Moves unlisted endpoints without requests in flight to `gone`, and discards those that were
+/// removed `incarnation_retention` ago.
 void drop_unlisted(endpoint_table& table, steady_time now);
 
 /// Returns the endpoint with that name, or nullptr.
