Count endpoints as cold until a proof that they have not started again

What callers saw: a zone loses power; its gateway and one endpoint start again 0.5 s later. The endpoint is cold and supports 17 requests a second; the gateway sent it its full share, 61 in the busiest second where 30 are allowed.

Cause: the entry of an endpoint that starts again is that of its previous incarnation until its first heartbeat. A gateway took whatever it read as of that moment. In runs that held, the gateway was back before the endpoint was: a refused connection sets it aside, and the health check that must follow says Warmup-Ms. With only the store away, gateways learn in the same way. Nothing else told them: ordinary answers do not say it, peers do not, and an ended connection said nothing. A paused gateway, one cut off from the store and one whose idle connections ended are in the same place.

Change: Gateway/incarnation_proof holds in one place what calls for a proof (first read, an entry that may be old, a removed endpoint listed again, the end of the last idle connection, an interruption of 2 s) and what is one (a heartbeat written since, a health check, a peer's check, a peer that has been connected for 3 s). Without one the endpoint counts as cold, so the division of the cold rate bounds all gateways together. Four gateways a second check an endpoint, and tell the others. A removed endpoint that is listed again gets nothing before its proof. Entries of pools that are never cold are believed as before. Log lines endpoint_contact_lost, endpoint_proven and interrupted tell which applied. Peer messages get two lists behind those that earlier builds read.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -4,6 +4,7 @@
 
 #include "Base/exponential_decay.h"
 #include "Base/hashing.h"
+#include "Gateway/incarnation_proof.h"
 
 namespace chestnuthead::gateway {
 
@@ -76,6 +77,11 @@
 }  // namespace
 
 bool list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now) {
+  return list_endpoint(table, listing, now, now);
+}
+
+bool list_endpoint(endpoint_table& table, const endpoint_listing& listing,
+                   std::optional<steady_time> written_after, steady_time now) {
   const auto place = table.rows.find(listing.name);
   const bool is_new = place == table.rows.end();
   endpoint& row = table.rows[listing.name];
@@ -88,6 +94,17 @@
     row = endpoint{};
     row.in_flight = in_flight;
   }
+  const bool was_removed = !is_new_incarnation && !row.listed;
+  if (was_removed) {
+    doubt_incarnation(row, incarnation_doubt::may_have_left, now);
+  } else if (is_new_incarnation && !written_after) {
+    doubt_incarnation(row, incarnation_doubt::may_have_restarted, now - proof_before_read);
+  } else if (is_new_incarnation && now - *written_after > max_entry_age) {
+    doubt_incarnation(row, incarnation_doubt::may_have_restarted, now);
+  } else if (written_after && *written_after >= row.proof.doubted_at &&
+             listing.heartbeat > row.listing.heartbeat) {
+    prove_incarnation(row);
+  }
   const bool moved = !is_new && row.listing.pool != listing.pool;
   row.listing = listing;
   row.hash = hash_text(listing.name.value);
@@ -217,6 +234,10 @@
   return now < row.cold_until;
 }
 
+bool counts_as_cold(const endpoint& row, steady_time now) {
+  return is_cold(row, now) || row.proof.doubt == incarnation_doubt::may_have_restarted;
+}
+
 double recent_arrivals(const endpoint& row, steady_time now) {
   return decayed(row.arrivals, row.arrivals_at, arrivals_half_life, now);
 }
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -73,6 +73,8 @@
 struct cold_pacing {
   /// False until `update_cold_pacing` has run since the endpoint turned cold.
   bool is_decided = false;
+  /// Decided for an endpoint that was not known to be cold.
+  bool is_for_doubt = false;
   bool is_sender = false;
   /// Minimum time between two requests.
   std::chrono::milliseconds interval{0};
@@ -82,6 +84,28 @@
   std::optional<steady_time> sent_at;
 };
 
+/// Why the process at an endpoint's address may not be the incarnation that this gateway takes it
+/// for; see Gateway/incarnation_proof.h.
+enum class incarnation_doubt : std::uint8_t {
+  none,
+  /// It may have started again, and be cold.
+  may_have_restarted,
+  /// It was removed, and the entry that lists it again may be a delayed one.
+  may_have_left,
+};
+
+/// Whether something has shown that the endpoint still runs its listed incarnation.
+struct incarnation_proof {
+  incarnation_doubt doubt = incarnation_doubt::none;
+  /// Only what happened after this time is a proof.
+  steady_time doubted_at{};
+  /// When this gateway may check the endpoint's health for a proof; not set until
+  /// `schedule_proof_checks` has run.
+  std::optional<steady_time> check_at;
+  /// This gateway's latest health check that was a proof.
+  std::optional<steady_time> checked_at;
+};
+
 struct endpoint {
   endpoint_listing listing;
   /// Hash of the endpoint's name, for rendezvous placement.
@@ -95,6 +119,9 @@
   /// Another endpoint answered at this endpoint's address.
   bool misplaced = false;
   steady_time cold_until{};
+  incarnation_proof proof;
+  /// Since when this gateway has had at least one open connection to the endpoint.
+  std::optional<steady_time> contact_since;
   /// Requests from this gateway that the endpoint has not answered.
   std::uint32_t in_flight = 0;
   /// Requests in flight from the other gateways, as last reported.
@@ -151,8 +178,13 @@
 
 /// Applies the platform's entry for one endpoint. All that is known of its incarnation stays in
 /// force, also if the endpoint was removed in between; the state of an earlier incarnation is
-/// discarded. Without a start time in the entry, the incarnation ends with its removal. Returns
-/// true if the endpoint or its incarnation is new.
+/// discarded. Without a start time in the entry, the incarnation ends with its removal. The entry
+/// was written after `written_after`, or at any time before if that is not set: then the endpoint
+/// may have started again since. Returns true if the endpoint or its incarnation is new.
+bool list_endpoint(endpoint_table& table, const endpoint_listing& listing,
+                   std::optional<steady_time> written_after, steady_time now);
+
+/// The same for an entry that was just written.
 bool list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now);
 
 /// How long a copy from which the platform was restored can list a removed endpoint: longer than
@@ -209,6 +241,9 @@
 /// True while the endpoint is still warming up.
 bool is_cold(const endpoint& row, steady_time now);
 
+/// True if the endpoint is cold, or may be because it may have started again.
+bool counts_as_cold(const endpoint& row, steady_time now);
+
 /// Requests in flight at the endpoint from all gateways, as far as known to this one.
 double load_of(const endpoint& row);
 
--- a/Source/Gateway/gateway_state.h
+++ b/Source/Gateway/gateway_state.h
@@ -67,6 +67,8 @@
   steady_time started_at{};
   /// True once the list of endpoints was read.
   bool endpoints_known = false;
+  /// When this process was last known to run; see `note_running`.
+  steady_time ran_at{};
   /// A graceful shutdown has begun.
   bool stopping = false;
   /// From when on a graceful shutdown admits no requests, also if no tick has run since.
--- a/Source/Gateway/peer_message.cxx
+++ b/Source/Gateway/peer_message.cxx
@@ -6,6 +6,7 @@
 
 #include "Base/hashing.h"
 #include "Gateway/endpoint_health.h"
+#include "Gateway/incarnation_proof.h"
 #include "Gateway/rollout_decision.h"
 
 namespace chestnuthead::gateway {
@@ -76,6 +77,21 @@
   }
 }
 
+void apply_vouches(gateway_state& state, const peer_message& message) {
+  if (!message.unvouched) {
+    return;
+  }
+  for (const peer_load& load : message.loads) {
+    const auto place = state.endpoints.by_hash.find(load.endpoint);
+    if (place != state.endpoints.by_hash.end() &&
+        place->second->proof.doubt == incarnation_doubt::may_have_restarted &&
+        std::find(message.unvouched->begin(), message.unvouched->end(), load.endpoint) ==
+            message.unvouched->end()) {
+      prove_incarnation(*place->second);
+    }
+  }
+}
+
 void drop_expired_reports(loss_reports& losses, steady_time now) {
   std::erase_if(losses, [now](const auto& entry) {
     return now - entry.second.received_at >= loss_report_lifetime;
@@ -106,6 +122,10 @@
   for (const leaving_report& leaving : message.leaving_endpoints) {
     apply_leaving_report(state.endpoints, leaving, now);
   }
+  for (const check_report& check : message.checks) {
+    apply_check_report(state.endpoints, check, now);
+  }
+  apply_vouches(state, message);
   for (const rollout_report& report : message.rollouts) {
     apply_rollout_report(state.rollouts, message.sender, report);
   }
--- a/Source/Gateway/peer_table.cxx
+++ b/Source/Gateway/peer_table.cxx
@@ -4,6 +4,7 @@
 #include <unordered_map>
 
 #include "Base/hashing.h"
+#include "Gateway/incarnation_proof.h"
 
 namespace chestnuthead::gateway {
 
@@ -139,9 +140,14 @@
 peer_message own_peer_message(const endpoint_table& endpoints, steady_time now) {
   peer_message message;
   message.leaving_endpoints = leaving_reports(endpoints, now);
+  message.checks = check_reports(endpoints, now);
+  message.unvouched.emplace();
   for (const auto& [name, row] : endpoints.rows) {
     if (row.in_flight > 0) {
       message.loads.push_back({row.hash, row.in_flight});
+      if (!can_vouch_for(row, now)) {
+        message.unvouched->push_back(row.hash);
+      }
     }
     if (row.listed && row.record.lost) {
       message.unreachable.push_back(row.hash);
@@ -194,7 +200,14 @@
     return std::count_if(reports.begin(), reports.end(),
                          [](const rollout_report& report) { return report.found_bad; });
   };
-  return count_bad(message.rollouts) > count_bad(before.rollouts) ||
+  const auto is_known_check = [&before](const check_report& report) {
+    return std::any_of(
+        before.checks.begin(), before.checks.end(),
+        [&report](const check_report& known) { return known.endpoint == report.endpoint; });
+  };
+  const bool has_new_checks =
+      !std::all_of(message.checks.begin(), message.checks.end(), is_known_check);
+  return has_new_checks || count_bad(message.rollouts) > count_bad(before.rollouts) ||
          is_new(message.unreachable, before.unreachable) ||
          is_new(message.crashes, before.crashes) || has_new_reports(message.parts, before.parts) ||
          is_new(message.leaving_endpoints, before.leaving_endpoints);
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -40,6 +40,16 @@
   auto operator<=>(const crash_report&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
+/// A health check that an endpoint has answered, which proves that it runs.
+struct check_report {
+  /// `endpoint::hash` of the endpoint.
+  std::uint64_t endpoint = 0;
+  /// Time since the check.
+  std::chrono::milliseconds age{0};
+  /// For how long the endpoint is still cold; zero if it is warm.
+  std::chrono::milliseconds cold_for{0};
+};
+
 /// A message from one gateway to its peers.
 struct peer_message {
   node_id sender;
@@ -62,6 +72,11 @@
   std::vector<crash_report> crashes;
   /// Recent evidence about prompt parts that crash endpoints.
   part_reports parts;
+  /// Recent health checks that prove which incarnation an endpoint runs.
+  std::vector<check_report> checks;
+  /// The endpoints in `loads` for which the sender can't vouch; see `can_vouch_for`. Not set by
+  /// earlier builds, which vouch for none.
+  std::optional<std::vector<std::uint64_t>> unvouched;
   /// Roll-outs in progress, with the sender's results since their orders.
   std::vector<rollout_report> rollouts;
   /// The store has recently confirmed the sender's configuration.
@@ -167,7 +182,7 @@
 /// Shortest time between two urgent messages.
 inline constexpr std::chrono::milliseconds urgent_interval{700};
 
-/// True if the message reports a lost or leaving endpoint, a crash, a prompt part
+/// True if the message reports a lost, leaving or checked endpoint, a crash, a prompt part
 /// that crashes endpoints or a bad version that the
 /// previous message did not, so that it should be sent before the next regular message.
 bool is_urgent(const peer_message& message, const peer_message& before);
--- a/Source/Gateway/placement.cxx
+++ b/Source/Gateway/placement.cxx
@@ -50,7 +50,7 @@
 constexpr double unlimited_load = 1e9;
 
 bool cold_rate_spent(const endpoint& row, const pool& pool, steady_time now) {
-  return pool.cold_rate > 0.0 && is_cold(row, now) &&
+  return pool.cold_rate > 0.0 && counts_as_cold(row, now) &&
          (!row.pacing.is_sender || now < row.pacing.next_at);
 }
 
@@ -65,6 +65,9 @@
   if (load_of(row) >= full_load(row, pool, limit, now) || !fits_tokens(row, pool, limit)) {
     return endpoint_obstacle::full;
   }
+  if (row.proof.doubt == incarnation_doubt::may_have_left) {
+    return endpoint_obstacle::unproven;
+  }
   return cold_rate_spent(row, pool, now) ? endpoint_obstacle::cold_rate_used_up
                                          : endpoint_obstacle::none;
 }
@@ -293,9 +296,9 @@
 }
 
 std::string_view name_of(endpoint_obstacle obstacle) {
-  constexpr std::array<std::string_view, 10> names{
-      "none",   "not_listed",          "leaving", "misplaced",        "ejected", "domain_out",
-      "paused", "version_not_allowed", "full",    "cold_rate_used_up"};
+  constexpr std::array<std::string_view, 11> names{
+      "none",   "not_listed",          "leaving", "misplaced", "ejected",          "domain_out",
+      "paused", "version_not_allowed", "full",    "unproven",  "cold_rate_used_up"};
   return names.at(static_cast<std::size_t>(obstacle));
 }
 
@@ -433,7 +436,7 @@
 void begin_request(endpoint& row, steady_time now) {
   ++row.in_flight;
   note_arrival(row, now);
-  if (is_cold(row, now)) {
+  if (counts_as_cold(row, now)) {
     row.pacing.next_at = now + row.pacing.interval;
     row.pacing.sent_at = now;
   }
--- a/Source/Gateway/placement.h
+++ b/Source/Gateway/placement.h
@@ -89,7 +89,10 @@
   /// The request may not be sent to its version.
   version_not_allowed,
   full,
-  /// It is cold, and this gateway has used up its share of the cold rate or has none.
+  /// It was removed, and has not proven yet that it runs as listed again.
+  unproven,
+  /// It is cold, or may have started again, and this gateway has used up its share of the cold rate
+  /// or has none.
   cold_rate_used_up,
 };
 
--- a/Source/Traffic/endpoint_choice.cxx
+++ b/Source/Traffic/endpoint_choice.cxx
@@ -5,6 +5,8 @@
 #include <utility>
 #include <variant>
 
+#include "Gateway/incarnation_proof.h"
+
 namespace chestnuthead::traffic {
 
 namespace {
@@ -124,7 +126,7 @@
   update_hints(record, now);
   const gateway::placement_choice choice = choose(record, now);
   const auto* chosen = std::get_if<gateway::placement>(&choice);
-  if (chosen == nullptr || is_cold(*chosen->row, now)) {
+  if (chosen == nullptr || counts_as_cold(*chosen->row, now)) {
     return std::nullopt;
   }
   const auto& endpoints = endpoints_of(state.endpoints, record.admitted->taken_pool->name);
@@ -136,9 +138,16 @@
   const gateway::pool& pool = *record.admitted->taken_pool;
   const double share = connections_used * pool.max_connections /
                        std::max<std::uint32_t>(record.context.state.fleet.gateways, 1);
-  return record.context.links.acquire(row.listing.name, row.listing.address,
-                                      static_cast<std::size_t>(std::max(share, 1.0)),
-                                      wanted_history(record));
+  const bool lacked_proof = lacks_proof(row, pool);
+  endpoint_link* link = record.context.links.acquire(row.listing.name, row.listing.address,
+                                                     static_cast<std::size_t>(std::max(share, 1.0)),
+                                                     wanted_history(record));
+  if (link != nullptr && !lacked_proof && lacks_proof(row, pool)) {
+    // The search for an idle connection has found that all of them have ended.
+    link->abandon();
+    return nullptr;
+  }
+  return link;
 }
 
 void delay_search(request_record& record, steady_time now) {
--- a/Source/Traffic/endpoint_link.cxx
+++ b/Source/Traffic/endpoint_link.cxx
@@ -100,6 +100,7 @@
 
 void endpoint_link::on_open() {
   std::erase(this->owner.opening, this);
+  this->owner.report_contact(*this, contact_change::begun);
   this->idle_until = this->owner.time.now() + default_idle - idle_margin;
 }
 
@@ -136,6 +137,7 @@
                                   answer.request_id != this->request_id;
   this->reusable = this->reusable && head.keeps_open;
   const auto kept = answer.keep_alive.value_or(default_idle);
+  this->is_time_announced = answer.keep_alive.has_value();
   this->idle_until = this->owner.time.now() + kept - idle_margin;
   this->listener->on_answer(answer, head);
   return !this->gone;
@@ -190,6 +192,10 @@
     return;
   }
   this->pause(false);
+  if (end != link_end::not_opened) {
+    this->owner.report_contact(
+        *this, this->is_unexpected(end) ? contact_change::lost : contact_change::ended);
+  }
   if (end == link_end::not_opened) {
     this->fail(call_failure::not_sent);
   } else {
@@ -197,6 +203,16 @@
   }
 }
 
+bool endpoint_link::is_unexpected(link_end end) const {
+  // A connection that ends under a request says little: its answer may have been lost.
+  if (this->listener != nullptr && !this->held) {
+    return false;
+  }
+  // Endpoints close connections that are idle for a time that not all of them announce.
+  return end == link_end::broken || this->is_time_announced ||
+         this->owner.time.now() - this->idle_since < reduced_idle_limit;
+}
+
 endpoint_links::endpoint_links(event_loop& io, const clock& source, const wire_dialect& adapter)
     : loop(io), time(source), dialect(adapter) {}
 
@@ -230,6 +246,9 @@
   for (std::size_t end = idle_links.size(); end > 0; --end) {
     endpoint_link* link = idle_links[end - 1];
     if (!this->is_fresh(*link, address)) {
+      if (!link->is_silent()) {
+        link->read_pending();
+      }
       this->remove(*link);
     } else if (has_history(wanted, link->has_answered, link->has_unidentified_answer)) {
       std::erase(idle_links, link);
@@ -273,6 +292,9 @@
   }
   link.gone = true;
   --this->present_count;
+  if (link.is_open()) {
+    this->report_contact(link, contact_change::ended);
+  }
   link.link.close();
   std::erase(this->opening, &link);
   std::erase(this->idle[link.name], &link);
@@ -285,6 +307,16 @@
   }
 }
 
+void endpoint_links::report_contact(const endpoint_link& link, contact_change change) {
+  const auto& links = this->all[link.name];
+  const bool is_only_one = std::none_of(links.begin(), links.end(), [&link](const auto& other) {
+    return other.get() != &link && other->is_open();
+  });
+  if (is_only_one && this->contact) {
+    this->contact(link.name, change);
+  }
+}
+
 void endpoint_links::drop_idle(const endpoint_id& endpoint) {
   const std::vector<endpoint_link*> idle_links = std::exchange(this->idle[endpoint], {});
   for (endpoint_link* link : idle_links) {
--- a/Source/Traffic/endpoint_link.h
+++ b/Source/Traffic/endpoint_link.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -83,6 +84,15 @@
   none,
 };
 
+/// How a gateway's contact with an endpoint, by at least one open connection, has changed.
+enum class contact_change : std::uint8_t {
+  begun,
+  ended,
+  /// The endpoint has ended the last connection although it had no reason to, as happens when its
+  /// process ends.
+  lost,
+};
+
 class endpoint_links;
 
 /// One connection to an endpoint. It carries one call at a time.
@@ -126,6 +136,12 @@
 
   void finish();
   void fail(call_failure failure);
+  /// True if an endpoint that goes on running would not have ended the connection now.
+  [[nodiscard]] bool is_unexpected(link_end end) const;
+  /// Reads what the endpoint has sent since its last answer, which may end the link.
+  void read_pending() {
+    this->link.on_ready(true, false);
+  }
 
   endpoint_links& owner;
   endpoint_id name;
@@ -142,6 +158,8 @@
   bool has_answered = false;
   /// It has carried one that did not bear the ID of its request.
   bool has_unidentified_answer = false;
+  /// Its latest answer has announced for how long the endpoint keeps it open.
+  bool is_time_announced = false;
   /// The message being read belongs to another request, and is dropped.
   bool skipping = false;
   bool gone = false;
@@ -176,6 +194,13 @@
   /// Closes idle links whose time has expired and fails those that could not connect in time.
   /// Call it every few tens of milliseconds.
   void tick();
+  using contact_handler = std::function<void(const endpoint_id&, contact_change)>;
+
+  /// Calls the handler when contact with an endpoint begins or ends.
+  void on_contact(contact_handler handler) {
+    this->contact = std::move(handler);
+  }
+
   /// Closes all idle links to the endpoint, such as after it failed.
   void drop_idle(const endpoint_id& endpoint);
 
@@ -199,6 +224,8 @@
                            link_history wanted);
   [[nodiscard]] bool is_fresh(const endpoint_link& link, const std::string& address) const;
   void remove(endpoint_link& link);
+  /// Reports a change by this link if no other one to the endpoint is open.
+  void report_contact(const endpoint_link& link, contact_change change);
 
   event_loop& loop;
   const clock& time;
@@ -211,6 +238,7 @@
   std::uint64_t opened_count = 0;
   std::size_t present_count = 0;
   overload::memory_account* memory = nullptr;
+  contact_handler contact;
 };
 
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/endpoint_notices.cxx
+++ b/Source/Traffic/endpoint_notices.cxx
@@ -1,6 +1,7 @@
 #include "Traffic/endpoint_notices.h"
 
 #include "Gateway/endpoint_reports.h"
+#include "Gateway/incarnation_proof.h"
 #include "Traffic/attempt_log.h"
 
 namespace chestnuthead::traffic {
@@ -58,4 +59,49 @@
                      {"gateways", std::int64_t{context.state.fleet.gateways}}});
 }
 
+void log_if_proven(traffic_context& context, const gateway::endpoint& row,
+                   const gateway::incarnation_proof& before, const std::string& source) {
+  if (before.doubt == gateway::incarnation_doubt::none ||
+      row.proof.doubt != gateway::incarnation_doubt::none) {
+    return;
+  }
+  context.log.write(log_level::info, "endpoint_proven",
+                    {{"endpoint", row.listing.name.value},
+                     {"source", source},
+                     {"reason", std::string(name_of(before.doubt))},
+                     {"elapsed_ms", milliseconds_between(before.doubted_at, context.time.now())}});
+}
+
+void detect_interruption(traffic_context& context, steady_time now) {
+  const steady_time before = context.state.ran_at;
+  if (note_running(context.state, now)) {
+    context.log.write(
+        log_level::warning, "interrupted",
+        {{"elapsed_ms", milliseconds_between(before, now)},
+         {"endpoints", static_cast<std::int64_t>(context.state.endpoints.rows.size())}});
+  }
+}
+
+void handle_contact(traffic_context& context, const endpoint_id& endpoint, contact_change change) {
+  gateway::endpoint* row = find_endpoint(context.state.endpoints, endpoint);
+  if (row == nullptr) {
+    return;
+  }
+  row->contact_since =
+      change == contact_change::begun ? std::optional(context.time.now()) : std::nullopt;
+  if (change != contact_change::lost) {
+    return;
+  }
+  const gateway::pool* pool = context.state.services == nullptr
+                                  ? nullptr
+                                  : find_pool(*context.state.services, row->listing.pool);
+  if (pool == nullptr || pool->cold_rate <= 0.0) {
+    return;
+  }
+  doubt_incarnation(*row, gateway::incarnation_doubt::may_have_restarted, context.time.now());
+  context.metrics.count("chestnuthead_endpoint_contacts_lost_total",
+                        "pool=\"" + row->listing.pool.value + "\"");
+  context.log.write(log_level::info, "endpoint_contact_lost", {{"endpoint", endpoint.value}});
+}
+
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/endpoint_notices.h
+++ b/Source/Traffic/endpoint_notices.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "Gateway/request.h"
+#include "Traffic/endpoint_link.h"
 #include "Traffic/traffic_context.h"
 
 namespace chestnuthead::traffic {
@@ -18,4 +19,16 @@
 void log_if_turned_cold(traffic_context& context, const gateway::endpoint& row, bool was_cold,
                         const std::string& source);
 
+/// Logs that the endpoint has proven its incarnation, if it was in doubt before. `source`
+/// is `entry` for a heartbeat in the platform's list, or `check` for a health check.
+void log_if_proven(traffic_context& context, const gateway::endpoint& row,
+                   const gateway::incarnation_proof& before, const std::string& source);
+
+/// Doubts all endpoints, with a log line, if this gateway was paused.
+void detect_interruption(traffic_context& context, steady_time now);
+
+/// Records that this gateway is connected to the endpoint or no longer is. Doubts the endpoint if
+/// it has ended the last connection unexpectedly: its process may have ended.
+void handle_contact(traffic_context& context, const endpoint_id& endpoint, contact_change change);
+
 }  // namespace chestnuthead::traffic
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -4,8 +4,10 @@
 #include <utility>
 #include <variant>
 
+#include "Gateway/incarnation_proof.h"
 #include "Gateway/resumption.h"
 #include "Traffic/endpoint_choice.h"
+#include "Traffic/endpoint_notices.h"
 
 namespace chestnuthead::traffic {
 
@@ -16,6 +18,10 @@
 using gateway::next_step;
 using std::chrono::milliseconds;
 
+/// How long a request waits for an endpoint's answer to a health check, which takes a few round
+/// trips.
+constexpr milliseconds longest_proof_wait{300};
+
 }  // namespace
 
 exchange::exchange(traffic_context& shared, answer_sink& answers, gateway::caller_request received,
@@ -134,6 +140,7 @@
 void exchange::send_to_endpoint() {
   this->record.phase = request_phase::at_endpoint;
   const steady_time now = this->record.context.time.now();
+  detect_interruption(this->record.context, now);
   if (this->end_with_refused_part(now)) {
     return;
   }
@@ -152,11 +159,19 @@
     if (this->open_call(chosen, now)) {
       return;
     }
+    if (lacks_proof(*chosen.row, *this->record.admitted->taken_pool)) {
+      // All its connections have ended just now. It is tried again once it has answered a check.
+      this->record.hints.tried.pop_back();
+    }
   }
 }
 
 void exchange::end_without_endpoint(gateway::no_choice why, steady_time now) {
   const traffic_context& context = this->record.context;
+  if (this->may_await_proof(now)) {
+    this->record.phase = request_phase::awaits_proof;
+    return;
+  }
   this->record.not_resent = gateway::resend_obstacle::no_endpoint;
   if (this->record.history.answer_begun) {
     this->wait_or_cut(now);
@@ -167,6 +182,11 @@
   }
 }
 
+bool exchange::may_await_proof(steady_time now) const {
+  return this->record.history.sends == 0 && now - this->record.arrived_at < longest_proof_wait &&
+         expects_proof(this->record.context.state, *this->record.admitted->taken_pool, now);
+}
+
 bool exchange::use_standby(steady_time now) {
   drop_failed_standby(this->record);
   if (this->record.standby == nullptr) {
@@ -314,6 +334,9 @@
     case request_phase::awaits_origin:
       this->resume_stream(now);
       return;
+    case request_phase::awaits_proof:
+      this->send_to_endpoint();
+      return;
     case request_phase::awaits_endpoint:
       this->end_wait(now);
       return;
--- a/Source/Traffic/gateway_server.cxx
+++ b/Source/Traffic/gateway_server.cxx
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "Traffic/crashing_part_review.h"
+#include "Traffic/endpoint_notices.h"
 #include "Traffic/pool_room.h"
 
 namespace chestnuthead::traffic {
@@ -199,6 +200,7 @@
 }
 
 void gateway_server::tick(steady_time now) {
+  detect_interruption(this->context, now);
   review_crashing_parts(this->context, {}, now);
   std::vector<caller_link*> present;
   present.reserve(this->links.size());
--- a/Source/Traffic/health_checks.cxx
+++ b/Source/Traffic/health_checks.cxx
@@ -5,6 +5,7 @@
 
 #include "Gateway/cold_pacing.h"
 #include "Gateway/endpoint_health.h"
+#include "Gateway/incarnation_proof.h"
 #include "Traffic/endpoint_notices.h"
 
 namespace chestnuthead::traffic {
@@ -29,7 +30,9 @@
 
   void on_answer(gateway::endpoint_answer& answer, const http_head& /*head*/) override {
     constexpr int good = 200;
+    this->answered = true;
     this->healthy = answer.status == good || answer.pause;
+    this->proves = answer.status == good;
     gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->name);
     if (row != nullptr) {
       handle_endpoint_notices(this->context, *row, answer, {});
@@ -60,10 +63,21 @@
     if (row == nullptr) {
       return;
     }
+    const gateway::incarnation_proof before = row->proof;
+    if (good && this->proves && this->began_at >= before.doubted_at) {
+      row->proof.checked_at = this->began_at;
+      prove_incarnation(*row);
+      log_if_proven(this->context, *row, before, "check");
+    } else if (before.check_at) {
+      row->proof.check_at = this->context.time.now() + gateway::proof_check_interval;
+    }
     if (good) {
+      const bool was_set_aside = is_ejected(*row, this->context.time.now());
       note_healthy(*row, this->context.time.now());
-      this->context.log.write(log_level::info, "endpoint_back", {{"endpoint", this->name.value}});
-    } else {
+      if (was_set_aside) {
+        this->context.log.write(log_level::info, "endpoint_back", {{"endpoint", this->name.value}});
+      }
+    } else if (!this->answered || row->record.needs_check) {
       note_unhealthy(*row, this->context.time.now());
     }
   }
@@ -72,13 +86,22 @@
   endpoint_id name;
   endpoint_link* link;
   steady_time began_at;
+  bool answered = false;
   bool healthy = false;
+  /// The endpoint takes requests, so it runs and isn't leaving.
+  bool proves = false;
   bool over = false;
 };
 
-health_checks::health_checks(traffic_context& shared) : context(shared) {}
+health_checks::health_checks(traffic_context& shared) : context(shared) {
+  shared.links.on_contact([&shared](const endpoint_id& endpoint, contact_change change) {
+    handle_contact(shared, endpoint, change);
+  });
+}
 
-health_checks::~health_checks() = default;
+health_checks::~health_checks() {
+  this->context.links.on_contact({});
+}
 
 void health_checks::begin(gateway::endpoint& row, steady_time now) {
   if (this->context.state.services == nullptr) {
@@ -115,7 +138,8 @@
     if (this->running.size() >= concurrent_checks) {
       return;
     }
-    if (check_due(row, now) && !this->running.contains(name)) {
+    const bool is_due = check_due(row, now) || proof_check_due(this->context.state, row, now);
+    if (is_due && !this->running.contains(name)) {
       this->begin(row, now);
     }
   }
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -13,6 +13,7 @@
 /// To be increased when the fields change; gateways ignore messages of another version.
 constexpr std::uint32_t message_version = 7;
 constexpr std::size_t part_crash_fields = 4;
+constexpr std::size_t check_fields = 3;
 /// Most elements of one list.
 constexpr std::size_t list_limit = 4'096;
 
@@ -75,6 +76,39 @@
   return update;
 }
 
+/// Writes the fields that earlier builds do not read.
+void write_proofs(field_writer& out, const gateway::peer_message& message) {
+  out.array(message.checks.size() * check_fields);
+  for (const gateway::check_report& report : message.checks) {
+    out.put(report.endpoint);
+    out.put(report.age);
+    out.put(report.cold_for);
+  }
+  const std::vector<std::uint64_t> none;
+  const std::vector<std::uint64_t>& unvouched = message.unvouched ? *message.unvouched : none;
+  out.array(unvouched.size());
+  for (const std::uint64_t endpoint : unvouched) {
+    out.put(endpoint);
+  }
+}
+
+void read_proofs(field_reader& in, gateway::peer_message& message) {
+  const msgpack::object& checks = in.object();
+  check_length(checks);
+  for (field_reader list(checks); !list.at_end();) {
+    gateway::check_report& report = message.checks.emplace_back();
+    list.get(report.endpoint);
+    list.get(report.age);
+    list.get(report.cold_for);
+  }
+  const msgpack::object& unvouched = in.object();
+  check_length(unvouched);
+  message.unvouched.emplace();
+  for (field_reader list(unvouched); !list.at_end();) {
+    list.get(message.unvouched->emplace_back());
+  }
+}
+
 /// Writes the fields that earlier builds do not read.
 void write_parts(field_writer& out, const gateway::part_reports& reports) {
   out.array(reports.crashes.size() * part_crash_fields);
@@ -123,7 +157,7 @@
 }  // namespace
 
 std::string encode_peer_message(const gateway::peer_message& message) {
-  constexpr std::size_t fields = 18;
+  constexpr std::size_t fields = 20;
   field_writer out;
   out.array(fields);
   out.put(message_version);
@@ -152,6 +186,7 @@
   }
   write_rollouts(out, message.rollouts);
   write_parts(out, message.parts);
+  write_proofs(out, message);
   return out.text();
 }
 
@@ -197,6 +232,9 @@
     if (!in.at_end()) {
       message.parts = read_parts(in);
     }
+    if (!in.at_end()) {
+      read_proofs(in, message);
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/Source/Traffic/request_record.h
+++ b/Source/Traffic/request_record.h
@@ -26,6 +26,8 @@
   awaits_origin,
   /// It waits until its pool, which is under overload control, has room.
   awaits_room,
+  /// It waits until an endpoint has proven that it runs its listed incarnation.
+  awaits_proof,
   /// It is being sent to an endpoint, or an attempt is in progress.
   at_endpoint,
   /// Its stream has begun and waits for an endpoint that can resume it.
--- a/Tests/Gateway/cold_rate_test.cxx
+++ b/Tests/Gateway/cold_rate_test.cxx
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "Gateway/cold_pacing.h"
 #include "Gateway/endpoint_health.h"
 #include "Gateway/gateway_fixture.h"
+#include "Gateway/incarnation_proof.h"
 #include "Gateway/peer_table.h"
 #include "Gateway/placement.h"
 
@@ -97,6 +99,24 @@
     }
   }
 
+  /// The endpoint starts again, cold, at the same time as all gateways or as every second one. They
+  /// read its previous entry; the next one follows after `entry_lag`. The others have lost their
+  /// connections to it.
+  void restart_with_endpoint(int every, milliseconds entry_lag) {
+    this->cold_until = this->now + warm_up;
+    this->listed_at = this->now + entry_lag;
+    for (int number = 0; number < this->size(); ++number) {
+      endpoint_table& table = this->members[static_cast<std::size_t>(number)]->state.endpoints;
+      if (number % every == 0) {
+        this->start(number);
+        list_endpoint(table = {}, listing_of("engine-0", engine_pool), std::nullopt, this->now);
+      } else {
+        doubt_incarnation(table.rows.begin()->second, incarnation_doubt::may_have_restarted,
+                          this->now);
+      }
+    }
+  }
+
   /// All gateways lose the endpoint and have to check it.
   void lose_endpoint() {
     for (const auto& one : this->members) {
@@ -168,7 +188,14 @@
       list_peer(one.state.peers, one.unread.begin()->second, "10.0.0.2:7340", this->now);
       one.unread.erase(one.unread.begin());
     }
+    if (this->listed_at && this->now == *this->listed_at) {
+      endpoint_listing listing = row_of(one).listing;
+      ++listing.started;
+      listing.cold_for = std::chrono::duration_cast<milliseconds>(this->cold_until - this->now);
+      list_endpoint(one.state.endpoints, listing, this->now);
+    }
     update_cold_pacing(one.state, this->now);
+    schedule_proof_checks(one.state, this->now);
     const std::uint32_t known = count_gateways(one.state.peers, this->now);
     one.state.fleet.gateways = one.state.peers_known ? known : std::max(known, gateways_assumed);
   }
@@ -176,18 +203,22 @@
   /// Checks the endpoint's health if that is due. Checks count as requests.
   void check(member& one) {
     endpoint& row = row_of(one);
-    if (check_due(row, this->now)) {
+    if (check_due(row, this->now) || proof_check_due(one.state, row, this->now)) {
       count_cold_check(row, this->now);
       this->sent.push_back(this->now);
       note_healthy(row, this->now);
+      prove_incarnation(row);
+      row.cold_until = std::max(row.cold_until, this->cold_until);
     }
   }
 
   void send(member& one) {
     endpoint& row = row_of(one);
-    if (!is_cold(row, this->now) || this->now < one.next_wanted) {
+    const bool is_really_cold = is_cold(row, this->now) || this->now < this->cold_until;
+    if (!is_really_cold || this->now < one.next_wanted) {
       return;
     }
+    count_request(one.state.resend_budgets[engine_pool], one.state.resends, this->now);
     const pool& settings = *find_pool(*one.state.services, engine_pool);
     const auto choice =
         choose_endpoint(endpoints_of(one.state.endpoints, engine_pool), settings, chat_request(1),
@@ -217,6 +248,10 @@
   seeded_random random{53};
   service_map_ptr services = make_services();
   steady_time now = test_start;
+  /// Until when the endpoint is cold, and when its entry says so, after a start that the gateways
+  /// have not seen.
+  steady_time cold_until{};
+  std::optional<steady_time> listed_at;
   std::vector<std::unique_ptr<member>> members;
   std::vector<steady_time> sent;
 };
@@ -236,6 +271,7 @@
   CPPUNIT_TEST(stopping_gateways_and_their_successors_flood_no_cold_endpoint);
   CPPUNIT_TEST(an_endpoint_that_starts_again_while_cold_is_not_flooded);
   CPPUNIT_TEST(health_checks_of_many_gateways_flood_no_cold_endpoint);
+  CPPUNIT_TEST(gateways_that_read_the_previous_entry_flood_no_cold_endpoint);
   CPPUNIT_TEST(a_cold_endpoint_is_used_up_to_its_rate);
   CPPUNIT_TEST_SUITE_END();
 
@@ -347,6 +383,20 @@
     }
   }
 
+  /// Review case 10 and three seeds of the soak: gateways start together with a cold endpoint,
+  /// whose entry is still that of its previous incarnation.
+  void gateways_that_read_the_previous_entry_flood_no_cold_endpoint() {
+    for (const int gateways : {2, 68, 350}) {
+      for (const int every : {1, 2}) {
+        cold_fleet fleet(gateways);
+        fleet.restart_with_endpoint(every, milliseconds{1'000});
+        fleet.run_for(warm_up);
+        CPPUNIT_ASSERT(fleet.requests() > 0);
+        check_bound(fleet);
+      }
+    }
+  }
+
   /// Each gateway wants to send twice a second, as one does before a pool that is short.
   void a_cold_endpoint_is_used_up_to_its_rate() {
     for (const int gateways : {1, 5, 29, 68, 350}) {
--- a/Tests/Traffic/peer_codec_test.cxx
+++ b/Tests/Traffic/peer_codec_test.cxx
@@ -44,6 +44,10 @@
     CPPUNIT_ASSERT_EQUAL(message.parts.cleared[0].part, decoded->parts.cleared.at(0).part);
     CPPUNIT_ASSERT(message.parts.cleared[0].age == decoded->parts.cleared[0].age);
     CPPUNIT_ASSERT(message.parts.refused == decoded->parts.refused);
+    CPPUNIT_ASSERT_EQUAL(message.checks[0].endpoint, decoded->checks.at(0).endpoint);
+    CPPUNIT_ASSERT(message.checks[0].age == decoded->checks[0].age);
+    CPPUNIT_ASSERT(message.checks[0].cold_for == decoded->checks[0].cold_for);
+    CPPUNIT_ASSERT(message.unvouched == decoded->unvouched);
     const gateway::table_update& update = decoded->tables.at(0);
     CPPUNIT_ASSERT_EQUAL(message.tables[0].table, update.table);
     CPPUNIT_ASSERT_EQUAL(message.tables[0].version, update.version);
@@ -77,6 +81,7 @@
     CPPUNIT_ASSERT(decoded->crashes == (std::vector<gateway::crash_report>{{1, 2}}));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{71}, decoded->configuration);
     CPPUNIT_ASSERT(decoded->parts.crashes.empty() && decoded->parts.refused.empty());
+    CPPUNIT_ASSERT(decoded->checks.empty() && !decoded->unvouched);
   }
 
   /// Earlier builds read fifteen fields and ignore further ones.
@@ -85,11 +90,11 @@
     gateway::peer_message message = *earlier;
     message.parts = sample().parts;
     const std::string bytes = encode_peer_message(message);
-    const std::string head("\xdc\x00\x12", 3);
+    const std::string head("\xdc\x00\x14", 3);
     CPPUNIT_ASSERT(bytes.starts_with(head + earlier_fields()));
     // A build with yet more fields can be read as well.
     const auto later =
-        decode_peer_message(std::string("\xdc\x00\x13", 3) + bytes.substr(head.size()) + "\x90");
+        decode_peer_message(std::string("\xdc\x00\x15", 3) + bytes.substr(head.size()) + "\x90");
     CPPUNIT_ASSERT(later.has_value());
     CPPUNIT_ASSERT(later->parts.refused == message.parts.refused);
   }
@@ -160,6 +165,8 @@
                              {10, 11, 2, std::chrono::milliseconds{4'999}}};
     message.parts.cleared = {{12, std::chrono::milliseconds{30}}};
     message.parts.refused = {13, 14};
+    message.checks = {{15, std::chrono::milliseconds{250}, std::chrono::milliseconds{2'700}}};
+    message.unvouched = {{7}};
     message.placements = {{3, 4}, {5, 6}};
     gateway::rollout_report report{
         {pool_id{"engines"}, "v2", std::chrono::seconds{12}, {31, 2}}, true, "failures", {}};
--- a/Tests/Traffic/traffic_harness.cxx
+++ b/Tests/Traffic/traffic_harness.cxx
@@ -2,6 +2,7 @@
 
 #include "Fakes/local_address.h"
 #include "Gateway/cold_pacing.h"
+#include "Gateway/incarnation_proof.h"
 #include "wire_headers.h"
 
 namespace chestnuthead {
@@ -100,6 +101,7 @@
   forget_versions(this->state.rollouts, this->state.endpoints);
   update_stream_versions(this->state.streams, this->state.endpoints, now);
   update_cold_pacing(this->state, now);
+  schedule_proof_checks(this->state, now);
   this->state.streams.endpoints_as_of = now;
   this->state.streams.records_as_of = now;
 }
