Begin the turns of health checks for proofs once the pool is used

Cause: a gateway's turn to check an endpoint was counted from the moment at which a proof was needed. Gateways that start before their first callers come, as a new fleet does, let their turns pass, and would all have checked all endpoints with their first requests: found by reading.

Change: turns begin when the gateway's callers use the pool.

Evidence: checks_take_turns_while_the_pool_is_used lets a minute pass before the first request; 4 of 68 gateways then check at once.

--- a/Source/Gateway/incarnation_proof.cxx
+++ b/Source/Gateway/incarnation_proof.cxx
@@ -67,7 +67,7 @@
     const pool* found = row.proof.doubt == incarnation_doubt::none || row.proof.check_at
                             ? nullptr
                             : find_pool(*state.services, row.listing.pool);
-    if (found == nullptr || !lacks_proof(row, *found)) {
+    if (found == nullptr || !lacks_proof(row, *found) || !is_used(state, found->name, now)) {
       continue;
     }
     if (!members) {
@@ -78,9 +78,8 @@
   }
 }
 
-bool proof_check_due(const gateway_state& state, const endpoint& row, steady_time now) {
-  return row.proof.check_at && now >= *row.proof.check_at && may_check(row, now) &&
-         is_used(state, row.listing.pool, now);
+bool proof_check_due(const endpoint& row, steady_time now) {
+  return row.proof.check_at && now >= *row.proof.check_at && may_check(row, now);
 }
 
 bool expects_proof(const gateway_state& state, const pool& pool, steady_time now) {
--- a/Source/Gateway/incarnation_proof.h
+++ b/Source/Gateway/incarnation_proof.h
@@ -56,12 +56,13 @@
 /// whose endpoints are cold after their start.
 bool lacks_proof(const endpoint& row, const pool& pool);
 
-/// Decides when this gateway may check endpoints that lack a proof. To be called regularly.
+/// Decides when this gateway may check endpoints that lack a proof, from the moment on at which its
+/// callers use their pools: the turns of gateways that wait for callers must not pass unused. To be
+/// called regularly.
 void schedule_proof_checks(gateway_state& state, steady_time now);
 
-/// True if this gateway is to check the endpoint for a proof now: its turn has come, and its
-/// callers use the pool.
-bool proof_check_due(const gateway_state& state, const endpoint& row, steady_time now);
+/// True if it is this gateway's turn to check the endpoint for a proof.
+bool proof_check_due(const endpoint& row, steady_time now);
 
 /// True if this gateway is about to check one of the pool's endpoints or does so, so that a request
 /// without an endpoint should wait.
--- a/Source/Traffic/health_checks.cxx
+++ b/Source/Traffic/health_checks.cxx
@@ -138,7 +138,7 @@
     if (this->running.size() >= concurrent_checks) {
       return;
     }
-    const bool is_due = check_due(row, now) || proof_check_due(this->context.state, row, now);
+    const bool is_due = check_due(row, now) || proof_check_due(row, now);
     if (is_due && !this->running.contains(name)) {
       this->begin(row, now);
     }
--- a/Tests/Gateway/cold_rate_test.cxx
+++ b/Tests/Gateway/cold_rate_test.cxx
@@ -203,7 +203,7 @@
   /// Checks the endpoint's health if that is due. Checks count as requests.
   void check(member& one) {
     endpoint& row = row_of(one);
-    if (check_due(row, this->now) || proof_check_due(one.state, row, this->now)) {
+    if (check_due(row, this->now) || proof_check_due(row, this->now)) {
       count_cold_check(row, this->now);
       this->sent.push_back(this->now);
       note_healthy(row, this->now);
--- a/Tests/Gateway/incarnation_proof_test.cxx
+++ b/Tests/Gateway/incarnation_proof_test.cxx
@@ -124,24 +124,27 @@
       list_peer(this->state.peers, node_id{"edge-" + std::to_string(peer)}, "10.0.0.2:7340",
                 test_start);
     }
+    const steady_time used_at = test_start + seconds{60};
     int first = 0;
     for (int gateway = 0; gateway < 68; ++gateway) {
       this->state.self = node_id{"edge-" + std::to_string(gateway)};
+      this->state.resend_budgets.clear();
       this->read_entry(test_start, test_start);
       doubt_incarnation(this->row(), incarnation_doubt::may_have_restarted, test_start);
+      // No turn passes while the gateway waits for callers.
       schedule_proof_checks(this->state, test_start);
-      first += *this->row().proof.check_at == test_start ? 1 : 0;
-      CPPUNIT_ASSERT(*this->row().proof.check_at <= test_start + seconds{16});
+      CPPUNIT_ASSERT(!proof_check_due(this->row(), used_at));
+      count_request(this->state.resend_budgets[engine_pool], this->state.resends, used_at);
+      schedule_proof_checks(this->state, used_at);
+      first += proof_check_due(this->row(), used_at) ? 1 : 0;
+      CPPUNIT_ASSERT(proof_check_due(this->row(), used_at + seconds{16}));
     }
     CPPUNIT_ASSERT_EQUAL(4, first);
-    const steady_time later = test_start + seconds{16};
-    CPPUNIT_ASSERT(!proof_check_due(this->state, this->row(), later));
-    count_request(this->state.resend_budgets[engine_pool], this->state.resends, later);
-    CPPUNIT_ASSERT(proof_check_due(this->state, this->row(), later));
+    const steady_time later = used_at + seconds{16};
     CPPUNIT_ASSERT(expects_proof(this->state, engine_pool_settings(), later));
     // An endpoint that wants nothing is not checked.
     this->row().paused_until = later + seconds{1};
-    CPPUNIT_ASSERT(!proof_check_due(this->state, this->row(), later));
+    CPPUNIT_ASSERT(!proof_check_due(this->row(), later));
     CPPUNIT_ASSERT(!expects_proof(this->state, engine_pool_settings(), later));
   }
 
@@ -251,7 +254,7 @@
   int check_due_endpoints(steady_time now) {
     int checked = 0;
     for (auto& [name, row] : this->state.endpoints.rows) {
-      if (proof_check_due(this->state, row, now)) {
+      if (proof_check_due(row, now)) {
         ++checked;
         prove_incarnation(row);
       }
