Do not try an endpoint that lacks a proof again without a connection

- A request chose an endpoint without a proof, got no connection to it as those it may open were used up, and chose it again, without end.
The search leaves an endpoint untried only if the proof was lost in the same step. request_without_a_connection_is_refused does not end on the earlier code (the process grew until it was killed); now the request gets 503.
- A removed endpoint that is listed again kept the time since which this gateway was connected to it, and could be vouched for although its connections had ended meanwhile.

The time that a request waits for a proof stands once now.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -96,6 +96,7 @@
   }
   const bool was_removed = !is_new_incarnation && !row.listed;
   if (was_removed) {
+    row.contact_since.reset();
     doubt_incarnation(row, incarnation_doubt::may_have_left, now);
   } else if (is_new_incarnation && !written_after) {
     doubt_incarnation(row, incarnation_doubt::may_have_restarted, now - proof_before_read);
--- a/Source/Gateway/incarnation_proof.cxx
+++ b/Source/Gateway/incarnation_proof.cxx
@@ -13,9 +13,6 @@
 
 using std::chrono::milliseconds;
 
-/// How long a request waits for a proof at most; a check takes a few round trips.
-constexpr milliseconds longest_expectation{300};
-
 bool is_used(const gateway_state& state, const pool_id& pool, steady_time now) {
   const auto budget = state.resend_budgets.find(pool);
   return budget != state.resend_budgets.end() &&
@@ -86,7 +83,7 @@
   const std::vector<endpoint*>& rows = endpoints_of(state.endpoints, pool.name);
   return std::any_of(rows.begin(), rows.end(), [&](const endpoint* row) {
     return lacks_proof(*row, pool) && may_check(*row, now) &&
-           (!row->proof.check_at || *row->proof.check_at < now + longest_expectation);
+           (!row->proof.check_at || *row->proof.check_at < now + longest_proof_wait);
   });
 }
 
--- a/Source/Gateway/incarnation_proof.h
+++ b/Source/Gateway/incarnation_proof.h
@@ -39,6 +39,9 @@
 /// Gateways that check an endpoint in each second without a proof, in its rendezvous order.
 inline constexpr std::uint32_t proof_checks_per_second = 4;
 
+/// How long a request waits for a proof; a check takes a few round trips.
+inline constexpr std::chrono::milliseconds longest_proof_wait{300};
+
 /// How long the results of such checks are sent to the peers.
 inline constexpr std::chrono::seconds check_report_time{2};
 
--- a/Source/Traffic/endpoint_choice.cxx
+++ b/Source/Traffic/endpoint_choice.cxx
@@ -126,7 +126,8 @@
   update_hints(record, now);
   const gateway::placement_choice choice = choose(record, now);
   const auto* chosen = std::get_if<gateway::placement>(&choice);
-  if (chosen == nullptr || counts_as_cold(*chosen->row, now)) {
+  if (chosen == nullptr || is_cold(*chosen->row, now) ||
+      lacks_proof(*chosen->row, *record.admitted->taken_pool)) {
     return std::nullopt;
   }
   const auto& endpoints = endpoints_of(state.endpoints, record.admitted->taken_pool->name);
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -18,10 +18,6 @@
 using gateway::next_step;
 using std::chrono::milliseconds;
 
-/// How long a request waits for an endpoint's answer to a health check, which takes a few round
-/// trips.
-constexpr milliseconds longest_proof_wait{300};
-
 }  // namespace
 
 exchange::exchange(traffic_context& shared, answer_sink& answers, gateway::caller_request received,
@@ -155,11 +151,13 @@
       return;
     }
     const auto& chosen = std::get<gateway::placement>(choice);
+    const gateway::pool& pool = *this->record.admitted->taken_pool;
+    const bool lacked_proof = lacks_proof(*chosen.row, pool);
     this->record.hints.tried.push_back(chosen.row->listing.name);
     if (this->open_call(chosen, now)) {
       return;
     }
-    if (lacks_proof(*chosen.row, *this->record.admitted->taken_pool)) {
+    if (!lacked_proof && lacks_proof(*chosen.row, pool)) {
       // All its connections have ended just now. It is tried again once it has answered a check.
       this->record.hints.tried.pop_back();
     }
@@ -183,7 +181,8 @@
 }
 
 bool exchange::may_await_proof(steady_time now) const {
-  return this->record.history.sends == 0 && now - this->record.arrived_at < longest_proof_wait &&
+  return this->record.history.sends == 0 &&
+         now - this->record.arrived_at < gateway::longest_proof_wait &&
          expects_proof(this->record.context.state, *this->record.admitted->taken_pool, now);
 }
 
--- a/Tests/Gateway/incarnation_proof_test.cxx
+++ b/Tests/Gateway/incarnation_proof_test.cxx
@@ -183,6 +183,13 @@
     used.cold_until = test_start + seconds{1};
     CPPUNIT_ASSERT(!this->is_proven_by(this->message_at(test_start)));
     used.cold_until = {};
+    // Connections may have ended while the endpoint was not listed.
+    unlist_endpoint(this->state.endpoints, this->entry.name, test_start, test_start);
+    this->read_entry(test_start, test_start);
+    prove_incarnation(used);
+    CPPUNIT_ASSERT(!this->is_proven_by(this->message_at(test_start)));
+    used.contact_since = test_start - vouching_contact;
+    CPPUNIT_ASSERT(this->is_proven_by(this->message_at(test_start)));
     doubt_incarnation(used, incarnation_doubt::may_have_restarted, test_start);
     CPPUNIT_ASSERT(!this->is_proven_by(this->message_at(test_start)));
   }
--- a/Tests/Traffic/endpoint_restart_test.cxx
+++ b/Tests/Traffic/endpoint_restart_test.cxx
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(reset_connections_are_a_reason_to_check);
   CPPUNIT_TEST(idle_timeout_of_an_endpoint_is_no_reason_to_check);
   CPPUNIT_TEST(paused_gateway_checks_its_endpoints);
+  CPPUNIT_TEST(request_without_a_connection_is_refused);
   CPPUNIT_TEST(leaving_endpoint_that_is_listed_again_gets_no_request);
   CPPUNIT_TEST(endpoint_that_is_listed_as_started_again_is_used_at_once);
   CPPUNIT_TEST_SUITE_END();
@@ -105,6 +106,23 @@
     CPPUNIT_ASSERT(this->harness.take_log().find("interrupted") != std::string::npos);
   }
 
+  /// Guards against a search that tries the same endpoint without end: its connections are used up
+  /// while it lacks a proof.
+  void request_without_a_connection_is_refused() {
+    this->harness.endpoints[0]->scripts = {[](connection& /*caller*/) {}};
+    this->harness.state.fleet.gateways = 1'000;
+    const auto first = this->harness.connect();
+    first->send(traffic_harness::chat_bytes("c1"));
+    CPPUNIT_ASSERT(
+        this->harness.run_until([&] { return !this->harness.endpoints[0]->requests.empty(); }));
+    this->doubt();
+    this->harness.run_for(milliseconds{100});
+    const auto second = this->harness.connect();
+    second->send(traffic_harness::chat_bytes("c2"));
+    CPPUNIT_ASSERT(this->harness.run_until([&] { return second->has_answers(1); }));
+    CPPUNIT_ASSERT(second->bytes.starts_with("HTTP/1.1 503 "));
+  }
+
   /// Review case 8 without an answer that said so before: the check says it.
   void leaving_endpoint_that_is_listed_again_gets_no_request() {
     this->harness.plain->scripts = {[](connection& caller) {
--- a/Tests/Traffic/hedged_requests_test.cxx
+++ b/Tests/Traffic/hedged_requests_test.cxx
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "Base/hashing.h"
+#include "Gateway/incarnation_proof.h"
 #include "Gateway/rollout_fixture.h"
 #include "Traffic/traffic_harness.h"
 
@@ -199,6 +200,7 @@
   CPPUNIT_TEST(second_answer_wins);
   CPPUNIT_TEST(first_answer_wins);
   CPPUNIT_TEST(plain_call_is_hedged);
+  CPPUNIT_TEST(pool_that_is_never_cold_is_hedged_after_a_start);
   CPPUNIT_TEST(events_of_the_loser_are_not_forwarded);
   CPPUNIT_TEST(event_begun_before_the_second_attempt_is_kept);
   CPPUNIT_TEST(head_of_a_failed_attempt_is_not_forwarded);
@@ -565,6 +567,28 @@
     check_not_hedged(way);
   }
 
+  /// A gateway that has just started does not know the age of entries. This matters only to pools
+  /// whose endpoints are cold after their start.
+  void pool_that_is_never_cold_is_hedged_after_a_start() {
+    for (const double cold_rate : {0.0, 17.0}) {
+      hedging_setup setup;
+      gateway::service_map services = *setup.harness.state.services;
+      services.pools[gateway::engine_pool.value].cold_rate = cold_rate;
+      setup.harness.state.services =
+          std::make_shared<const gateway::service_map>(std::move(services));
+      setup.set_share(0.0);
+      const auto caller = setup.ask(1);
+      setup.harness.state.peers_known = false;
+      for (auto& [name, row] : setup.harness.state.endpoints.rows) {
+        doubt_incarnation(row, gateway::incarnation_doubt::may_have_restarted,
+                          setup.harness.time.now());
+      }
+      setup.set_share(1.0);
+      setup.harness.run_for(long_after_due);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{cold_rate > 0.0 ? 1U : 2U}, setup.asked.size());
+    }
+  }
+
   void cold_endpoint_gets_no_hedged_request() {
     hedging_setup setup;
     setup.set_share(0.0);
