Log what is known of endpoints that are removed and listed again

The log could not tell why an endpoint was used: it named neither the incarnation of a report or an entry, nor whether a report was taken over with an entry, nor what peers had told.

endpoint_listed now names the incarnation, what the entry changed (added, replaced, restored, renewed), and whether the endpoint has reported that it leaves. endpoint_removed and endpoint_missing tell what is remembered and for how long the endpoint still counts as listed, and endpoint_expired that this time is over. endpoint_leaving names the incarnation and whether an answer, a health check or a peer told. endpoint_proven covers health checks of peers. restored_endpoint_used is the first request to an endpoint that was listed again.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -60,12 +60,12 @@
          before.pool == after.pool;
 }
 
-/// Returns the endpoint's row as it was when the endpoint was removed, or an empty row if another
-/// incarnation is listed now.
-endpoint take_remembered(endpoint_table& table, const endpoint_listing& listing) {
+/// Returns the endpoint's row as it was when the endpoint was removed, an empty row if another
+/// incarnation is listed now, or nullopt if the endpoint is not remembered.
+std::optional<endpoint> take_remembered(endpoint_table& table, const endpoint_listing& listing) {
   const auto place = table.gone.find(hash_text(listing.name.value));
   if (place == table.gone.end()) {
-    return {};
+    return std::nullopt;
   }
   const bool is_known =
       listing.started != 0 && is_same_incarnation(place->second.last.listing, listing);
@@ -76,31 +76,54 @@
 
 }  // namespace
 
-bool list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now) {
+std::string_view name_of(listing_effect effect) {
+  switch (effect) {
+    case listing_effect::renewed:
+      return "renewed";
+    case listing_effect::restored:
+      return "restored";
+    case listing_effect::replaced:
+      return "replaced";
+    case listing_effect::added:
+      break;
+  }
+  return "added";
+}
+
+bool is_new_incarnation(listing_effect effect) {
+  return effect == listing_effect::replaced || effect == listing_effect::added;
+}
+
+listing_effect list_endpoint(endpoint_table& table, const endpoint_listing& listing,
+                             steady_time now) {
   return list_endpoint(table, listing, now, now);
 }
 
-bool list_endpoint(endpoint_table& table, const endpoint_listing& listing,
-                   std::optional<steady_time> written_after, steady_time now) {
+listing_effect list_endpoint(endpoint_table& table, const endpoint_listing& listing,
+                             std::optional<steady_time> written_after, steady_time now) {
   const auto place = table.rows.find(listing.name);
   const bool is_new = place == table.rows.end();
   endpoint& row = table.rows[listing.name];
+  bool was_known = !is_new;
   if (is_new) {
-    row = take_remembered(table, listing);
+    std::optional<endpoint> remembered = take_remembered(table, listing);
+    was_known = remembered.has_value();
+    row = remembered ? std::move(*remembered) : endpoint{};
   }
-  const bool is_new_incarnation = !is_same_incarnation(row.listing, listing);
-  if (!is_new && is_new_incarnation) {
+  const bool is_other = !is_same_incarnation(row.listing, listing);
+  if (!is_new && is_other) {
     const std::uint32_t in_flight = row.in_flight;
     row = endpoint{};
     row.in_flight = in_flight;
   }
-  const bool was_removed = !is_new_incarnation && !row.listed;
+  const bool was_removed = !is_other && !row.listed;
   if (was_removed) {
     row.contact_since.reset();
+    row.restored_at = now;
     doubt_incarnation(row, incarnation_doubt::may_have_left, now);
-  } else if (is_new_incarnation && !written_after) {
+  } else if (is_other && !written_after) {
     doubt_incarnation(row, incarnation_doubt::may_have_restarted, now - proof_before_read);
-  } else if (is_new_incarnation && now - *written_after > max_entry_age) {
+  } else if (is_other && now - *written_after > max_entry_age) {
     doubt_incarnation(row, incarnation_doubt::may_have_restarted, now);
   } else if (written_after && *written_after >= row.proof.doubted_at &&
              listing.heartbeat > row.listing.heartbeat) {
@@ -118,7 +141,10 @@
   } else if (moved) {
     rebuild_indexes(table);
   }
-  return is_new_incarnation;
+  if (is_other) {
+    return was_known ? listing_effect::replaced : listing_effect::added;
+  }
+  return was_removed ? listing_effect::restored : listing_effect::renewed;
 }
 
 bool is_outdated(endpoint_table& table, const endpoint_listing& listing,
@@ -175,14 +201,17 @@
   return min_interval * static_cast<std::int64_t>(times);
 }
 
-void expire_missing(endpoint_table& table, steady_time now) {
+std::vector<endpoint_id> expire_missing(endpoint_table& table, steady_time now) {
+  std::vector<endpoint_id> expired;
   for (auto& [name, row] : table.rows) {
     if (row.missing_until && now >= *row.missing_until) {
       row.listed = false;
       row.missing_until.reset();
       record_gone(table, row, now);
+      expired.push_back(name);
     }
   }
+  return expired;
 }
 
 void drop_unlisted(endpoint_table& table, steady_time now) {
@@ -222,13 +251,16 @@
   return place == table.by_pool.end() ? none : place->second;
 }
 
-bool is_leaving(const endpoint& row, steady_time now) {
+bool has_reported_leaving(const endpoint& row, steady_time now) {
   const auto holds = [&row, now](const std::optional<steady_time>& reported_at) {
     return reported_at &&
            (row.listing.started != 0 || now - *reported_at < leaving_report_lifetime);
   };
-  return row.listing.leaving || holds(row.reported_leaving_at) ||
-         holds(row.peer_reported_leaving_at);
+  return holds(row.reported_leaving_at) || holds(row.peer_reported_leaving_at);
+}
+
+bool is_leaving(const endpoint& row, steady_time now) {
+  return row.listing.leaving || has_reported_leaving(row, now);
 }
 
 bool is_cold(const endpoint& row, steady_time now) {
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -144,6 +145,8 @@
   double tokens_in_flight = 0.0;
   /// When the endpoint last sent this gateway any part of an answer.
   steady_time heard_at{};
+  /// When the endpoint was listed again after its removal, until a request is sent to it.
+  std::optional<steady_time> restored_at;
 };
 
 /// An endpoint that the platform no longer lists. What is known of an incarnation holds until a
@@ -176,16 +179,34 @@
 /// first.
 inline constexpr std::size_t max_gone_endpoints = 4'096;
 
+/// What an entry changed about its endpoint.
+enum class listing_effect : std::uint8_t {
+  /// The endpoint was listed before, with the same incarnation.
+  renewed,
+  /// The endpoint was removed before; what is known of its incarnation is in force again.
+  restored,
+  /// Another incarnation of the endpoint was known.
+  replaced,
+  /// Nothing was known of the endpoint.
+  added,
+};
+
+std::string_view name_of(listing_effect effect);
+
+/// True if nothing was known of the listed incarnation.
+bool is_new_incarnation(listing_effect effect);
+
 /// Applies the platform's entry for one endpoint. All that is known of its incarnation stays in
 /// force, also if the endpoint was removed in between; the state of an earlier incarnation is
 /// discarded. Without a start time in the entry, the incarnation ends with its removal. The entry
 /// was written after `written_after`, or at any time before if that is not set: then the endpoint
-/// may have started again since. Returns true if the endpoint or its incarnation is new.
-bool list_endpoint(endpoint_table& table, const endpoint_listing& listing,
-                   std::optional<steady_time> written_after, steady_time now);
+/// may have started again since.
+listing_effect list_endpoint(endpoint_table& table, const endpoint_listing& listing,
+                             std::optional<steady_time> written_after, steady_time now);
 
 /// The same for an entry that was just written.
-bool list_endpoint(endpoint_table& table, const endpoint_listing& listing, steady_time now);
+listing_effect list_endpoint(endpoint_table& table, const endpoint_listing& listing,
+                             steady_time now);
 
 /// How long a copy from which the platform was restored can list a removed endpoint: longer than
 /// the age of the copy plus the time for which the platform then lists an endpoint that sends no
@@ -215,8 +236,9 @@
 /// share of CPU time spent on scans does not depend on the fleet's size.
 std::chrono::milliseconds scan_interval(const endpoint_table& table);
 
-/// Removes endpoints whose entries are still missing at the end of their grace period.
-void expire_missing(endpoint_table& table, steady_time now);
+/// Removes endpoints whose entries are still missing at the end of their grace period, and returns
+/// their names.
+std::vector<endpoint_id> expire_missing(endpoint_table& table, steady_time now);
 
 /// Moves unlisted endpoints without requests in flight to `gone`, and discards those that were
 /// removed `incarnation_retention` ago.
@@ -234,8 +256,11 @@
 /// the endpoint may have restarted under the same name.
 inline constexpr std::chrono::seconds leaving_report_lifetime{60};
 
-/// True if the endpoint takes no new work, according to its entry or to its own report. The
-/// report is valid for the rest of its incarnation, even if a delayed entry contradicts it.
+/// True if the endpoint has reported, to this gateway or a peer, that it is leaving. The report is
+/// valid for the rest of its incarnation, even if a delayed entry contradicts it.
+bool has_reported_leaving(const endpoint& row, steady_time now);
+
+/// True if the endpoint takes no new work, according to its entry or to its own report.
 bool is_leaving(const endpoint& row, steady_time now);
 
 /// True while the endpoint is still warming up.
--- a/Source/Traffic/endpoint_attempt.cxx
+++ b/Source/Traffic/endpoint_attempt.cxx
@@ -9,6 +9,7 @@
 #include "Traffic/caller_answer.h"
 #include "Traffic/crashing_part_review.h"
 #include "Traffic/endpoint_choice.h"
+#include "Traffic/endpoint_log.h"
 #include "Traffic/endpoint_notices.h"
 #include "Traffic/rollout_results.h"
 
@@ -53,6 +54,8 @@
   this->call.first = this->record.history.sends == 0;
   this->call.progress_at = now;
   this->report_cold_request(row, now);
+  log_restored_use(this->record.context, row, this->record.request.id,
+                   std::string(name_of(chosen.reason)));
   begin_request(row, now);
   this->count_start(row, now);
   count_send(state.rollouts, row, *this->record.admitted->taken_route, now);
--- a/Source/Traffic/endpoint_notices.cxx
+++ b/Source/Traffic/endpoint_notices.cxx
@@ -3,6 +3,7 @@
 #include "Gateway/endpoint_reports.h"
 #include "Gateway/incarnation_proof.h"
 #include "Traffic/attempt_log.h"
+#include "Traffic/endpoint_log.h"
 
 namespace chestnuthead::traffic {
 
@@ -31,8 +32,7 @@
   const steady_time now = context.time.now();
   const bool was_cold = is_cold(row, now);
   if (apply_answer_headers(row, answer, context.random, now)) {
-    context.log.write(log_level::info, "endpoint_leaving",
-                      {{"endpoint", row.listing.name.value}, {"request", request}});
+    log_leaving(context, row, request.empty() ? "check" : "answer", request);
   }
   log_if_turned_cold(context, row, was_cold, "answer");
   note_load_report(context, row, answer, now);
@@ -46,32 +46,6 @@
   }
 }
 
-void log_if_turned_cold(traffic_context& context, const gateway::endpoint& row, bool was_cold,
-                        const std::string& source) {
-  const steady_time now = context.time.now();
-  if (was_cold || !is_cold(row, now)) {
-    return;
-  }
-  context.log.write(log_level::info, "endpoint_cold",
-                    {{"endpoint", row.listing.name.value},
-                     {"source", source},
-                     {"cold_ms", milliseconds_between(now, row.cold_until)},
-                     {"gateways", std::int64_t{context.state.fleet.gateways}}});
-}
-
-void log_if_proven(traffic_context& context, const gateway::endpoint& row,
-                   const gateway::incarnation_proof& before, const std::string& source) {
-  if (before.doubt == gateway::incarnation_doubt::none ||
-      row.proof.doubt != gateway::incarnation_doubt::none) {
-    return;
-  }
-  context.log.write(log_level::info, "endpoint_proven",
-                    {{"endpoint", row.listing.name.value},
-                     {"source", source},
-                     {"reason", std::string(name_of(before.doubt))},
-                     {"elapsed_ms", milliseconds_between(before.doubted_at, context.time.now())}});
-}
-
 void detect_interruption(traffic_context& context, steady_time now) {
   const steady_time before = context.state.ran_at;
   if (note_running(context.state, now)) {
--- a/Source/Traffic/endpoint_notices.h
+++ b/Source/Traffic/endpoint_notices.h
@@ -14,16 +14,6 @@
 void handle_endpoint_notices(traffic_context& context, gateway::endpoint& row,
                              const gateway::endpoint_answer& answer, const std::string& request);
 
-/// Logs that the endpoint turned cold if it was not cold before. `source` tells how this gateway
-/// learnt it: `entry` of the platform's list, or `answer` to a health check.
-void log_if_turned_cold(traffic_context& context, const gateway::endpoint& row, bool was_cold,
-                        const std::string& source);
-
-/// Logs that the endpoint has proven its incarnation, if it was in doubt before. `source`
-/// is `entry` for a heartbeat in the platform's list, or `check` for a health check.
-void log_if_proven(traffic_context& context, const gateway::endpoint& row,
-                   const gateway::incarnation_proof& before, const std::string& source);
-
 /// Doubts all endpoints, with a log line, if this gateway was paused.
 void detect_interruption(traffic_context& context, steady_time now);
 
--- a/Source/Traffic/health_checks.cxx
+++ b/Source/Traffic/health_checks.cxx
@@ -6,6 +6,7 @@
 #include "Gateway/cold_pacing.h"
 #include "Gateway/endpoint_health.h"
 #include "Gateway/incarnation_proof.h"
+#include "Traffic/endpoint_log.h"
 #include "Traffic/endpoint_notices.h"
 
 namespace chestnuthead::traffic {
--- a/Source/Traffic/peer_channel.cxx
+++ b/Source/Traffic/peer_channel.cxx
@@ -11,6 +11,7 @@
 #include "Gateway/peer_message.h"
 #include "Gateway/readiness.h"
 #include "Gateway/rollout_decision.h"
+#include "Traffic/endpoint_log.h"
 #include "Traffic/message_mac.h"
 #include "Traffic/peer_codec.h"
 #include "Traffic/tcp_link.h"
@@ -28,6 +29,44 @@
 /// Interval at which entries that were not used for a long time are discarded.
 constexpr std::chrono::seconds sweep_interval{5};
 
+/// An endpoint on which a message reports, as it was before the message was applied.
+struct endpoint_before {
+  std::uint64_t hash = 0;
+  bool reported_leaving = false;
+  gateway::incarnation_proof proof;
+};
+
+std::vector<endpoint_before> endpoints_before(const gateway::endpoint_table& table,
+                                              const gateway::peer_message& message,
+                                              steady_time now) {
+  std::vector<endpoint_before> endpoints;
+  const auto add = [&](std::uint64_t hash) {
+    const auto place = table.by_hash.find(hash);
+    if (place != table.by_hash.end()) {
+      const gateway::endpoint& row = *place->second;
+      endpoints.push_back({hash, has_reported_leaving(row, now), row.proof});
+    }
+  };
+  for (const gateway::leaving_report& report : message.leaving_endpoints) {
+    add(report.endpoint);
+  }
+  for (const gateway::check_report& report : message.checks) {
+    add(report.endpoint);
+  }
+  return endpoints;
+}
+
+void log_changes(traffic_context& context, const std::vector<endpoint_before>& endpoints,
+                 steady_time now) {
+  for (const endpoint_before& before : endpoints) {
+    const gateway::endpoint& row = *context.state.endpoints.by_hash.at(before.hash);
+    if (!before.reported_leaving && has_reported_leaving(row, now)) {
+      log_leaving(context, row, "peer", {});
+    }
+    log_if_proven(context, row, before.proof, "peer");
+  }
+}
+
 }  // namespace
 
 peer_channel::peer_channel(traffic_context& shared, const std::string& address,
@@ -145,7 +184,10 @@
   const auto known = state.peers.rows.find(message.sender);
   const std::uint64_t start_before =
       known == state.peers.rows.end() ? 0 : known->second.message.start;
-  if (apply_peer_message(state, message, now) && message.start != start_before &&
+  const std::vector<endpoint_before> before = endpoints_before(state.endpoints, message, now);
+  const bool is_applied = apply_peer_message(state, message, now);
+  log_changes(this->context, before, now);
+  if (is_applied && message.start != start_before &&
       sends_initial_placements(state.peers, state.self, this->start, message, now)) {
     this->send_placements(sender, now);
   }
--- a/Tests/Gateway/endpoint_reports_test.cxx
+++ b/Tests/Gateway/endpoint_reports_test.cxx
@@ -61,7 +61,8 @@
   void delayed_entries_do_not_restore_a_leaving_endpoint() {
     apply_answer_headers(this->first(), leaving_answer(), this->random, test_start);
     const endpoint_listing late = this->first().listing;
-    CPPUNIT_ASSERT(!list_endpoint(this->state.endpoints, late, test_start + seconds{1}));
+    CPPUNIT_ASSERT(list_endpoint(this->state.endpoints, late, test_start + seconds{1}) ==
+                   listing_effect::renewed);
     CPPUNIT_ASSERT(!in_service(this->first(), {}, test_start + seconds{1}));
     // Its entry expires during an outage of the store; it gets no grace period.
     unlist_endpoint(this->state.endpoints, late.name, test_start + seconds{9},
@@ -73,7 +74,8 @@
     apply_answer_headers(this->first(), leaving_answer(), this->random, test_start);
     endpoint_listing again = this->first().listing;
     again.started = 2;
-    CPPUNIT_ASSERT(list_endpoint(this->state.endpoints, again, test_start));
+    CPPUNIT_ASSERT(list_endpoint(this->state.endpoints, again, test_start) ==
+                   listing_effect::replaced);
     CPPUNIT_ASSERT(in_service(this->first(), {}, test_start));
   }
 
--- a/Tests/Gateway/removed_endpoint_test.cxx
+++ b/Tests/Gateway/removed_endpoint_test.cxx
@@ -171,7 +171,7 @@
   bool list_again(steady_time now) {
     ++this->entry.heartbeat;
     CPPUNIT_ASSERT(!is_outdated(this->state.endpoints, this->entry, std::nullopt, now));
-    return list_endpoint(this->state.endpoints, this->entry, now);
+    return is_new_incarnation(list_endpoint(this->state.endpoints, this->entry, now));
   }
 
   bool is_ignored(const endpoint_listing& listing) {
--- a/Tests/Traffic/log_schema_test.cxx
+++ b/Tests/Traffic/log_schema_test.cxx
@@ -6,7 +6,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Base/hashing.h"
+#include "Gateway/incarnation_proof.h"
 #include "Net/json_text.h"
+#include "Traffic/endpoint_log.h"
 #include "Traffic/endpoint_notices.h"
 #include "Traffic/traffic_harness.h"
 
@@ -53,10 +55,33 @@
     const auto payer = harness.connect();
     payer->send(traffic_harness::payment_bytes("p3"));
     CPPUNIT_ASSERT(harness.run_until([&] { return payer->has_answers(1); }));
+    restore_and_leave(harness);
     check_lines(harness.take_log());
   }
 
  private:
+  /// The plain endpoint is removed and listed again, serves a request and then leaves.
+  static void restore_and_leave(traffic_harness& harness) {
+    const endpoint_id name{"plain"};
+    gateway::endpoint_table& table = harness.state.endpoints;
+    gateway::endpoint_listing entry = find_endpoint(table, name)->listing;
+    harness.unlist(name.value);
+    traffic::log_unlisted(harness.context, "endpoint_removed", name);
+    ++entry.heartbeat;
+    const auto effect = list_endpoint(table, entry, harness.time.now());
+    gateway::endpoint& row = *find_endpoint(table, name);
+    traffic::log_listed(harness.context, row, effect);
+    prove_incarnation(row);
+    harness.plain->scripts = {
+        [](connection& payer) { payer.send(traffic_harness::answer_bytes("p4", "paid")); }};
+    const auto payer = harness.connect();
+    payer->send(traffic_harness::payment_bytes("p4"));
+    CPPUNIT_ASSERT(harness.run_until([&] { return payer->has_answers(1); }));
+    gateway::endpoint_answer last;
+    last.leaving = true;
+    traffic::handle_endpoint_notices(harness.context, row, last, "p4");
+  }
+
   /// The fields of each event, as listed in the tables of docs/logs.md.
   static std::map<std::string, std::set<std::string>> schema() {
     std::map<std::string, std::set<std::string>> events;
@@ -95,7 +120,8 @@
     }
     for (const char* expected :
          {"request_ended", "request_rejected", "endpoint_set_aside", "prompt_part_suspected",
-          "request_part_refused", "endpoint_cold", "cold_endpoint_used"}) {
+          "request_part_refused", "endpoint_cold", "cold_endpoint_used", "endpoint_removed",
+          "endpoint_listed", "restored_endpoint_used", "endpoint_leaving"}) {
       CPPUNIT_ASSERT_MESSAGE(expected, seen.contains(expected));
     }
   }
