Keep reports of leaving with the incarnation that made them

Callers: a request may be sent to an endpoint that has told this gateway that it leaves, and an endpoint that has just started may get no request for the rest of its life, so that callers get 503.

Cause: an answer was applied to the row that has the endpoint's name when it arrives, and a report lived in the row, which is replaced or dropped as the platform's list changes. A report was noted at the next incarnation if that was listed before the answer came; was lost if another incarnation or address was listed in between and the first one then came back with two late heartbeats; and a peer's report on an incarnation that was not listed was dropped.

Change: each request and health check remembers the incarnation it was sent to, and its answer is applied to that one only. Reports are kept in endpoint_table::leaving by incarnation, apart from the rows, for 10 minutes after a row last described it and for 16,384 incarnations at most; list_endpoint, the only way in which a row comes to describe an incarnation, takes its report from there. So no order of removals and entries can separate the two.

--- a/Source/Gateway/endpoint_reports.cxx
+++ b/Source/Gateway/endpoint_reports.cxx
@@ -16,10 +16,8 @@
   return now + granted + std::chrono::duration_cast<std::chrono::milliseconds>(postponement);
 }
 
-}  // namespace
-
-bool apply_answer_headers(endpoint& row, const endpoint_answer& answer, random_source& random,
-                          steady_time now) {
+void apply_status(endpoint& row, const endpoint_answer& answer, random_source& random,
+                  steady_time now) {
   if (answer.load) {
     note_load(row, *answer.load);
   }
@@ -33,24 +31,31 @@
   if (answer.pause) {
     row.paused_until = std::max(row.paused_until, end_of_pause(*answer.pause, random, now));
   }
-  if (!answer.leaving) {
-    return false;
+}
+
+}  // namespace
+
+bool apply_answer_headers(endpoint_table& table, const incarnation_id& asked,
+                          const endpoint_answer& answer, random_source& random, steady_time now) {
+  if (endpoint* row = find_incarnation(table, asked)) {
+    apply_status(*row, answer, random, now);
   }
-  const bool first = !row.reported_leaving_at;
-  row.reported_leaving_at = now;
-  return first;
+  return answer.leaving && record_leaving(table, asked, false, now);
 }
 
 bool is_paused(const endpoint& row, steady_time now) {
   return now < row.paused_until;
 }
 
-std::vector<leaving_report> leaving_reports(const endpoint_table& table, steady_time now) {
-  std::vector<leaving_report> reports;
-  const auto add_report = [&reports, now](const endpoint& row) {
-    const bool is_reported = row.reported_leaving_at && is_leaving(row, now);
+std::vector<incarnation_id> leaving_reports(const endpoint_table& table, steady_time now) {
+  std::vector<incarnation_id> reports;
+  const auto add_report = [&](const endpoint& row) {
+    const leaving_record record = leaving_record_of(table, row);
+    const bool is_reported =
+        record.reported_at &&
+        (row.listing.started != 0 || now - *record.reported_at < leaving_report_lifetime);
     if (is_reported) {
-      reports.push_back({row.hash, row.listing.started});
+      reports.push_back(incarnation_of(row));
     }
     return is_reported;
   };
@@ -67,16 +72,8 @@
   return reports;
 }
 
-void apply_leaving_report(endpoint_table& table, const leaving_report& report, steady_time now) {
-  endpoint* row = nullptr;
-  if (const auto listed = table.by_hash.find(report.endpoint); listed != table.by_hash.end()) {
-    row = listed->second;
-  } else if (const auto gone = table.gone.find(report.endpoint); gone != table.gone.end()) {
-    row = &gone->second.last;
-  }
-  if (row != nullptr && row->listing.started == report.started) {
-    row->peer_reported_leaving_at = now;
-  }
+void apply_leaving_report(endpoint_table& table, const incarnation_id& report, steady_time now) {
+  record_leaving(table, report, true, now);
 }
 
 }  // namespace chestnuthead::gateway
--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -55,6 +55,29 @@
   return listing.heartbeat > earlier->heartbeat || now - earlier->seen_at >= gone_retention;
 }
 
+/// Adds or replaces a record, within the bound on their number.
+void keep_record(endpoint_table& table, const incarnation_id& incarnation,
+                 const leaving_record& record) {
+  if (table.leaving.size() >= max_leaving_records && !table.leaving.contains(incarnation)) {
+    table.leaving.erase(std::min_element(table.leaving.begin(), table.leaving.end(),
+                                         [](const auto& one, const auto& other) {
+                                           return one.second.needed_at < other.second.needed_at;
+                                         }));
+  }
+  table.leaving[incarnation] = record;
+}
+
+void drop_old_records(endpoint_table& table, steady_time now) {
+  for (auto& [incarnation, record] : table.leaving) {
+    if (find_incarnation(table, incarnation) != nullptr) {
+      record.needed_at = now;
+    }
+  }
+  std::erase_if(table.leaving, [now](const auto& entry) {
+    return now - entry.second.needed_at >= incarnation_retention;
+  });
+}
+
 bool is_same_incarnation(const endpoint_listing& before, const endpoint_listing& after) {
   return before.started == after.started && before.address == after.address &&
          before.pool == after.pool;
@@ -132,6 +155,7 @@
   const bool moved = !is_new && row.listing.pool != listing.pool;
   row.listing = listing;
   row.hash = hash_text(listing.name.value);
+  row.reported_leaving = leaving_record_of(table, row);
   row.listed = true;
   row.missing_until.reset();
   row.earlier.reset();
@@ -218,6 +242,7 @@
   std::erase_if(table.gone, [now](const auto& entry) {
     return now - entry.second.gone_at >= incarnation_retention;
   });
+  drop_old_records(table, now);
   const std::size_t erased = std::erase_if(table.rows, [&table](const auto& entry) {
     const endpoint& row = entry.second;
     const bool is_dropped = !row.listed && row.in_flight == 0;
@@ -238,6 +263,17 @@
   return place == table.rows.end() ? nullptr : &place->second;
 }
 
+endpoint* find_incarnation(const endpoint_table& table, const incarnation_id& incarnation) {
+  const auto place = table.by_hash.find(incarnation.endpoint);
+  return place != table.by_hash.end() && place->second->listing.started == incarnation.started
+             ? place->second
+             : nullptr;
+}
+
+incarnation_id incarnation_of(const endpoint& row) {
+  return {row.hash, row.listing.started};
+}
+
 bool is_listed(const endpoint_table& table, const pool_id& pool, const std::string& version) {
   const std::vector<endpoint*>& rows = endpoints_of(table, pool);
   return std::any_of(rows.begin(), rows.end(), [&version](const endpoint* row) {
@@ -251,12 +287,48 @@
   return place == table.by_pool.end() ? none : place->second;
 }
 
+bool record_leaving(endpoint_table& table, const incarnation_id& incarnation, bool to_peer,
+                    steady_time now) {
+  endpoint* row = find_incarnation(table, incarnation);
+  leaving_record record;
+  if (row != nullptr) {
+    record = row->reported_leaving;
+  } else if (const auto place = table.leaving.find(incarnation); place != table.leaving.end()) {
+    record = place->second;
+  }
+  std::optional<steady_time>& latest = to_peer ? record.peer_reported_at : record.reported_at;
+  const bool is_first = !latest;
+  latest = now;
+  record.needed_at = now;
+  if (row != nullptr) {
+    row->reported_leaving = record;
+  }
+  if (incarnation.started != 0) {
+    keep_record(table, incarnation, record);
+  }
+  return is_first;
+}
+
+leaving_record leaving_record_of(const endpoint_table& table, const endpoint& row) {
+  if (row.listing.started == 0) {
+    return row.reported_leaving;
+  }
+  const auto place = table.leaving.find(incarnation_of(row));
+  return place == table.leaving.end() ? leaving_record{} : place->second;
+}
+
 bool has_reported_leaving(const endpoint& row, steady_time now) {
   const auto holds = [&row, now](const std::optional<steady_time>& reported_at) {
     return reported_at &&
            (row.listing.started != 0 || now - *reported_at < leaving_report_lifetime);
   };
-  return holds(row.reported_leaving_at) || holds(row.peer_reported_leaving_at);
+  return holds(row.reported_leaving.reported_at) || holds(row.reported_leaving.peer_reported_at);
+}
+
+bool has_reported_leaving(const endpoint_table& table, const incarnation_id& incarnation,
+                          steady_time now) {
+  const endpoint* row = find_incarnation(table, incarnation);
+  return table.leaving.contains(incarnation) || (row != nullptr && has_reported_leaving(*row, now));
 }
 
 bool is_leaving(const endpoint& row, steady_time now) {
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -39,6 +39,26 @@
   std::string version;
 };
 
+/// Names one start of an endpoint.
+struct incarnation_id {
+  /// `endpoint::hash` of the endpoint.
+  std::uint64_t endpoint = 0;
+  /// `endpoint_listing::started` of the endpoint.
+  std::int64_t started = 0;
+
+  auto operator<=>(const incarnation_id&) const = default;  // NOLINT(modernize-use-nullptr)
+};
+
+/// When an incarnation last reported that it is leaving.
+struct leaving_record {
+  /// In an answer to this gateway.
+  std::optional<steady_time> reported_at;
+  /// To a peer, which has forwarded the report.
+  std::optional<steady_time> peer_reported_at;
+  /// When a row last described the incarnation, or the latest report if none has since.
+  steady_time needed_at{};
+};
+
 /// Health of an endpoint, from the results of its requests and health checks.
 struct endpoint_record {
   /// Failures since the last success.
@@ -132,10 +152,9 @@
   double arrivals = 0.0;
   steady_time arrivals_at{};
   cold_pacing pacing;
-  /// Latest time at which the endpoint reported to this gateway that it is leaving, and at
-  /// which a peer forwarded such a report.
-  std::optional<steady_time> reported_leaving_at;
-  std::optional<steady_time> peer_reported_leaving_at;
+  /// Copy of the incarnation's record in `endpoint_table::leaving`. Without a start time in its
+  /// entry the endpoint has a record here only.
+  leaving_record reported_leaving;
   /// The endpoint has requested that this gateway send no requests before this time.
   steady_time paused_until{};
   endpoint_record record;
@@ -166,6 +185,9 @@
   std::map<endpoint_id, endpoint> rows;
   /// Endpoints that were removed recently, by `endpoint::hash`.
   std::unordered_map<std::uint64_t, gone_endpoint> gone;
+  /// Incarnations that have reported that they are leaving. Kept apart from the rows, so that no
+  /// change to the platform's list ends a report.
+  std::map<incarnation_id, leaving_record> leaving;
   /// Rows by pool, in the order of their names.
   std::map<pool_id, std::vector<endpoint*>> by_pool;
   /// Rows by `endpoint::hash`.
@@ -178,6 +200,8 @@
 /// Most removed endpoints that are remembered, about 700 bytes each. The oldest are discarded
 /// first.
 inline constexpr std::size_t max_gone_endpoints = 4'096;
+/// Most reports that are kept, about 100 bytes each. Those that were needed last are kept.
+inline constexpr std::size_t max_leaving_records = 16'384;
 
 /// What an entry changed about its endpoint.
 enum class listing_effect : std::uint8_t {
@@ -241,17 +265,30 @@
 std::vector<endpoint_id> expire_missing(endpoint_table& table, steady_time now);
 
 /// Moves unlisted endpoints without requests in flight to `gone`, and discards those that were
-/// removed `incarnation_retention` ago.
+/// removed `incarnation_retention` ago, and the reports of incarnations without a row since then.
 void drop_unlisted(endpoint_table& table, steady_time now);
 
 /// Returns the endpoint with that name, or nullptr.
 endpoint* find_endpoint(endpoint_table& table, const endpoint_id& name);
 
+/// Returns the endpoint's row if it describes that incarnation, or nullptr.
+endpoint* find_incarnation(const endpoint_table& table, const incarnation_id& incarnation);
+
+incarnation_id incarnation_of(const endpoint& row);
+
 /// True if an endpoint of the pool with this software version is listed.
 bool is_listed(const endpoint_table& table, const pool_id& pool, const std::string& version);
 
 const std::vector<endpoint*>& endpoints_of(const endpoint_table& table, const pool_id& pool);
 
+/// Records that the incarnation has reported that it is leaving, to this gateway directly or to a
+/// peer. It need not be the one that is listed. Returns true if it has not done so before.
+bool record_leaving(endpoint_table& table, const incarnation_id& incarnation, bool to_peer,
+                    steady_time now);
+
+/// The reports of the incarnation that the row describes.
+leaving_record leaving_record_of(const endpoint_table& table, const endpoint& row);
+
 /// How long a report that an endpoint is leaving is valid if its entry carries no start time:
 /// the endpoint may have restarted under the same name.
 inline constexpr std::chrono::seconds leaving_report_lifetime{60};
@@ -260,6 +297,10 @@
 /// valid for the rest of its incarnation, even if a delayed entry contradicts it.
 bool has_reported_leaving(const endpoint& row, steady_time now);
 
+/// The same for an incarnation that need not be listed.
+bool has_reported_leaving(const endpoint_table& table, const incarnation_id& incarnation,
+                          steady_time now);
+
 /// True if the endpoint takes no new work, according to its entry or to its own report.
 bool is_leaving(const endpoint& row, steady_time now);
 
--- a/Source/Gateway/peer_message.cxx
+++ b/Source/Gateway/peer_message.cxx
@@ -119,7 +119,7 @@
   for (const prefix_placement& shorter : message.shorter_prefixes) {
     record_placement(state.holders, shorter, now);
   }
-  for (const leaving_report& leaving : message.leaving_endpoints) {
+  for (const incarnation_id& leaving : message.leaving_endpoints) {
     apply_leaving_report(state.endpoints, leaving, now);
   }
   for (const check_report& check : message.checks) {
--- a/Source/Gateway/peer_table.h
+++ b/Source/Gateway/peer_table.h
@@ -61,7 +61,7 @@
   /// Endpoints that the sender can't reach, until they answer one of its health checks.
   std::vector<std::uint64_t> unreachable;
   /// Endpoints that have reported to the sender that they are leaving.
-  std::vector<leaving_report> leaving_endpoints;
+  std::vector<incarnation_id> leaving_endpoints;
   /// The sender's placements of prompt prefixes since its last message.
   std::vector<prefix_placement> placements;
   /// The same for shorter prefixes of these requests, if not sent recently.
--- a/Source/Traffic/endpoint_attempt.cxx
+++ b/Source/Traffic/endpoint_attempt.cxx
@@ -49,6 +49,7 @@
   const gateway::pool& pool = *this->record.admitted->taken_pool;
   this->call.link = &link;
   this->call.endpoint = row.listing.name;
+  this->call.incarnation = incarnation_of(row);
   this->call.version = row.listing.version;
   this->call.sent_at = now;
   this->call.first = this->record.history.sends == 0;
@@ -311,9 +312,8 @@
   this->call.answered = true;
   this->call.progress_at = this->record.context.time.now();
   this->call.answer = std::move(answer);
-  if (gateway::endpoint* row = this->find_row()) {
-    handle_endpoint_notices(this->record.context, *row, this->call.answer, this->record.request.id);
-  }
+  handle_endpoint_notices(this->record.context, this->call.endpoint, this->call.incarnation,
+                          this->call.answer, this->record.request.id);
   if (is_success(this->call.answer.status) && !this->record.admitted->taken_route->streams) {
     this->note_first_answer(this->call.progress_at);
   }
--- a/Source/Traffic/endpoint_attempt.h
+++ b/Source/Traffic/endpoint_attempt.h
@@ -141,6 +141,8 @@
   struct call_state {
     endpoint_link* link = nullptr;
     endpoint_id endpoint;
+    /// The endpoint's incarnation when the request was sent.
+    gateway::incarnation_id incarnation;
     /// Software version of the endpoint when the request was sent.
     std::string version;
     steady_time sent_at{};
--- a/Source/Traffic/endpoint_log.cxx
+++ b/Source/Traffic/endpoint_log.cxx
@@ -51,12 +51,14 @@
   context.log.write(log_level::info, event, std::move(fields));
 }
 
-void log_leaving(traffic_context& context, const gateway::endpoint& row, const std::string& source,
+void log_leaving(traffic_context& context, const endpoint_id& name,
+                 const gateway::incarnation_id& incarnation, const std::string& source,
                  const std::string& request) {
+  const gateway::endpoint* row = find_incarnation(context.state.endpoints, incarnation);
   context.log.write(log_level::info, "endpoint_leaving",
-                    {{"endpoint", row.listing.name.value},
-                     {"started", row.listing.started},
-                     {"listed", std::int64_t{row.listed}},
+                    {{"endpoint", name.value},
+                     {"started", incarnation.started},
+                     {"listed", std::int64_t{row != nullptr && row->listed}},
                      {"source", source},
                      {"request", request}});
   context.metrics.count("chestnuthead_leaving_reports_total", "source=\"" + source + "\"");
--- a/Source/Traffic/endpoint_log.h
+++ b/Source/Traffic/endpoint_log.h
@@ -17,9 +17,10 @@
 /// applied to its row. `grace_ms` tells for how long it still counts as listed.
 void log_unlisted(traffic_context& context, const std::string& event, const endpoint_id& name);
 
-/// Logs that the endpoint, as `row` describes it, has reported that it is leaving. `source` is
-/// `answer`, `check` or `peer`; `request` is the ID of the answered request, if any.
-void log_leaving(traffic_context& context, const gateway::endpoint& row, const std::string& source,
+/// Logs that the incarnation of the endpoint has reported that it is leaving. `source` is `answer`,
+/// `check` or `peer`; `request` is the ID of the answered request, if any.
+void log_leaving(traffic_context& context, const endpoint_id& name,
+                 const gateway::incarnation_id& incarnation, const std::string& source,
                  const std::string& request);
 
 /// Logs the first request to an endpoint since it was listed again.
--- a/Source/Traffic/endpoint_notices.cxx
+++ b/Source/Traffic/endpoint_notices.cxx
@@ -27,13 +27,19 @@
 
 }  // namespace
 
-void handle_endpoint_notices(traffic_context& context, gateway::endpoint& row,
+void handle_endpoint_notices(traffic_context& context, const endpoint_id& endpoint,
+                             const gateway::incarnation_id& asked,
                              const gateway::endpoint_answer& answer, const std::string& request) {
   const steady_time now = context.time.now();
-  const bool was_cold = is_cold(row, now);
-  if (apply_answer_headers(row, answer, context.random, now)) {
-    log_leaving(context, row, request.empty() ? "check" : "answer", request);
+  const gateway::endpoint* found = find_incarnation(context.state.endpoints, asked);
+  const bool was_cold = found != nullptr && is_cold(*found, now);
+  if (apply_answer_headers(context.state.endpoints, asked, answer, context.random, now)) {
+    log_leaving(context, endpoint, asked, request.empty() ? "check" : "answer", request);
   }
+  if (found == nullptr) {
+    return;
+  }
+  const gateway::endpoint& row = *found;
   log_if_turned_cold(context, row, was_cold, "answer");
   note_load_report(context, row, answer, now);
   if (answer.pause) {
--- a/Source/Traffic/endpoint_notices.h
+++ b/Source/Traffic/endpoint_notices.h
@@ -9,9 +9,10 @@
 namespace chestnuthead::traffic {
 
 /// Applies the status headers of an endpoint's answer, such as its load, and logs a notice
-/// that it is leaving or asks for a pause. `request` is the ID of the answered request, empty
-/// for a health check.
-void handle_endpoint_notices(traffic_context& context, gateway::endpoint& row,
+/// that it is leaving or asks for a pause. `asked` is the incarnation of the endpoint to which the
+/// answered request was sent; `request` is its ID, empty for a health check.
+void handle_endpoint_notices(traffic_context& context, const endpoint_id& endpoint,
+                             const gateway::incarnation_id& asked,
                              const gateway::endpoint_answer& answer, const std::string& request);
 
 /// Doubts all endpoints, with a log line, if this gateway was paused.
--- a/Source/Traffic/health_checks.cxx
+++ b/Source/Traffic/health_checks.cxx
@@ -26,18 +26,19 @@
 /// One check in progress.
 class health_checks::check : public disposable, public call_listener {
  public:
-  check(traffic_context& shared, endpoint_id endpoint, endpoint_link& used)
-      : context(shared), name(std::move(endpoint)), link(&used), began_at(shared.time.now()) {}
+  check(traffic_context& shared, const gateway::endpoint& row, endpoint_link& used)
+      : context(shared),
+        name(row.listing.name),
+        asked(incarnation_of(row)),
+        link(&used),
+        began_at(shared.time.now()) {}
 
   void on_answer(gateway::endpoint_answer& answer, const http_head& /*head*/) override {
     constexpr int good = 200;
     this->answered = true;
     this->healthy = answer.status == good || answer.pause;
     this->proves = answer.status == good;
-    gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->name);
-    if (row != nullptr) {
-      handle_endpoint_notices(this->context, *row, answer, {});
-    }
+    handle_endpoint_notices(this->context, this->name, this->asked, answer, {});
   }
   void on_answer_body(std::string_view /*bytes*/) override {}
   void on_answer_end() override {
@@ -60,7 +61,7 @@
  private:
   void end(bool good) {
     this->over = true;
-    gateway::endpoint* row = find_endpoint(this->context.state.endpoints, this->name);
+    gateway::endpoint* row = find_incarnation(this->context.state.endpoints, this->asked);
     if (row == nullptr) {
       return;
     }
@@ -85,6 +86,7 @@
 
   traffic_context& context;
   endpoint_id name;
+  gateway::incarnation_id asked;
   endpoint_link* link;
   steady_time began_at;
   bool answered = false;
@@ -116,7 +118,7 @@
     return;
   }
   count_cold_check(row, now);
-  auto made = std::make_unique<check>(this->context, row.listing.name, *link);
+  auto made = std::make_unique<check>(this->context, row, *link);
   link->start(
       {"GET " + pool->health_path + " HTTP/1.1\r\nHost: " + row.listing.address + "\r\n\r\n",
        {},
--- a/Source/Traffic/peer_channel.cxx
+++ b/Source/Traffic/peer_channel.cxx
@@ -29,41 +29,40 @@
 /// Interval at which entries that were not used for a long time are discarded.
 constexpr std::chrono::seconds sweep_interval{5};
 
-/// An endpoint on which a message reports, as it was before the message was applied.
-struct endpoint_before {
-  std::uint64_t hash = 0;
-  bool reported_leaving = false;
-  gateway::incarnation_proof proof;
+/// What a message tells that this gateway did not know before.
+struct message_news {
+  std::vector<gateway::incarnation_id> leaving;
+  /// Endpoints whose health a peer has checked, by `gateway::endpoint::hash`, with what this
+  /// gateway knew of their incarnations.
+  std::vector<std::pair<std::uint64_t, gateway::incarnation_proof>> checked;
 };
 
-std::vector<endpoint_before> endpoints_before(const gateway::endpoint_table& table,
-                                              const gateway::peer_message& message,
-                                              steady_time now) {
-  std::vector<endpoint_before> endpoints;
-  const auto add = [&](std::uint64_t hash) {
-    const auto place = table.by_hash.find(hash);
-    if (place != table.by_hash.end()) {
-      const gateway::endpoint& row = *place->second;
-      endpoints.push_back({hash, has_reported_leaving(row, now), row.proof});
+message_news find_news(const gateway::endpoint_table& table, const gateway::peer_message& message,
+                       steady_time now) {
+  message_news news;
+  for (const gateway::incarnation_id& report : message.leaving_endpoints) {
+    if (!has_reported_leaving(table, report, now)) {
+      news.leaving.push_back(report);
     }
-  };
-  for (const gateway::leaving_report& report : message.leaving_endpoints) {
-    add(report.endpoint);
   }
-  for (const gateway::check_report& report : message.checks) {
-    add(report.endpoint);
+  for (const gateway::check_report& check : message.checks) {
+    const auto place = table.by_hash.find(check.endpoint);
+    if (place != table.by_hash.end()) {
+      news.checked.emplace_back(check.endpoint, place->second->proof);
+    }
   }
-  return endpoints;
+  return news;
 }
 
-void log_changes(traffic_context& context, const std::vector<endpoint_before>& endpoints,
-                 steady_time now) {
-  for (const endpoint_before& before : endpoints) {
-    const gateway::endpoint& row = *context.state.endpoints.by_hash.at(before.hash);
-    if (!before.reported_leaving && has_reported_leaving(row, now)) {
-      log_leaving(context, row, "peer", {});
-    }
-    log_if_proven(context, row, before.proof, "peer");
+void log_news(traffic_context& context, const message_news& news) {
+  const gateway::endpoint_table& table = context.state.endpoints;
+  for (const gateway::incarnation_id& report : news.leaving) {
+    const auto place = table.by_hash.find(report.endpoint);
+    log_leaving(context, place == table.by_hash.end() ? endpoint_id{} : place->second->listing.name,
+                report, "peer", {});
+  }
+  for (const auto& [endpoint, proof_before] : news.checked) {
+    log_if_proven(context, *table.by_hash.at(endpoint), proof_before, "peer");
   }
 }
 
@@ -184,9 +183,11 @@
   const auto known = state.peers.rows.find(message.sender);
   const std::uint64_t start_before =
       known == state.peers.rows.end() ? 0 : known->second.message.start;
-  const std::vector<endpoint_before> before = endpoints_before(state.endpoints, message, now);
+  const message_news news = find_news(state.endpoints, message, now);
   const bool is_applied = apply_peer_message(state, message, now);
-  log_changes(this->context, before, now);
+  if (is_applied) {
+    log_news(this->context, news);
+  }
   if (is_applied && message.start != start_before &&
       sends_initial_placements(state.peers, state.self, this->start, message, now)) {
     this->send_placements(sender, now);
--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -172,8 +172,8 @@
   for (const std::uint64_t endpoint : message.unreachable) {
     out.put(endpoint);
   }
-  write_pairs(out, message.leaving_endpoints, &gateway::leaving_report::endpoint,
-              &gateway::leaving_report::started);
+  write_pairs(out, message.leaving_endpoints, &gateway::incarnation_id::endpoint,
+              &gateway::incarnation_id::started);
   write_pairs(out, message.crashes, &gateway::crash_report::request,
               &gateway::crash_report::endpoint);
   for (const auto* placements : {&message.placements, &message.shorter_prefixes}) {
@@ -214,8 +214,8 @@
     for (field_reader list(unreachable); !list.at_end();) {
       list.get(message.unreachable.emplace_back());
     }
-    read_limited_pairs(in.object(), message.leaving_endpoints, &gateway::leaving_report::endpoint,
-                       &gateway::leaving_report::started);
+    read_limited_pairs(in.object(), message.leaving_endpoints, &gateway::incarnation_id::endpoint,
+                       &gateway::incarnation_id::started);
     read_limited_pairs(in.object(), message.crashes, &gateway::crash_report::request,
                        &gateway::crash_report::endpoint);
     for (auto* placements : {&message.placements, &message.shorter_prefixes}) {
--- a/Tests/Gateway/endpoint_reports_test.cxx
+++ b/Tests/Gateway/endpoint_reports_test.cxx
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(a_leaving_endpoint_receives_no_requests);
   CPPUNIT_TEST(delayed_entries_do_not_restore_a_leaving_endpoint);
   CPPUNIT_TEST(a_restarted_endpoint_is_new);
+  CPPUNIT_TEST(answer_of_an_earlier_incarnation_says_nothing_about_the_next);
   CPPUNIT_TEST(a_leaving_report_expires_without_a_start_time);
   CPPUNIT_TEST(peers_receive_leaving_reports);
   CPPUNIT_TEST(reports_of_peers_are_not_forwarded);
@@ -52,14 +53,14 @@
  public:
   void a_leaving_endpoint_receives_no_requests() {
     endpoint& row = this->first();
-    CPPUNIT_ASSERT(apply_answer_headers(row, leaving_answer(), this->random, test_start));
+    CPPUNIT_ASSERT(this->apply(row, leaving_answer()));
     CPPUNIT_ASSERT(!in_service(row, {}, test_start));
     CPPUNIT_ASSERT(!in_service(row, {}, test_start + std::chrono::hours{1}));
-    CPPUNIT_ASSERT(!apply_answer_headers(row, leaving_answer(), this->random, test_start));
+    CPPUNIT_ASSERT(!this->apply(row, leaving_answer()));
   }
 
   void delayed_entries_do_not_restore_a_leaving_endpoint() {
-    apply_answer_headers(this->first(), leaving_answer(), this->random, test_start);
+    this->apply(this->first(), leaving_answer());
     const endpoint_listing late = this->first().listing;
     CPPUNIT_ASSERT(list_endpoint(this->state.endpoints, late, test_start + seconds{1}) ==
                    listing_effect::renewed);
@@ -71,7 +72,7 @@
   }
 
   void a_restarted_endpoint_is_new() {
-    apply_answer_headers(this->first(), leaving_answer(), this->random, test_start);
+    this->apply(this->first(), leaving_answer());
     endpoint_listing again = this->first().listing;
     again.started = 2;
     CPPUNIT_ASSERT(list_endpoint(this->state.endpoints, again, test_start) ==
@@ -79,17 +80,30 @@
     CPPUNIT_ASSERT(in_service(this->first(), {}, test_start));
   }
 
+  /// Guards against an endpoint that has just started and gets no requests, since a request to its
+  /// previous incarnation was answered only now.
+  void answer_of_an_earlier_incarnation_says_nothing_about_the_next() {
+    const incarnation_id earlier = incarnation_of(this->first());
+    endpoint_listing again = this->first().listing;
+    again.started = 2;
+    list_endpoint(this->state.endpoints, again, test_start);
+    for (const endpoint_answer& answer : {leaving_answer(), pausing_answer(seconds{4})}) {
+      apply_answer_headers(this->state.endpoints, earlier, answer, this->random, test_start);
+      CPPUNIT_ASSERT(in_service(this->first(), {}, test_start));
+    }
+  }
+
   /// Without a start time in its entry a restart of the endpoint can't be detected.
   void a_leaving_report_expires_without_a_start_time() {
     this->first().listing.started = 0;
-    apply_answer_headers(this->first(), leaving_answer(), this->random, test_start);
+    this->apply(this->first(), leaving_answer());
     const steady_time end = test_start + leaving_report_lifetime;
     CPPUNIT_ASSERT(!in_service(this->first(), {}, end - milliseconds{1}));
     CPPUNIT_ASSERT(in_service(this->first(), {}, end));
   }
 
   void peers_receive_leaving_reports() {
-    apply_answer_headers(this->first(), leaving_answer(), this->random, test_start);
+    this->apply(this->first(), leaving_answer());
     const peer_message before;
     peer_message message = own_peer_message(this->state.endpoints, test_start);
     CPPUNIT_ASSERT(is_urgent(message, before));
@@ -116,20 +130,20 @@
 
   void a_paused_endpoint_receives_no_requests() {
     endpoint& row = this->first();
-    apply_answer_headers(row, pausing_answer(milliseconds{2'500}), this->random, test_start);
+    this->apply(row, pausing_answer(milliseconds{2'500}));
     row.record.needs_check = true;
     CPPUNIT_ASSERT(!check_due(row, test_start + milliseconds{2'499}));
     row.record.needs_check = false;
     CPPUNIT_ASSERT(!in_service(row, {}, test_start + milliseconds{2'499}));
     CPPUNIT_ASSERT(in_service(row, {}, test_start + milliseconds{2'900}));
     // A later request for a shorter pause does not shorten it.
-    apply_answer_headers(row, pausing_answer(milliseconds{100}), this->random, test_start);
+    this->apply(row, pausing_answer(milliseconds{100}));
     CPPUNIT_ASSERT(!in_service(row, {}, test_start + milliseconds{2'499}));
   }
 
   void a_pause_does_not_eject() {
     endpoint& row = this->first();
-    apply_answer_headers(row, pausing_answer(milliseconds{500}), this->random, test_start);
+    this->apply(row, pausing_answer(milliseconds{500}));
     CPPUNIT_ASSERT(!is_ejected(row, test_start));
     CPPUNIT_ASSERT(!row.record.lost);
   }
@@ -138,8 +152,9 @@
     steady_time first_end = test_start + std::chrono::hours{1};
     steady_time last_end = test_start;
     for (int gateway = 0; gateway < 100; ++gateway) {
-      endpoint row;
-      apply_answer_headers(row, pausing_answer(seconds{4}), this->random, test_start);
+      endpoint& row = this->first();
+      row.paused_until = {};
+      this->apply(row, pausing_answer(seconds{4}));
       CPPUNIT_ASSERT(row.paused_until >= test_start + seconds{4});
       first_end = std::min(first_end, row.paused_until);
       last_end = std::max(last_end, row.paused_until);
@@ -148,15 +163,14 @@
   }
 
   void a_pause_is_bounded() {
-    apply_answer_headers(this->first(), pausing_answer(std::chrono::hours{1'000}), this->random,
-                         test_start);
+    this->apply(this->first(), pausing_answer(std::chrono::hours{1'000}));
     CPPUNIT_ASSERT(in_service(this->first(), {}, test_start + 2 * longest_pause));
   }
 
   void a_paused_pool_refuses_until_the_first_pause_ends() {
     seconds pause{3};
     for (auto& [name, row] : this->state.endpoints.rows) {
-      apply_answer_headers(row, pausing_answer(pause), this->random, test_start);
+      this->apply(row, pausing_answer(pause));
       pause += seconds{1};
     }
     const auto& pool = endpoints_of(this->state.endpoints, engine_pool);
@@ -174,6 +188,11 @@
   endpoint& first() {
     return this->state.endpoints.rows.begin()->second;
   }
+  /// Applies an answer of the incarnation that the row describes.
+  bool apply(const endpoint& row, const endpoint_answer& answer) {
+    return apply_answer_headers(this->state.endpoints, incarnation_of(row), answer, this->random,
+                                test_start);
+  }
 
   gateway_state state = test_state(3);
   seeded_random random{5};
--- a/Tests/Gateway/removed_endpoint_test.cxx
+++ b/Tests/Gateway/removed_endpoint_test.cxx
@@ -159,7 +159,8 @@
     endpoint_answer answer;
     answer.status = 200;
     answer.leaving = true;
-    apply_answer_headers(leaver, answer, this->random, test_start);
+    apply_answer_headers(this->state.endpoints, incarnation_of(leaver), answer, this->random,
+                         test_start);
   }
 
   void remove(steady_time now) {
--- a/Tests/Traffic/endpoint_restart_test.cxx
+++ b/Tests/Traffic/endpoint_restart_test.cxx
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(request_without_a_connection_is_refused);
   CPPUNIT_TEST(leaving_endpoint_that_is_listed_again_gets_no_request);
   CPPUNIT_TEST(endpoint_that_is_listed_as_started_again_is_used_at_once);
+  CPPUNIT_TEST(last_answer_before_a_restart_keeps_no_requests_away);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -150,6 +151,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->harness.plain->requests.size());
   }
 
+  /// Guards against requests that are refused since the answer of an endpoint's previous
+  /// incarnation, which was leaving, arrives after the next one was listed.
+  void last_answer_before_a_restart_keeps_no_requests_away() {
+    connection* first = nullptr;
+    this->harness.plain->scripts = {
+        [&first](connection& caller) { first = &caller; },
+        [](connection& caller) { caller.send(traffic_harness::answer_bytes("p2", "paid")); }};
+    const auto caller = this->harness.connect();
+    caller->send(traffic_harness::payment_bytes("p1"));
+    CPPUNIT_ASSERT(this->harness.run_until([&] { return first != nullptr; }));
+    this->harness.update_endpoint("plain", {});
+    first->send(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: p1\r\nResponse-Signature: s\r\nServer-Leaving: 1\r\n"
+        "Content-Length: 4\r\n\r\npaid");
+    CPPUNIT_ASSERT(this->harness.run_until([&] { return caller->has_answers(1); }));
+    caller->send(traffic_harness::payment_bytes("p2"));
+    CPPUNIT_ASSERT(this->harness.run_until([&] { return caller->has_answers(2); }));
+    CPPUNIT_ASSERT_MESSAGE(caller->bytes, caller->bytes.ends_with("paid"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->harness.plain->requests.size());
+  }
+
  private:
   /// The only engine answers checks and chats, and is cold for this long.
   void serve(int cold_ms) {
--- a/Tests/Traffic/log_schema_test.cxx
+++ b/Tests/Traffic/log_schema_test.cxx
@@ -49,7 +49,8 @@
     gateway::endpoint& plain_row = *find_endpoint(harness.state.endpoints, endpoint_id{"plain"});
     gateway::endpoint_answer check;
     check.cold_for = std::chrono::seconds{3};
-    traffic::handle_endpoint_notices(harness.context, plain_row, check, {});
+    traffic::handle_endpoint_notices(harness.context, endpoint_id{"plain"},
+                                     incarnation_of(plain_row), check, {});
     harness.plain->scripts = {
         [](connection& payer) { payer.send(traffic_harness::answer_bytes("p3", "paid")); }};
     const auto payer = harness.connect();
@@ -79,7 +80,7 @@
     CPPUNIT_ASSERT(harness.run_until([&] { return payer->has_answers(1); }));
     gateway::endpoint_answer last;
     last.leaving = true;
-    traffic::handle_endpoint_notices(harness.context, row, last, "p4");
+    traffic::handle_endpoint_notices(harness.context, name, incarnation_of(row), last, "p4");
   }
 
   /// The fields of each event, as listed in the tables of docs/logs.md.
