Take no health check of a leaving endpoint for a proof

Callers: of the two defences that keep requests from a leaving endpoint whose entry comes back, the doubt about its incarnation ended 50 ms after the entry, so that only the remembered report was left.

Cause: an answer with status 200 to a health check counted as a proof that the endpoint takes requests, also where the same answer says that it is leaving.

The existing case beside it made no check, as its pool has no path for them; it has one now and asserts that a check came.

Change: such an answer proves nothing, and an endpoint that has reported that it leaves is not checked for a proof again, so that no request waits for one.

--- a/Source/Gateway/incarnation_proof.cxx
+++ b/Source/Gateway/incarnation_proof.cxx
@@ -20,7 +20,7 @@
 }
 
 bool may_check(const endpoint& row, steady_time now) {
-  return row.listed && !row.listing.leaving && !is_paused(row, now) && !row.record.needs_check;
+  return row.listed && !is_leaving(row, now) && !is_paused(row, now) && !row.record.needs_check;
 }
 
 }  // namespace
--- a/Source/Traffic/health_checks.cxx
+++ b/Source/Traffic/health_checks.cxx
@@ -37,7 +37,7 @@
     constexpr int good = 200;
     this->answered = true;
     this->healthy = answer.status == good || answer.pause;
-    this->proves = answer.status == good;
+    this->proves = answer.status == good && !answer.leaving;
     handle_endpoint_notices(this->context, this->name, this->asked, answer, {});
   }
   void on_answer_body(std::string_view /*bytes*/) override {}
--- a/Tests/Traffic/endpoint_restart_test.cxx
+++ b/Tests/Traffic/endpoint_restart_test.cxx
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(paused_gateway_checks_its_endpoints);
   CPPUNIT_TEST(request_without_a_connection_is_refused);
   CPPUNIT_TEST(leaving_endpoint_that_is_listed_again_gets_no_request);
+  CPPUNIT_TEST(check_of_a_leaving_endpoint_proves_nothing);
   CPPUNIT_TEST(endpoint_that_is_listed_as_started_again_is_used_at_once);
   CPPUNIT_TEST(last_answer_before_a_restart_keeps_no_requests_away);
   CPPUNIT_TEST_SUITE_END();
@@ -129,16 +130,36 @@
     this->harness.plain->scripts = {[](connection& caller) {
       caller.send("HTTP/1.1 503 Unavailable\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
     }};
+    this->enable_plain_checks();
     this->list_again("plain", 0);
     const auto caller = this->harness.connect();
     caller->send(traffic_harness::payment_bytes("p1"));
     CPPUNIT_ASSERT(this->harness.run_until([&] { return caller->has_answers(1); }));
     CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(!this->harness.plain->requests.empty());
     for (const scripted_endpoint::request& received : this->harness.plain->requests) {
       CPPUNIT_ASSERT_EQUAL(std::string("/healthz"), received.head.target);
     }
   }
 
+  /// Guards against a leaving endpoint whose health check, answered with 200, ends the doubt that
+  /// keeps requests away.
+  void check_of_a_leaving_endpoint_proves_nothing() {
+    this->harness.plain->scripts = {[](connection& caller) {
+      caller.send("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
+    }};
+    this->enable_plain_checks();
+    this->list_again("plain", 0);
+    const auto caller = this->harness.connect();
+    caller->send(traffic_harness::payment_bytes("p1"));
+    CPPUNIT_ASSERT(this->harness.run_until([&] { return caller->has_answers(1); }));
+    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 503 "));
+    // A second check would tell nothing new.
+    this->harness.run_for(gateway::proof_check_interval + milliseconds{200});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->harness.plain->requests.size());
+    CPPUNIT_ASSERT(this->harness.take_log().find("endpoint_proven") == std::string::npos);
+  }
+
   /// The other side of the same.
   void endpoint_that_is_listed_as_started_again_is_used_at_once() {
     this->harness.plain->scripts = {
@@ -191,6 +212,14 @@
     }};
   }
 
+  /// Gives the plain pool, which has none, a path for health checks.
+  void enable_plain_checks() {
+    gateway::service_map services = gateway::test_services();
+    services.pools[gateway::plain_pool.value].health_path = "/healthz";
+    this->harness.state.services =
+        std::make_shared<const gateway::service_map>(std::move(services));
+  }
+
   void doubt() {
     doubt_incarnation(this->harness.state.endpoints.rows.at(endpoint_id{"engine-0"}),
                       gateway::incarnation_doubt::may_have_restarted, this->harness.time.now());
