--- a/Utilities/fuzz.sh
+++ b/Utilities/fuzz.sh
@@ -13,7 +13,7 @@
 seconds=${1:-0}
 runs=40000
 cmake -S . -B build-fuzz -G Ninja -DCHESTNUTHEAD_PARTS=fuzz -DCMAKE_CXX_COMPILER=clang++ \
-  -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_UNITY_BUILD=ON \
+  -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_UNITY_BUILD=ON -DCMAKE_COMPILE_WARNING_AS_ERROR=ON \
   -DCHESTNUTHEAD_SANITIZE=fuzzer-no-link,address,undefined > /dev/null
 cmake --build build-fuzz > build-fuzz/build.log 2>&1 || { cat build-fuzz/build.log >&2; exit 1; }
 
