Take no heartbeat of a removed endpoint for a proof

Callers: an endpoint that leaves without a word to any gateway, and whose entry two delayed heartbeats list again, is sent requests that are lost when it ends.

Cause: the second heartbeat after the removal counted as a proof that the endpoint serves. The platform may perform several calls late, so heartbeats tell nothing about an endpoint whose entry was removed.

Change: the doubt of a removed endpoint ends only with a health check by this gateway or a peer.

The case removed_endpoint_that_is_listed_again_needs_a_proof asserted that the second heartbeat is a proof. It now asserts the opposite, and that a peer's check is one.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -148,7 +148,8 @@
     doubt_incarnation(row, incarnation_doubt::may_have_restarted, now - proof_before_read);
   } else if (is_other && now - *written_after > max_entry_age) {
     doubt_incarnation(row, incarnation_doubt::may_have_restarted, now);
-  } else if (written_after && *written_after >= row.proof.doubted_at &&
+  } else if (row.proof.doubt != incarnation_doubt::may_have_left && written_after &&
+             *written_after >= row.proof.doubted_at &&
              listing.heartbeat > row.listing.heartbeat) {
     prove_incarnation(row);
   }
--- a/Source/Gateway/incarnation_proof.h
+++ b/Source/Gateway/incarnation_proof.h
@@ -16,7 +16,8 @@
 /// the previous incarnation and would take a cold endpoint for warm. Without a proof an endpoint
 /// counts as cold, so that all gateways together keep to the rate that it supports then
 /// (Gateway/cold_pacing.h). Proofs are:
-/// - a heartbeat that was written to the entry since;
+/// - a heartbeat that was written to the entry since, unless the entry was removed before: several
+///   heartbeats of an endpoint that has left may be delayed;
 /// - the endpoint's answer to a health check, which also tells how long it stays cold. Only a few
 ///   gateways check an endpoint, and tell the others;
 /// - the word of another gateway that has been connected to the endpoint without a break.
--- a/Tests/Gateway/incarnation_proof_test.cxx
+++ b/Tests/Gateway/incarnation_proof_test.cxx
@@ -95,8 +95,11 @@
     const steady_time later = test_start + seconds{3};
     this->read_entry(later - seconds{1}, later);
     CPPUNIT_ASSERT(!has_room(this->row(), plain, {}, {}, later));
+    // Several heartbeats may be delayed, so only the endpoint itself can tell that it serves.
     ++this->entry.heartbeat;
     this->read_entry(later, later + seconds{1});
+    CPPUNIT_ASSERT(!has_room(this->row(), plain, {}, {}, later + seconds{1}));
+    apply_check_report(this->state.endpoints, {this->row().hash, {}, {}}, later + seconds{1});
     CPPUNIT_ASSERT(has_room(this->row(), plain, {}, {}, later + seconds{1}));
     // An entry that lapses in an outage of the store stays listed for a while.
     unlist_endpoint(this->state.endpoints, this->entry.name, later + missing_grace, later);
