Ask for a report of leaving once more where requests are sent

Callers: a request must not reach an endpoint that has reported that it leaves, on whichever way it gets there. All ways (first choice, resend, hedged request, a connection held for a silent endpoint, resumed streams, requests that waited for room) rely on the choice of the endpoint, which reads the endpoint's row.

Change: endpoint_attempt::start, through which all requests are sent, asks endpoint_table::leaving itself, by incarnation, at the moment of sending. If there is a report, nothing is sent, the request goes on as if no connection were free, and the warning leaving_endpoint_refused and a metric tell that the choice has a fault.

--- a/Source/Traffic/endpoint_attempt.cxx
+++ b/Source/Traffic/endpoint_attempt.cxx
@@ -42,10 +42,14 @@
   this->record.deciding_attempt = this->number;
 }
 
-void endpoint_attempt::start(const gateway::placement& chosen, endpoint_link& link,
+bool endpoint_attempt::start(const gateway::placement& chosen, endpoint_link& link,
                              steady_time now) {
   gateway::endpoint& row = *chosen.row;
   gateway::gateway_state& state = this->record.context.state;
+  if (has_reported_leaving(state.endpoints, incarnation_of(row), now)) {
+    this->refuse_leaving(row, link);
+    return false;
+  }
   const gateway::pool& pool = *this->record.admitted->taken_pool;
   this->call.link = &link;
   this->call.endpoint = row.listing.name;
@@ -78,6 +82,20 @@
   link.start(
       {this->encode_call(row, now), this->record.request.id, this->record.request.method == "HEAD"},
       *this);
+  return true;
+}
+
+void endpoint_attempt::refuse_leaving(const gateway::endpoint& row, endpoint_link& link) {
+  link.abandon();
+  this->end("leaving");
+  this->record.context.metrics.count("chestnuthead_leaving_endpoints_refused_total",
+                                     pool_label(this->record));
+  this->record.context.log.write(
+      log_level::warning, "leaving_endpoint_refused",
+      {{"endpoint", row.listing.name.value},
+       {"started", row.listing.started},
+       {"request", this->record.request.id},
+       {"chosen_by", std::string(name_of(this->record.attempts[this->number].reason))}});
 }
 
 void endpoint_attempt::report_cold_request(const gateway::endpoint& row, steady_time now) const {
--- a/Source/Traffic/endpoint_attempt.h
+++ b/Source/Traffic/endpoint_attempt.h
@@ -40,8 +40,10 @@
   endpoint_attempt(request_record& record, const answer_stream& stream, attempt_listener& listener,
                    const gateway::placement& chosen, steady_time now);
 
-  /// Sends the request on `link`. The attempt may already have failed when this returns.
-  void start(const gateway::placement& chosen, endpoint_link& link, steady_time now);
+  /// Sends the request on `link`. All requests to endpoints are sent here. The attempt may already
+  /// have failed when this returns. Returns false, and sends nothing, if the endpoint has reported
+  /// that it is leaving.
+  bool start(const gateway::placement& chosen, endpoint_link& link, steady_time now);
   /// The request was sent, and its call has neither ended nor been cancelled.
   [[nodiscard]] bool in_progress() const {
     return this->call.link != nullptr;
@@ -172,6 +174,8 @@
   /// The endpoint's row, or nullptr if the endpoint is no longer known.
   [[nodiscard]] gateway::endpoint* find_row() const;
   [[nodiscard]] std::string encode_call(const gateway::endpoint& row, steady_time now) const;
+  /// Gives up a call to an endpoint that is leaving before anything is sent.
+  void refuse_leaving(const gateway::endpoint& row, endpoint_link& link);
   /// Counts and logs the request if the endpoint is cold.
   void report_cold_request(const gateway::endpoint& row, steady_time now) const;
   /// Records the result of the call, which no longer counts as in flight.
--- a/Source/Traffic/exchange.cxx
+++ b/Source/Traffic/exchange.cxx
@@ -129,8 +129,7 @@
     begun.end("no_connection");
     return false;
   }
-  begun.start(chosen, *link, now);
-  return true;
+  return begun.start(chosen, *link, now);
 }
 
 void exchange::send_to_endpoint() {
@@ -198,8 +197,7 @@
   }
   const gateway::placement chosen{row, used->reason, used->load_bound};
   this->record.hints.tried.push_back(used->endpoint);
-  this->begin_attempt(chosen, now).start(chosen, *used->take(), now);
-  return true;
+  return this->begin_attempt(chosen, now).start(chosen, *used->take(), now);
 }
 
 bool exchange::move_to_another(attempt_result result, steady_time now) {
--- a/Source/Traffic/exchange_hedging.cxx
+++ b/Source/Traffic/exchange_hedging.cxx
@@ -102,7 +102,10 @@
   this->hedge = std::make_unique<endpoint_attempt>(this->record, this->stream, *this, chosen, now);
   this->hedge->mark_hedged();
   this->record.deciding_attempt = this->present->index();
-  this->hedge->start(chosen, link, now);
+  if (!this->hedge->start(chosen, link, now)) {
+    this->return_token();
+    this->record.context.loop.dispose(std::move(this->hedge));
+  }
 }
 
 void exchange::return_token() {
