--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -149,8 +149,7 @@
   } else if (is_other && now - *written_after > max_entry_age) {
     doubt_incarnation(row, incarnation_doubt::may_have_restarted, now);
   } else if (row.proof.doubt != incarnation_doubt::may_have_left && written_after &&
-             *written_after >= row.proof.doubted_at &&
-             listing.heartbeat > row.listing.heartbeat) {
+             *written_after >= row.proof.doubted_at && listing.heartbeat > row.listing.heartbeat) {
     prove_incarnation(row);
   }
   const bool moved = !is_new && row.listing.pool != listing.pool;
