--- a/Utilities/source_id.cmake
+++ b/Utilities/source_id.cmake
@@ -16,7 +16,15 @@
 string(SHA256 id "${digests}")
 string(SUBSTRING "${id}" 0 12 id)
 if(HEADER)
-  file(CONFIGURE OUTPUT "${HEADER}" CONTENT "#define CHESTNUTHEAD_SOURCE_ID \"${id}\"\n")
+  file(CONFIGURE OUTPUT "${HEADER}" CONTENT [[
+#pragma once
+
+namespace chestnuthead::platform {
+
+inline constexpr const char* digest_of_sources = "@id@";
+
+}  // namespace chestnuthead::platform
+]] @ONLY)
 else()
   message(NOTICE "${id}")
 endif()
