Say once when a report of leaving is valid and which entry is oldest

leaving_reports and has_reported_leaving each spelled out how long a report without a start time is valid, two functions looked a record up, and two discarded the oldest entry of a table; each stands once now. drop_unlisted looks removed endpoints up only for rows that it drops, not for each row in each scan. Behaviour is unchanged.

--- a/Source/Gateway/endpoint_reports.cxx
+++ b/Source/Gateway/endpoint_reports.cxx
@@ -50,10 +50,8 @@
 std::vector<incarnation_id> leaving_reports(const endpoint_table& table, steady_time now) {
   std::vector<incarnation_id> reports;
   const auto add_report = [&](const endpoint& row) {
-    const leaving_record record = leaving_record_of(table, row);
     const bool is_reported =
-        record.reported_at &&
-        (row.listing.started != 0 || now - *record.reported_at < leaving_report_lifetime);
+        is_valid_report(leaving_record_of(table, row).reported_at, row.listing.started, now);
     if (is_reported) {
       reports.push_back(incarnation_of(row));
     }
--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -30,15 +30,18 @@
   table.by_hash[row.hash] = &row;
 }
 
-void discard_oldest(std::unordered_map<std::uint64_t, gone_endpoint>& gone) {
-  gone.erase(std::min_element(gone.begin(), gone.end(), [](const auto& one, const auto& other) {
-    return one.second.gone_at < other.second.gone_at;
-  }));
+/// Discards the entry whose member `time` is the earliest.
+template <typename Entries, typename Value>
+void discard_oldest(Entries& entries, steady_time Value::*time) {
+  entries.erase(
+      std::min_element(entries.begin(), entries.end(), [time](const auto& one, const auto& other) {
+        return one.second.*time < other.second.*time;
+      }));
 }
 
 void record_gone(endpoint_table& table, const endpoint& row, steady_time now) {
   if (table.gone.size() >= max_gone_endpoints && !table.gone.contains(row.hash)) {
-    discard_oldest(table.gone);
+    discard_oldest(table.gone, &gone_endpoint::gone_at);
   }
   table.gone[row.hash] = {row, row.listing.heartbeat, now, false, {}};
 }
@@ -59,14 +62,16 @@
 void keep_record(endpoint_table& table, const incarnation_id& incarnation,
                  const leaving_record& record) {
   if (table.leaving.size() >= max_leaving_records && !table.leaving.contains(incarnation)) {
-    table.leaving.erase(std::min_element(table.leaving.begin(), table.leaving.end(),
-                                         [](const auto& one, const auto& other) {
-                                           return one.second.needed_at < other.second.needed_at;
-                                         }));
+    discard_oldest(table.leaving, &leaving_record::needed_at);
   }
   table.leaving[incarnation] = record;
 }
 
+leaving_record find_record(const endpoint_table& table, const incarnation_id& incarnation) {
+  const auto place = table.leaving.find(incarnation);
+  return place == table.leaving.end() ? leaving_record{} : place->second;
+}
+
 void drop_old_records(endpoint_table& table, steady_time now) {
   for (auto& [incarnation, record] : table.leaving) {
     if (find_incarnation(table, incarnation) != nullptr) {
@@ -245,13 +250,15 @@
   drop_old_records(table, now);
   const std::size_t erased = std::erase_if(table.rows, [&table](const auto& entry) {
     const endpoint& row = entry.second;
-    const bool is_dropped = !row.listed && row.in_flight == 0;
+    if (row.listed || row.in_flight > 0) {
+      return false;
+    }
     const auto gone = table.gone.find(row.hash);
-    if (is_dropped && gone != table.gone.end()) {
+    if (gone != table.gone.end()) {
       // Answers since the removal have added to what is known.
       gone->second.last = row;
     }
-    return is_dropped;
+    return true;
   });
   if (erased > 0) {
     rebuild_indexes(table);
@@ -290,12 +297,7 @@
 bool record_leaving(endpoint_table& table, const incarnation_id& incarnation, bool to_peer,
                     steady_time now) {
   endpoint* row = find_incarnation(table, incarnation);
-  leaving_record record;
-  if (row != nullptr) {
-    record = row->reported_leaving;
-  } else if (const auto place = table.leaving.find(incarnation); place != table.leaving.end()) {
-    record = place->second;
-  }
+  leaving_record record = row == nullptr ? find_record(table, incarnation) : row->reported_leaving;
   std::optional<steady_time>& latest = to_peer ? record.peer_reported_at : record.reported_at;
   const bool is_first = !latest;
   latest = now;
@@ -310,19 +312,19 @@
 }
 
 leaving_record leaving_record_of(const endpoint_table& table, const endpoint& row) {
-  if (row.listing.started == 0) {
-    return row.reported_leaving;
-  }
-  const auto place = table.leaving.find(incarnation_of(row));
-  return place == table.leaving.end() ? leaving_record{} : place->second;
+  return row.listing.started == 0 ? row.reported_leaving : find_record(table, incarnation_of(row));
+}
+
+bool is_valid_report(const std::optional<steady_time>& reported_at, std::int64_t started,
+                     steady_time now) {
+  return reported_at && (started != 0 || now - *reported_at < leaving_report_lifetime);
 }
 
 bool has_reported_leaving(const endpoint& row, steady_time now) {
-  const auto holds = [&row, now](const std::optional<steady_time>& reported_at) {
-    return reported_at &&
-           (row.listing.started != 0 || now - *reported_at < leaving_report_lifetime);
-  };
-  return holds(row.reported_leaving.reported_at) || holds(row.reported_leaving.peer_reported_at);
+  const leaving_record& record = row.reported_leaving;
+  const std::int64_t started = row.listing.started;
+  return is_valid_report(record.reported_at, started, now) ||
+         is_valid_report(record.peer_reported_at, started, now);
 }
 
 bool has_reported_leaving(const endpoint_table& table, const incarnation_id& incarnation,
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -293,6 +293,10 @@
 /// the endpoint may have restarted under the same name.
 inline constexpr std::chrono::seconds leaving_report_lifetime{60};
 
+/// True if the report of an incarnation with this start time, if there is one, is still valid.
+bool is_valid_report(const std::optional<steady_time>& reported_at, std::int64_t started,
+                     steady_time now);
+
 /// True if the endpoint has reported, to this gateway or a peer, that it is leaving. The report is
 /// valid for the rest of its incarnation, even if a delayed entry contradicts it.
 bool has_reported_leaving(const endpoint& row, steady_time now);
