--- a/Source/Traffic/peer_codec.cxx
+++ b/Source/Traffic/peer_codec.cxx
@@ -28,6 +28,13 @@
   }
 }
 
+/// Reads the next field, which is a list of limited length.
+field_reader read_limited_list(field_reader& in) {
+  const msgpack::object& list = in.object();
+  check_length(list);
+  return field_reader(list);
+}
+
 /// Reads entries of two fields each from a list of limited length.
 template <class Entry, class First, class Second>
 void read_limited_pairs(const msgpack::object& list, std::vector<Entry>& entries,
@@ -63,9 +70,7 @@
   in.get(update.unchanged_since);
   in.get(update.store_time);
   in.get(update.rows_after);
-  const msgpack::object& rows = in.object();
-  check_length(rows);
-  for (field_reader list(rows); !list.at_end();) {
+  for (field_reader list = read_limited_list(in); !list.at_end();) {
     gateway::table_row& row = update.rows.emplace_back();
     list.get(row.key);
     list.get_bytes(row.value);
@@ -93,18 +98,14 @@
 }
 
 void read_proofs(field_reader& in, gateway::peer_message& message) {
-  const msgpack::object& checks = in.object();
-  check_length(checks);
-  for (field_reader list(checks); !list.at_end();) {
+  for (field_reader list = read_limited_list(in); !list.at_end();) {
     gateway::check_report& report = message.checks.emplace_back();
     list.get(report.endpoint);
     list.get(report.age);
     list.get(report.cold_for);
   }
-  const msgpack::object& unvouched = in.object();
-  check_length(unvouched);
   message.unvouched.emplace();
-  for (field_reader list(unvouched); !list.at_end();) {
+  for (field_reader list = read_limited_list(in); !list.at_end();) {
     list.get(message.unvouched->emplace_back());
   }
 }
@@ -209,9 +210,7 @@
     in.get(message.configuration);
     read_limited_pairs(in.object(), message.loads, &gateway::peer_load::endpoint,
                        &gateway::peer_load::in_flight);
-    const msgpack::object& unreachable = in.object();
-    check_length(unreachable);
-    for (field_reader list(unreachable); !list.at_end();) {
+    for (field_reader list = read_limited_list(in); !list.at_end();) {
       list.get(message.unreachable.emplace_back());
     }
     read_limited_pairs(in.object(), message.leaving_endpoints, &gateway::incarnation_id::endpoint,
@@ -222,9 +221,7 @@
       read_limited_pairs(in.object(), *placements, &gateway::prefix_placement::prefix,
                          &gateway::prefix_placement::endpoint);
     }
-    const msgpack::object& tables = in.object();
-    check_length(tables);
-    for (field_reader list(tables); !list.at_end();) {
+    for (field_reader list = read_limited_list(in); !list.at_end();) {
       message.tables.push_back(read_table(list.object()));
     }
     message.rollouts = read_rollouts(in.object());
