--- a/Source/Traffic/exchange.h
+++ b/Source/Traffic/exchange.h
@@ -67,9 +67,9 @@
   /// Adds an attempt at the endpoint, which becomes the present one.
   endpoint_attempt& begin_attempt(const gateway::placement& chosen, steady_time now);
   [[nodiscard]] bool open_call(const gateway::placement& chosen, steady_time now);
-  /// Sends the request on the standby connection; false if there is none that can be used.
   /// True if a first attempt should wait for an endpoint to prove its incarnation.
   [[nodiscard]] bool may_await_proof(steady_time now) const;
+  /// Sends the request on the standby connection; false if there is none that can be used.
   [[nodiscard]] bool use_standby(steady_time now);
   /// Moves the request to another endpoint if one can take it now. The present call goes on
   /// until then: its endpoint may only be silent.
--- a/Source/Traffic/peer_channel.cxx
+++ b/Source/Traffic/peer_channel.cxx
@@ -184,11 +184,11 @@
   const std::uint64_t start_before =
       known == state.peers.rows.end() ? 0 : known->second.message.start;
   const message_news news = find_news(state.endpoints, message, now);
-  const bool is_applied = apply_peer_message(state, message, now);
-  if (is_applied) {
-    log_news(this->context, news);
+  if (!apply_peer_message(state, message, now)) {
+    return;
   }
-  if (is_applied && message.start != start_before &&
+  log_news(this->context, news);
+  if (message.start != start_before &&
       sends_initial_placements(state.peers, state.self, this->start, message, now)) {
     this->send_placements(sender, now);
   }
