Share the steps of two tests of leaving endpoints

Two cases of endpoint_restart_test differed in the status of a health check only; their assertions stay.

--- a/Tests/Gateway/leaving_orders_test.cxx
+++ b/Tests/Gateway/leaving_orders_test.cxx
@@ -1,8 +1,6 @@
-#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <set>
 #include <string>
 #include <utility>
--- a/Tests/Traffic/endpoint_restart_test.cxx
+++ b/Tests/Traffic/endpoint_restart_test.cxx
@@ -127,15 +127,7 @@
 
   /// Review case 8 without an answer that said so before: the check says it.
   void leaving_endpoint_that_is_listed_again_gets_no_request() {
-    this->harness.plain->scripts = {[](connection& caller) {
-      caller.send("HTTP/1.1 503 Unavailable\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
-    }};
-    this->enable_plain_checks();
-    this->list_again("plain", 0);
-    const auto caller = this->harness.connect();
-    caller->send(traffic_harness::payment_bytes("p1"));
-    CPPUNIT_ASSERT(this->harness.run_until([&] { return caller->has_answers(1); }));
-    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 503 "));
+    this->refuse_payment_while_leaving("503 Unavailable");
     CPPUNIT_ASSERT(!this->harness.plain->requests.empty());
     for (const scripted_endpoint::request& received : this->harness.plain->requests) {
       CPPUNIT_ASSERT_EQUAL(std::string("/healthz"), received.head.target);
@@ -145,15 +137,7 @@
   /// Guards against a leaving endpoint whose health check, answered with 200, ends the doubt that
   /// keeps requests away.
   void check_of_a_leaving_endpoint_proves_nothing() {
-    this->harness.plain->scripts = {[](connection& caller) {
-      caller.send("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
-    }};
-    this->enable_plain_checks();
-    this->list_again("plain", 0);
-    const auto caller = this->harness.connect();
-    caller->send(traffic_harness::payment_bytes("p1"));
-    CPPUNIT_ASSERT(this->harness.run_until([&] { return caller->has_answers(1); }));
-    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 503 "));
+    this->refuse_payment_while_leaving("200 OK");
     // A second check would tell nothing new.
     this->harness.run_for(gateway::proof_check_interval + milliseconds{200});
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->harness.plain->requests.size());
@@ -212,6 +196,20 @@
     }};
   }
 
+  /// The plain endpoint, which answers health checks with this status and the report that it is
+  /// leaving, is listed again. A payment is refused.
+  void refuse_payment_while_leaving(const std::string& status) {
+    this->harness.plain->scripts = {[status](connection& caller) {
+      caller.send("HTTP/1.1 " + status + "\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
+    }};
+    this->enable_plain_checks();
+    this->list_again("plain", 0);
+    const auto caller = this->harness.connect();
+    caller->send(traffic_harness::payment_bytes("p1"));
+    CPPUNIT_ASSERT(this->harness.run_until([&] { return caller->has_answers(1); }));
+    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 503 "));
+  }
+
   /// Gives the plain pool, which has none, a path for health checks.
   void enable_plain_checks() {
     gateway::service_map services = gateway::test_services();
