Count no time of a suspension to the memory of removed endpoints

Callers saw: a gateway that was suspended for over 10 minutes after an endpoint had reported that it is leaving sent it payments again, when the platform, suspended with it, performed the endpoint's last heartbeat.

Cause: reports of leaving and removed rows are kept for 10 minutes of a clock that runs on during a suspension, so that all were discarded at once when the gateway ran again.

Change: note_running, which detects interruptions, moves the times from which they are kept by the interruption (extend_retention). Bounds in number stay.

Evidence: removed_endpoint_test::suspension_ends_no_memory_of_an_endpoint fails before and passes after. That this is what the users saw is not shown.

--- a/Source/Gateway/endpoint_table.cxx
+++ b/Source/Gateway/endpoint_table.cxx
@@ -265,6 +265,15 @@
   }
 }
 
+void extend_retention(endpoint_table& table, steady_time::duration interruption, steady_time now) {
+  for (auto& [hash, gone] : table.gone) {
+    gone.gone_at = std::min(gone.gone_at + interruption, now);
+  }
+  for (auto& [incarnation, record] : table.leaving) {
+    record.needed_at = std::min(record.needed_at + interruption, now);
+  }
+}
+
 endpoint* find_endpoint(endpoint_table& table, const endpoint_id& name) {
   const auto place = table.rows.find(name);
   return place == table.rows.end() ? nullptr : &place->second;
--- a/Source/Gateway/endpoint_table.h
+++ b/Source/Gateway/endpoint_table.h
@@ -195,7 +195,8 @@
 };
 
 /// How long a removed endpoint is remembered unless a later incarnation starts before: for longer
-/// than a leaving endpoint serves and than any pause that it can request.
+/// than a leaving endpoint serves and than any pause that it can request. Time for which this
+/// gateway did not run does not count; see `extend_retention`.
 inline constexpr std::chrono::minutes incarnation_retention{10};
 /// Most removed endpoints that are remembered, about 700 bytes each. The oldest are discarded
 /// first.
@@ -268,6 +269,11 @@
 /// removed `incarnation_retention` ago, and the reports of incarnations without a row since then.
 void drop_unlisted(endpoint_table& table, steady_time now);
 
+/// Keeps what is known of removed and leaving endpoints for longer by the time for which this
+/// gateway did not run: the platform may have been suspended with it, and then performs calls that
+/// were delayed before. To be called before `drop_unlisted`.
+void extend_retention(endpoint_table& table, steady_time::duration interruption, steady_time now);
+
 /// Returns the endpoint with that name, or nullptr.
 endpoint* find_endpoint(endpoint_table& table, const endpoint_id& name);
 
--- a/Source/Gateway/incarnation_proof.cxx
+++ b/Source/Gateway/incarnation_proof.cxx
@@ -117,10 +117,11 @@
 }
 
 bool note_running(gateway_state& state, steady_time now) {
-  const bool was_interrupted =
-      state.ran_at != steady_time{} && now - state.ran_at >= max_interruption;
+  const steady_time::duration elapsed = now - state.ran_at;
+  const bool was_interrupted = state.ran_at != steady_time{} && elapsed >= max_interruption;
   state.ran_at = now;
   if (was_interrupted) {
+    extend_retention(state.endpoints, elapsed, now);
     for (auto& [name, row] : state.endpoints.rows) {
       doubt_incarnation(row, incarnation_doubt::may_have_restarted, now);
     }
--- a/Source/Gateway/incarnation_proof.h
+++ b/Source/Gateway/incarnation_proof.h
@@ -81,8 +81,9 @@
 /// True if this gateway can tell the others that the endpoint is warm and runs as listed.
 bool can_vouch_for(const endpoint& row, steady_time now);
 
-/// Doubts all endpoints if this gateway has not run for `max_interruption`. To be called regularly
-/// and before an endpoint is chosen. Returns true if it did.
+/// Doubts all endpoints if this gateway has not run for `max_interruption`, and keeps what is known
+/// of removed ones for longer by that time. To be called regularly and before an endpoint is
+/// chosen. Returns true if it did.
 bool note_running(gateway_state& state, steady_time now);
 
 }  // namespace chestnuthead::gateway
--- a/Tests/Gateway/removed_endpoint_test.cxx
+++ b/Tests/Gateway/removed_endpoint_test.cxx
@@ -6,6 +6,7 @@
 #include "Gateway/endpoint_health.h"
 #include "Gateway/endpoint_reports.h"
 #include "Gateway/gateway_fixture.h"
+#include "Gateway/incarnation_proof.h"
 #include "Gateway/peer_message.h"
 #include "Gateway/peer_table.h"
 #include "Gateway/placement.h"
@@ -27,6 +28,7 @@
   CPPUNIT_TEST(earlier_entries_do_not_list_a_removed_endpoint);
   CPPUNIT_TEST(endpoint_that_starts_again_is_new);
   CPPUNIT_TEST(endpoint_without_start_time_is_new_after_its_removal);
+  CPPUNIT_TEST(suspension_ends_no_memory_of_an_endpoint);
   CPPUNIT_TEST(memory_of_removed_endpoints_is_bounded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -136,6 +138,22 @@
     CPPUNIT_ASSERT(in_service(this->row(), {}, test_start + seconds{1}));
   }
 
+  /// A VM that is suspended together with the store performs the delayed call after an hour.
+  void suspension_ends_no_memory_of_an_endpoint() {
+    note_running(this->state, test_start);
+    this->report_leaving(this->row());
+    this->remove(test_start);
+    const steady_time resumed = test_start + std::chrono::hours{1};
+    CPPUNIT_ASSERT(note_running(this->state, resumed));
+    drop_unlisted(this->state.endpoints, resumed);
+    CPPUNIT_ASSERT(!this->list_again(resumed));
+    CPPUNIT_ASSERT(!in_service(this->row(), {}, resumed));
+    this->remove(resumed);
+    drop_unlisted(this->state.endpoints, resumed + incarnation_retention);
+    CPPUNIT_ASSERT(this->state.endpoints.gone.empty());
+    CPPUNIT_ASSERT(this->state.endpoints.leaving.empty());
+  }
+
   void memory_of_removed_endpoints_is_bounded() {
     const endpoint_id first = this->entry.name;
     for (std::size_t number = 0; number <= max_gone_endpoints; ++number) {
