Expect a refused chat with one function in leaving_gate_test

Two cases sent a chat and checked its refusal with the same five lines, which differed in the number of engines reached. expect_refusal_after holds them once; all assertions stay. traffic_tests passes.

--- a/Tests/Traffic/leaving_gate_test.cxx
+++ b/Tests/Traffic/leaving_gate_test.cxx
@@ -25,22 +25,14 @@
   void first_request_is_not_sent() {
     this->mark("engine-0");
     this->mark("engine-1");
-    const auto caller = this->ask();
-    CPPUNIT_ASSERT(this->harness.run_until([&] { return caller->has_answers(1); }));
-    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 503 "));
-    CPPUNIT_ASSERT_EQUAL(0, this->chats);
-    this->check_refusal();
+    this->expect_refusal_after(0);
   }
 
   void rejected_request_is_not_sent_again() {
     this->serve([](connection& caller) {
       caller.send("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     });
-    const auto caller = this->ask();
-    CPPUNIT_ASSERT(this->harness.run_until([&] { return caller->has_answers(1); }));
-    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 503 "));
-    CPPUNIT_ASSERT_EQUAL(1, this->chats);
-    this->check_refusal();
+    this->expect_refusal_after(1);
   }
 
   void request_is_not_hedged() {
@@ -109,6 +101,15 @@
     return caller;
   }
 
+  /// Sends a chat, which is refused once it has reached `sent` engines.
+  void expect_refusal_after(int sent) {
+    const auto caller = this->ask();
+    CPPUNIT_ASSERT(this->harness.run_until([&] { return caller->has_answers(1); }));
+    CPPUNIT_ASSERT(caller->bytes.starts_with("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT_EQUAL(sent, this->chats);
+    this->check_refusal();
+  }
+
   void check_refusal() {
     CPPUNIT_ASSERT(this->harness.take_log().find("leaving_endpoint_refused") != std::string::npos);
   }
